--- a/src/daemons/tanagerctl.cpp
+++ b/src/daemons/tanagerctl.cpp
@@ -1,7 +1,7 @@
 // The operators' command line.
 #include "tanagerstall/connection/tanagerstall_http_client.hpp"
 #include "tanagerstall/connection/tanagerstall_traffic_threads.hpp"
-#include "tanagerstall/process/tanagerstall_operator_command.hpp"
+#include "tanagerstall/process/commands/tanagerstall_operator_command.hpp"
 
 #include <boost/program_options/parsers.hpp>
 #include <boost/program_options/positional_options.hpp>
--- a/src/daemons/tanagerstall_load.cpp
+++ b/src/daemons/tanagerstall_load.cpp
@@ -1,8 +1,8 @@
 // The load and experiment tool.
-#include "tanagerstall/process/tanagerstall_decision_benchmark.hpp"
-#include "tanagerstall/process/tanagerstall_experiment_report.hpp"
-#include "tanagerstall/process/tanagerstall_history_callers.hpp"
-#include "tanagerstall/process/tanagerstall_log_benchmark.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_decision_benchmark.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment_report.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_history_callers.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_log_benchmark.hpp"
 #include "tanagerstall/process/tanagerstall_settings.hpp"
 
 #include <array>
--- a/src/daemons/tanagerstall_standin.cpp
+++ b/src/daemons/tanagerstall_standin.cpp
@@ -1,5 +1,5 @@
 // A stand-in for a model engine or a plain service, for tests and local runs.
-#include "tanagerstall/process/tanagerstall_standin.hpp"
+#include "tanagerstall/process/standin/tanagerstall_standin.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
 #include <boost/program_options/value_semantic.hpp>
--- a/src/tanagerstall/connection/tanagerstall_control_server.hpp
+++ b/src/tanagerstall/connection/tanagerstall_control_server.hpp
@@ -1,11 +1,11 @@
 #ifndef TANAGERSTALL_CONTROL_SERVER_HPP_INCLUDED
 #define TANAGERSTALL_CONTROL_SERVER_HPP_INCLUDED
 
+#include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
+#include "tanagerstall/process/raft/tanagerstall_state_machine.hpp"
 #include "tanagerstall/process/tanagerstall_clock.hpp"
 #include "tanagerstall/process/tanagerstall_control_loop.hpp"
-#include "tanagerstall/process/tanagerstall_entry_directory.hpp"
 #include "tanagerstall/process/tanagerstall_settings.hpp"
-#include "tanagerstall/process/tanagerstall_state_machine.hpp"
 #include "tanagerstall/version/tanagerstall_configuration_store.hpp"
 
 #include <functional>
--- a/src/tanagerstall/connection/tanagerstall_member_link.cpp
+++ b/src/tanagerstall/connection/tanagerstall_member_link.cpp
@@ -1,8 +1,8 @@
 #include "tanagerstall/connection/tanagerstall_member_link.hpp"
 
 #include "tanagerstall/internal/tanagerstall_wire.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_codec.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
-#include "tanagerstall/process/tanagerstall_raft_codec.hpp"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
--- a/src/tanagerstall/connection/tanagerstall_member_link.hpp
+++ b/src/tanagerstall/connection/tanagerstall_member_link.hpp
@@ -2,7 +2,7 @@
 #define TANAGERSTALL_MEMBER_LINK_HPP_INCLUDED
 
 #include "tanagerstall/connection/tanagerstall_control_server.hpp"
-#include "tanagerstall/process/tanagerstall_raft_identity.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_identity.hpp"
 
 namespace tanagerstall {
 
--- a/src/tanagerstall/connection/tanagerstall_peer_link.hpp
+++ b/src/tanagerstall/connection/tanagerstall_peer_link.hpp
@@ -1,8 +1,8 @@
 #ifndef TANAGERSTALL_PEER_LINK_HPP_INCLUDED
 #define TANAGERSTALL_PEER_LINK_HPP_INCLUDED
 
+#include "tanagerstall/process/presence/tanagerstall_presence_exchange.hpp"
 #include "tanagerstall/process/tanagerstall_control_loop.hpp"
-#include "tanagerstall/process/tanagerstall_presence_exchange.hpp"
 #include "tanagerstall/process/tanagerstall_settings.hpp"
 
 #include <functional>
--- a/src/tanagerstall/connection/tanagerstall_presence_codec.hpp
+++ b/src/tanagerstall/connection/tanagerstall_presence_codec.hpp
@@ -2,7 +2,7 @@
 #define TANAGERSTALL_PRESENCE_CODEC_HPP_INCLUDED
 
 #include "tanagerstall/internal/control.capnp.h"
-#include "tanagerstall/process/tanagerstall_presence_exchange.hpp"
+#include "tanagerstall/process/presence/tanagerstall_presence_exchange.hpp"
 
 namespace tanagerstall {
 
--- a/src/tanagerstall/internal/tanagerstall_entry_wire.hpp
+++ b/src/tanagerstall/internal/tanagerstall_entry_wire.hpp
@@ -3,7 +3,7 @@
 
 #include "tanagerstall/internal/control.capnp.h"
 #include "tanagerstall/internal/tanagerstall_wire.hpp"
-#include "tanagerstall/process/tanagerstall_entry_directory.hpp"
+#include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
 
 namespace tanagerstall {
 
--- a/src/tanagerstall/process/tanagerstall_histogram_commands.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_histogram_commands.cpp
@@ -1,5 +1,5 @@
-#include "tanagerstall/process/tanagerstall_metrics.hpp"
-#include "tanagerstall/process/tanagerstall_operator_command.hpp"
+#include "tanagerstall/process/commands/tanagerstall_operator_command.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/src/tanagerstall/process/tanagerstall_member_commands.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_member_commands.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_operator_command.hpp"
+#include "tanagerstall/process/commands/tanagerstall_operator_command.hpp"
 
 #include <boost/json.hpp>
 #include <boost/program_options/value_semantic.hpp>
--- a/src/tanagerstall/process/tanagerstall_record_apply.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_record_apply.cpp
@@ -1,8 +1,8 @@
-#include "tanagerstall/process/tanagerstall_record_apply.hpp"
+#include "tanagerstall/process/commands/tanagerstall_record_apply.hpp"
 
+#include "tanagerstall/process/commands/tanagerstall_record_folder.hpp"
+#include "tanagerstall/process/commands/tanagerstall_record_text.hpp"
 #include "tanagerstall/process/tanagerstall_bytes.hpp"
-#include "tanagerstall/process/tanagerstall_record_folder.hpp"
-#include "tanagerstall/process/tanagerstall_record_text.hpp"
 
 #include <boost/json.hpp>
 #include <boost/program_options/value_semantic.hpp>
--- a/src/tanagerstall/process/tanagerstall_record_apply.hpp
+++ b/src/tanagerstall/process/commands/tanagerstall_record_apply.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_RECORD_APPLY_HPP_INCLUDED
 #define TANAGERSTALL_RECORD_APPLY_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_operator_command.hpp"
+#include "tanagerstall/process/commands/tanagerstall_operator_command.hpp"
 
 namespace tanagerstall {
 
--- a/src/tanagerstall/process/tanagerstall_record_commands.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_record_commands.cpp
@@ -1,7 +1,7 @@
-#include "tanagerstall/process/tanagerstall_operator_command.hpp"
-#include "tanagerstall/process/tanagerstall_record_apply.hpp"
-#include "tanagerstall/process/tanagerstall_record_text.hpp"
-#include "tanagerstall/process/tanagerstall_status_report.hpp"
+#include "tanagerstall/process/commands/tanagerstall_operator_command.hpp"
+#include "tanagerstall/process/commands/tanagerstall_record_apply.hpp"
+#include "tanagerstall/process/commands/tanagerstall_record_text.hpp"
+#include "tanagerstall/process/commands/tanagerstall_status_report.hpp"
 
 #include <boost/json.hpp>
 #include <boost/program_options/value_semantic.hpp>
--- a/src/tanagerstall/process/tanagerstall_record_folder.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_record_folder.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_record_folder.hpp"
+#include "tanagerstall/process/commands/tanagerstall_record_folder.hpp"
 
 #include "tanagerstall/version/tanagerstall_record_codec.hpp"
 
--- a/src/tanagerstall/process/tanagerstall_record_text.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_record_text.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_record_text.hpp"
+#include "tanagerstall/process/commands/tanagerstall_record_text.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/tanagerstall/process/tanagerstall_status_report.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_status_report.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_status_report.hpp"
+#include "tanagerstall/process/commands/tanagerstall_status_report.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/src/tanagerstall/process/tanagerstall_caller_history.cpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_caller_history.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_caller_history.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_caller_history.hpp"
 
 #include <boost/json.hpp>
 #include <set>
--- a/src/tanagerstall/process/tanagerstall_decision_benchmark.cpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_decision_benchmark.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_decision_benchmark.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_decision_benchmark.hpp"
 
 #include "tanagerstall/request/tanagerstall_scheduler.hpp"
 
--- a/src/tanagerstall/process/tanagerstall_experiment.cpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_experiment.cpp
@@ -1,7 +1,7 @@
-#include "tanagerstall/process/tanagerstall_experiment.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment.hpp"
 
-#include "tanagerstall/process/tanagerstall_experiment_summary.hpp"
-#include "tanagerstall/process/tanagerstall_experiment_workload.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment_summary.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment_workload.hpp"
 #include "tanagerstall/request/tanagerstall_scheduler.hpp"
 
 #include <algorithm>
--- a/src/tanagerstall/process/tanagerstall_experiment.hpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_experiment.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_EXPERIMENT_HPP_INCLUDED
 #define TANAGERSTALL_EXPERIMENT_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_experiment_model.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment_model.hpp"
 #include "tanagerstall/process/tanagerstall_work_class.hpp"
 #include "tanagerstall/request/tanagerstall_policy_options.hpp"
 
--- a/src/tanagerstall/process/tanagerstall_experiment_model.cpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_experiment_model.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_experiment_model.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment_model.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/tanagerstall/process/tanagerstall_experiment_report.cpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_experiment_report.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_experiment_report.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment_report.hpp"
 
 #include <algorithm>
 #include <boost/json/array.hpp>
--- a/src/tanagerstall/process/tanagerstall_experiment_report.hpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_experiment_report.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_EXPERIMENT_REPORT_HPP_INCLUDED
 #define TANAGERSTALL_EXPERIMENT_REPORT_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_experiment.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment.hpp"
 
 #include <string>
 #include <vector>
--- a/src/tanagerstall/process/tanagerstall_experiment_summary.cpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_experiment_summary.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_experiment_summary.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment_summary.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/tanagerstall/process/tanagerstall_experiment_summary.hpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_experiment_summary.hpp
@@ -1,8 +1,8 @@
 #ifndef TANAGERSTALL_EXPERIMENT_SUMMARY_HPP_INCLUDED
 #define TANAGERSTALL_EXPERIMENT_SUMMARY_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_experiment.hpp"
-#include "tanagerstall/process/tanagerstall_experiment_workload.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment_workload.hpp"
 
 #include <vector>
 
--- a/src/tanagerstall/process/tanagerstall_experiment_table.cpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_experiment_table.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_experiment.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment.hpp"
 
 namespace tanagerstall {
 
--- a/src/tanagerstall/process/tanagerstall_experiment_workload.cpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_experiment_workload.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_experiment_workload.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment_workload.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/tanagerstall/process/tanagerstall_experiment_workload.hpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_experiment_workload.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_EXPERIMENT_WORKLOAD_HPP_INCLUDED
 #define TANAGERSTALL_EXPERIMENT_WORKLOAD_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_experiment.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment.hpp"
 
 #include <map>
 #include <string>
--- a/src/tanagerstall/process/tanagerstall_history_callers.cpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_history_callers.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_history_callers.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_history_callers.hpp"
 
 #include "tanagerstall/connection/tanagerstall_http_client.hpp"
 #include "tanagerstall/connection/tanagerstall_traffic_threads.hpp"
--- a/src/tanagerstall/process/tanagerstall_history_callers.hpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_history_callers.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_HISTORY_CALLERS_HPP_INCLUDED
 #define TANAGERSTALL_HISTORY_CALLERS_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_caller_history.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_caller_history.hpp"
 #include "tanagerstall/process/tanagerstall_settings.hpp"
 
 #include <cstdint>
--- a/src/tanagerstall/process/tanagerstall_log_benchmark.cpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_log_benchmark.cpp
@@ -1,9 +1,9 @@
-#include "tanagerstall/process/tanagerstall_log_benchmark.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_log_benchmark.hpp"
 
 #include "tanagerstall/internal/configuration.capnp.h"
 #include "tanagerstall/internal/ledger.capnp.h"
 #include "tanagerstall/internal/tanagerstall_wire.hpp"
-#include "tanagerstall/process/tanagerstall_raft_group.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_group.hpp"
 #include "tanagerstall/process/tanagerstall_settings.hpp"
 #include "tanagerstall/request/tanagerstall_ledger.hpp"
 #include "tanagerstall/version/tanagerstall_configuration_store.hpp"
--- a/src/tanagerstall/process/tanagerstall_decision_log.cpp
+++ b/src/tanagerstall/process/metrics/tanagerstall_decision_log.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_decision_log.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_decision_log.hpp"
 
 #include <array>
 
--- a/src/tanagerstall/process/tanagerstall_metrics.cpp
+++ b/src/tanagerstall/process/metrics/tanagerstall_metrics.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_metrics.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
 
 #include <algorithm>
 #include <atomic>
--- a/src/tanagerstall/process/tanagerstall_metrics_page.cpp
+++ b/src/tanagerstall/process/metrics/tanagerstall_metrics_page.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_metrics_page.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 
 #include <boost/json.hpp>
 #include <sstream>
--- a/src/tanagerstall/process/tanagerstall_metrics_page.hpp
+++ b/src/tanagerstall/process/metrics/tanagerstall_metrics_page.hpp
@@ -2,7 +2,7 @@
 #define TANAGERSTALL_METRICS_PAGE_HPP_INCLUDED
 
 #include "tanagerstall/connection/tanagerstall_http_message.hpp"
-#include "tanagerstall/process/tanagerstall_metrics.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
 
 #include <map>
 #include <string>
--- a/src/tanagerstall/process/tanagerstall_entry_directory.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_entry_directory.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_entry_directory.hpp"
+#include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
 
 namespace tanagerstall {
 
--- a/src/tanagerstall/process/tanagerstall_peer_schedule.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_peer_schedule.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_peer_schedule.hpp"
+#include "tanagerstall/process/presence/tanagerstall_peer_schedule.hpp"
 
 #include <algorithm>
 
--- a/src/tanagerstall/process/tanagerstall_presence_exchange.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_presence_exchange.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_presence_exchange.hpp"
+#include "tanagerstall/process/presence/tanagerstall_presence_exchange.hpp"
 
 #include <algorithm>
 #include <set>
--- a/src/tanagerstall/process/tanagerstall_presence_service.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_presence_service.cpp
@@ -1,8 +1,8 @@
-#include "tanagerstall/process/tanagerstall_presence_service.hpp"
+#include "tanagerstall/process/presence/tanagerstall_presence_service.hpp"
 
 #include "tanagerstall/connection/tanagerstall_peer_link.hpp"
+#include "tanagerstall/process/presence/tanagerstall_peer_schedule.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
-#include "tanagerstall/process/tanagerstall_peer_schedule.hpp"
 
 #include <kj/async-io.h>
 #include <map>
--- a/src/tanagerstall/process/tanagerstall_presence_service.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_presence_service.hpp
@@ -1,10 +1,10 @@
 #ifndef TANAGERSTALL_PRESENCE_SERVICE_HPP_INCLUDED
 #define TANAGERSTALL_PRESENCE_SERVICE_HPP_INCLUDED
 
+#include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
+#include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
+#include "tanagerstall/process/presence/tanagerstall_presence_exchange.hpp"
 #include "tanagerstall/process/tanagerstall_control_loop.hpp"
-#include "tanagerstall/process/tanagerstall_entry_directory.hpp"
-#include "tanagerstall/process/tanagerstall_metrics.hpp"
-#include "tanagerstall/process/tanagerstall_presence_exchange.hpp"
 #include "tanagerstall/process/tanagerstall_settings.hpp"
 
 #include <functional>
--- a/src/tanagerstall/process/tanagerstall_presence_table.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_presence_table.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_presence_table.hpp"
+#include "tanagerstall/process/presence/tanagerstall_presence_table.hpp"
 
 #include <algorithm>
 #include <string_view>
--- a/src/tanagerstall/process/tanagerstall_presence_table.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_presence_table.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_PRESENCE_TABLE_HPP_INCLUDED
 #define TANAGERSTALL_PRESENCE_TABLE_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_upstream_info.hpp"
+#include "tanagerstall/process/presence/tanagerstall_upstream_info.hpp"
 
 #include <map>
 #include <memory>
--- a/src/tanagerstall/process/tanagerstall_log_disk.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_log_disk.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_log_disk.hpp"
+#include "tanagerstall/process/raft/tanagerstall_log_disk.hpp"
 
 #include <cerrno>
 #include <cstring>
--- a/src/tanagerstall/process/tanagerstall_log_storage.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_log_storage.hpp
@@ -1,8 +1,8 @@
 #ifndef TANAGERSTALL_LOG_STORAGE_HPP_INCLUDED
 #define TANAGERSTALL_LOG_STORAGE_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_log_disk.hpp"
-#include "tanagerstall/process/tanagerstall_raft_log.hpp"
+#include "tanagerstall/process/raft/tanagerstall_log_disk.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_log.hpp"
 
 namespace tanagerstall {
 
--- a/src/tanagerstall/process/tanagerstall_raft.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_RAFT_HPP_INCLUDED
 #define TANAGERSTALL_RAFT_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_raft_log.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_log.hpp"
 
 #include <map>
 #include <random>
--- a/src/tanagerstall/process/tanagerstall_raft_codec.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_codec.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_raft_codec.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_codec.hpp"
 
 #include "tanagerstall/internal/tanagerstall_wire.hpp"
 
--- a/src/tanagerstall/process/tanagerstall_raft_codec.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_codec.hpp
@@ -2,7 +2,7 @@
 #define TANAGERSTALL_RAFT_CODEC_HPP_INCLUDED
 
 #include "tanagerstall/internal/raft.capnp.h"
-#include "tanagerstall/process/tanagerstall_raft_types.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_types.hpp"
 
 namespace tanagerstall {
 
--- a/src/tanagerstall/process/tanagerstall_raft_group.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_group.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_raft_group.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_group.hpp"
 
 #include <algorithm>
 
--- a/src/tanagerstall/process/tanagerstall_raft_group.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_group.hpp
@@ -1,9 +1,9 @@
 #ifndef TANAGERSTALL_RAFT_GROUP_HPP_INCLUDED
 #define TANAGERSTALL_RAFT_GROUP_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_log_storage.hpp"
-#include "tanagerstall/process/tanagerstall_raft.hpp"
-#include "tanagerstall/process/tanagerstall_state_machine.hpp"
+#include "tanagerstall/process/raft/tanagerstall_log_storage.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft.hpp"
+#include "tanagerstall/process/raft/tanagerstall_state_machine.hpp"
 
 #include <map>
 
--- a/src/tanagerstall/process/tanagerstall_raft_identity.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_identity.cpp
@@ -1,7 +1,7 @@
-#include "tanagerstall/process/tanagerstall_raft_identity.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_identity.hpp"
 
 #include "tanagerstall/internal/tanagerstall_wire.hpp"
-#include "tanagerstall/process/tanagerstall_raft_codec.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_codec.hpp"
 
 namespace tanagerstall {
 
--- a/src/tanagerstall/process/tanagerstall_raft_identity.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_identity.hpp
@@ -1,8 +1,8 @@
 #ifndef TANAGERSTALL_RAFT_IDENTITY_HPP_INCLUDED
 #define TANAGERSTALL_RAFT_IDENTITY_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_log_disk.hpp"
-#include "tanagerstall/process/tanagerstall_raft_types.hpp"
+#include "tanagerstall/process/raft/tanagerstall_log_disk.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_types.hpp"
 
 namespace tanagerstall {
 
--- a/src/tanagerstall/process/tanagerstall_raft_leader.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_leader.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_raft.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft.hpp"
 
 #include <algorithm>
 
--- a/src/tanagerstall/process/tanagerstall_raft_log.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_log.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_raft_log.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_log.hpp"
 
 namespace tanagerstall {
 
--- a/src/tanagerstall/process/tanagerstall_raft_member.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_member.hpp
@@ -2,7 +2,7 @@
 #define TANAGERSTALL_RAFT_MEMBER_HPP_INCLUDED
 
 #include "tanagerstall/connection/tanagerstall_member_link.hpp"
-#include "tanagerstall/process/tanagerstall_raft_repair.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_repair.hpp"
 
 #include <filesystem>
 
--- a/src/tanagerstall/process/tanagerstall_standin.cpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin.cpp
@@ -1,11 +1,11 @@
-#include "tanagerstall/process/tanagerstall_standin.hpp"
+#include "tanagerstall/process/standin/tanagerstall_standin.hpp"
 
 #include "tanagerstall/connection/tanagerstall_http_client.hpp"
 #include "tanagerstall/connection/tanagerstall_http_server.hpp"
+#include "tanagerstall/process/standin/tanagerstall_standin_model.hpp"
+#include "tanagerstall/process/standin/tanagerstall_standin_work.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
-#include "tanagerstall/process/tanagerstall_standin_model.hpp"
-#include "tanagerstall/process/tanagerstall_standin_work.hpp"
 #include "tanagerstall/request/tanagerstall_announcement.hpp"
 
 #include <atomic>
--- a/src/tanagerstall/process/tanagerstall_standin.hpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin.hpp
@@ -1,9 +1,9 @@
 #ifndef TANAGERSTALL_STANDIN_HPP_INCLUDED
 #define TANAGERSTALL_STANDIN_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_presence_table.hpp"
+#include "tanagerstall/process/presence/tanagerstall_presence_table.hpp"
+#include "tanagerstall/process/standin/tanagerstall_standin_faults.hpp"
 #include "tanagerstall/process/tanagerstall_settings.hpp"
-#include "tanagerstall/process/tanagerstall_standin_faults.hpp"
 
 #include <vector>
 
--- a/src/tanagerstall/process/tanagerstall_standin_faults.cpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin_faults.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_standin_faults.hpp"
+#include "tanagerstall/process/standin/tanagerstall_standin_faults.hpp"
 
 #include <boost/json.hpp>
 #include <functional>
--- a/src/tanagerstall/process/tanagerstall_standin_model.cpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin_model.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_standin_model.hpp"
+#include "tanagerstall/process/standin/tanagerstall_standin_model.hpp"
 
 #include "tanagerstall/process/tanagerstall_bytes.hpp"
 
--- a/src/tanagerstall/process/tanagerstall_standin_work.cpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin_work.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/process/tanagerstall_standin_work.hpp"
+#include "tanagerstall/process/standin/tanagerstall_standin_work.hpp"
 
 #include <algorithm>
 
--- a/src/tanagerstall/process/tanagerstall_standin_work.hpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin_work.hpp
@@ -2,7 +2,7 @@
 #define TANAGERSTALL_STANDIN_WORK_HPP_INCLUDED
 
 #include "tanagerstall/connection/tanagerstall_fiber.hpp"
-#include "tanagerstall/process/tanagerstall_standin_faults.hpp"
+#include "tanagerstall/process/standin/tanagerstall_standin_faults.hpp"
 
 #include <deque>
 #include <random>
--- a/src/tanagerstall/process/tanagerstall_controller.cpp
+++ b/src/tanagerstall/process/tanagerstall_controller.cpp
@@ -2,8 +2,8 @@
 
 #include "tanagerstall/connection/tanagerstall_control_server.hpp"
 #include "tanagerstall/connection/tanagerstall_http_server.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_member.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
-#include "tanagerstall/process/tanagerstall_raft_member.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
 #include "tanagerstall/request/tanagerstall_ledger.hpp"
 #include "tanagerstall/request/tanagerstall_member_api.hpp"
--- a/src/tanagerstall/process/tanagerstall_entry_api.hpp
+++ b/src/tanagerstall/process/tanagerstall_entry_api.hpp
@@ -2,8 +2,8 @@
 #define TANAGERSTALL_ENTRY_API_HPP_INCLUDED
 
 #include "tanagerstall/connection/tanagerstall_http_server.hpp"
-#include "tanagerstall/process/tanagerstall_metrics.hpp"
-#include "tanagerstall/process/tanagerstall_metrics_page.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 #include "tanagerstall/version/tanagerstall_routing_snapshot.hpp"
 
 #include <functional>
--- a/src/tanagerstall/request/tanagerstall_announcement.hpp
+++ b/src/tanagerstall/request/tanagerstall_announcement.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_ANNOUNCEMENT_HPP_INCLUDED
 #define TANAGERSTALL_ANNOUNCEMENT_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_presence_table.hpp"
+#include "tanagerstall/process/presence/tanagerstall_presence_table.hpp"
 
 #include <string>
 #include <string_view>
--- a/src/tanagerstall/request/tanagerstall_ledger.hpp
+++ b/src/tanagerstall/request/tanagerstall_ledger.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_LEDGER_HPP_INCLUDED
 #define TANAGERSTALL_LEDGER_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_state_machine.hpp"
+#include "tanagerstall/process/raft/tanagerstall_state_machine.hpp"
 #include "tanagerstall/request/tanagerstall_ledger_record.hpp"
 
 #include <cstdint>
--- a/src/tanagerstall/request/tanagerstall_ledger_client.hpp
+++ b/src/tanagerstall/request/tanagerstall_ledger_client.hpp
@@ -2,7 +2,7 @@
 #define TANAGERSTALL_LEDGER_CLIENT_HPP_INCLUDED
 
 #include "tanagerstall/connection/tanagerstall_fiber.hpp"
-#include "tanagerstall/process/tanagerstall_state_machine.hpp"
+#include "tanagerstall/process/raft/tanagerstall_state_machine.hpp"
 #include "tanagerstall/request/tanagerstall_ledger_codec.hpp"
 
 #include <functional>
--- a/src/tanagerstall/request/tanagerstall_member_api.hpp
+++ b/src/tanagerstall/request/tanagerstall_member_api.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_MEMBER_API_HPP_INCLUDED
 #define TANAGERSTALL_MEMBER_API_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_raft_member.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_member.hpp"
 #include "tanagerstall/request/tanagerstall_operator_api.hpp"
 
 namespace tanagerstall {
--- a/src/tanagerstall/request/tanagerstall_metrics_route.hpp
+++ b/src/tanagerstall/request/tanagerstall_metrics_route.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_METRICS_ROUTE_HPP_INCLUDED
 #define TANAGERSTALL_METRICS_ROUTE_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_metrics_page.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 #include "tanagerstall/request/tanagerstall_operator_api.hpp"
 
 namespace tanagerstall {
--- a/src/tanagerstall/request/tanagerstall_repeatable_dispatch.hpp
+++ b/src/tanagerstall/request/tanagerstall_repeatable_dispatch.hpp
@@ -2,7 +2,7 @@
 #define TANAGERSTALL_REPEATABLE_DISPATCH_HPP_INCLUDED
 
 #include "tanagerstall/connection/tanagerstall_http_server.hpp"
-#include "tanagerstall/process/tanagerstall_metrics.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
 #include "tanagerstall/request/tanagerstall_dispatcher.hpp"
 #include "tanagerstall/request/tanagerstall_service_call.hpp"
 
--- a/src/tanagerstall/request/tanagerstall_request_reporter.hpp
+++ b/src/tanagerstall/request/tanagerstall_request_reporter.hpp
@@ -1,8 +1,8 @@
 #ifndef TANAGERSTALL_REQUEST_REPORTER_HPP_INCLUDED
 #define TANAGERSTALL_REQUEST_REPORTER_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_decision_log.hpp"
-#include "tanagerstall/process/tanagerstall_metrics.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_decision_log.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
 #include "tanagerstall/request/tanagerstall_repeatable_dispatch.hpp"
 
 #include <atomic>
--- a/src/tanagerstall/tanagerstall_all.hpp
+++ b/src/tanagerstall/tanagerstall_all.hpp
@@ -4,12 +4,12 @@
 // The umbrella header: the processes, records and decisions that a program of
 // its own would embed. Small headers serve better where few are needed.
 
+#include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
+#include "tanagerstall/process/standin/tanagerstall_standin.hpp"
 #include "tanagerstall/process/tanagerstall_controller.hpp"
 #include "tanagerstall/process/tanagerstall_entry.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
-#include "tanagerstall/process/tanagerstall_metrics.hpp"
 #include "tanagerstall/process/tanagerstall_settings.hpp"
-#include "tanagerstall/process/tanagerstall_standin.hpp"
 #include "tanagerstall/request/tanagerstall_completion_stream.hpp"
 #include "tanagerstall/request/tanagerstall_ledger.hpp"
 #include "tanagerstall/request/tanagerstall_scheduler.hpp"
--- a/src/tanagerstall/version/tanagerstall_configuration_store.hpp
+++ b/src/tanagerstall/version/tanagerstall_configuration_store.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_CONFIGURATION_STORE_HPP_INCLUDED
 #define TANAGERSTALL_CONFIGURATION_STORE_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_state_machine.hpp"
+#include "tanagerstall/process/raft/tanagerstall_state_machine.hpp"
 #include "tanagerstall/version/tanagerstall_configuration_check.hpp"
 #include "tanagerstall/version/tanagerstall_configuration_command.hpp"
 #include "tanagerstall/version/tanagerstall_operation_log.hpp"
--- a/src/tanagerstall/version/tanagerstall_routing_snapshot.hpp
+++ b/src/tanagerstall/version/tanagerstall_routing_snapshot.hpp
@@ -1,8 +1,8 @@
 #ifndef TANAGERSTALL_ROUTING_SNAPSHOT_HPP_INCLUDED
 #define TANAGERSTALL_ROUTING_SNAPSHOT_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_entry_directory.hpp"
-#include "tanagerstall/process/tanagerstall_presence_table.hpp"
+#include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
+#include "tanagerstall/process/presence/tanagerstall_presence_table.hpp"
 #include "tanagerstall/version/tanagerstall_configuration.hpp"
 
 #include <map>
--- a/tests/caller_history_tests.cpp
+++ b/tests/caller_history_tests.cpp
@@ -1,6 +1,6 @@
 // The checker of callers' histories sees each broken promise.
 #define BOOST_TEST_MODULE caller_history
-#include "tanagerstall/process/tanagerstall_caller_history.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_caller_history.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
--- a/tests/entry_directory_tests.cpp
+++ b/tests/entry_directory_tests.cpp
@@ -1,6 +1,6 @@
 // Control's list of entries, and when it counts as changed.
 #define BOOST_TEST_MODULE entry_directory
-#include "tanagerstall/process/tanagerstall_entry_directory.hpp"
+#include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
--- a/tests/experiment_tests.cpp
+++ b/tests/experiment_tests.cpp
@@ -1,6 +1,6 @@
 // The experiment gives the same result for the same seed, and loses nothing.
 #define BOOST_TEST_MODULE experiment
-#include "tanagerstall/process/tanagerstall_experiment_report.hpp"
+#include "tanagerstall/process/experiment/tanagerstall_experiment_report.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
--- a/tests/log_storage_tests.cpp
+++ b/tests/log_storage_tests.cpp
@@ -1,7 +1,7 @@
 // What a member keeps: torn tails are cut, other damage ends the start.
 #define BOOST_TEST_MODULE log_storage
-#include "tanagerstall/process/tanagerstall_log_storage.hpp"
-#include "tanagerstall/process/tanagerstall_raft_identity.hpp"
+#include "tanagerstall/process/raft/tanagerstall_log_storage.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_identity.hpp"
 #include "tanagerstall_fake_disk.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
--- a/tests/metrics_tests.cpp
+++ b/tests/metrics_tests.cpp
@@ -1,7 +1,7 @@
 // Histograms per organisation and class, merged over threads.
 #define BOOST_TEST_MODULE metrics
-#include "tanagerstall/process/tanagerstall_metrics.hpp"
-#include "tanagerstall/process/tanagerstall_metrics_page.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
--- a/tests/presence_network.hpp
+++ b/tests/presence_network.hpp
@@ -1,8 +1,8 @@
 #ifndef TANAGERSTALL_PRESENCE_NETWORK_HPP_INCLUDED
 #define TANAGERSTALL_PRESENCE_NETWORK_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_peer_schedule.hpp"
-#include "tanagerstall/process/tanagerstall_presence_exchange.hpp"
+#include "tanagerstall/process/presence/tanagerstall_peer_schedule.hpp"
+#include "tanagerstall/process/presence/tanagerstall_presence_exchange.hpp"
 
 #include <functional>
 #include <map>
--- a/tests/raft_group_tests.cpp
+++ b/tests/raft_group_tests.cpp
@@ -1,6 +1,6 @@
 // One group's promises apart from faults: batches, members, refusals.
 #define BOOST_TEST_MODULE raft_group
-#include "tanagerstall/process/tanagerstall_raft_repair.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_repair.hpp"
 #include "tanagerstall_raft_simulation.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
--- a/tests/raft_member_tests.cpp
+++ b/tests/raft_member_tests.cpp
@@ -1,8 +1,8 @@
 // A member's door: which folders it starts on, which messages it takes.
 #define BOOST_TEST_MODULE raft_member
 #include "tanagerstall/internal/tanagerstall_wire.hpp"
-#include "tanagerstall/process/tanagerstall_raft_codec.hpp"
-#include "tanagerstall/process/tanagerstall_raft_member.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_codec.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_member.hpp"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
--- a/tests/standin_tests.cpp
+++ b/tests/standin_tests.cpp
@@ -1,7 +1,7 @@
 // The stand-in's text can be resumed, and its faults are read strictly.
 #define BOOST_TEST_MODULE standin
-#include "tanagerstall/process/tanagerstall_standin_faults.hpp"
-#include "tanagerstall/process/tanagerstall_standin_model.hpp"
+#include "tanagerstall/process/standin/tanagerstall_standin_faults.hpp"
+#include "tanagerstall/process/standin/tanagerstall_standin_model.hpp"
 
 #include <boost/json.hpp>
 #include <boost/test/data/monomorphic.hpp>
--- a/tests/tanagerstall_fake_disk.hpp
+++ b/tests/tanagerstall_fake_disk.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_FAKE_DISK_HPP_INCLUDED
 #define TANAGERSTALL_FAKE_DISK_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_log_disk.hpp"
+#include "tanagerstall/process/raft/tanagerstall_log_disk.hpp"
 
 #include <map>
 #include <memory>
--- a/tests/tanagerstall_raft_checker.hpp
+++ b/tests/tanagerstall_raft_checker.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_RAFT_CHECKER_HPP_INCLUDED
 #define TANAGERSTALL_RAFT_CHECKER_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_raft_group.hpp"
+#include "tanagerstall/process/raft/tanagerstall_raft_group.hpp"
 #include "tanagerstall_fake_disk.hpp"
 
 #include <algorithm>
