--- a/CMake/TanagerstallDependencies.cmake
+++ b/CMake/TanagerstallDependencies.cmake
@@ -1,11 +1,13 @@
 # Libraries from Debian; tools/scripts/install.sh installs them.
 set(Boost_NO_WARN_NEW_VERSIONS ON)
 find_package(Threads REQUIRED)
-find_package(Boost 1.81 REQUIRED COMPONENTS context json log program_options
-                                            unit_test_framework)
+find_package(Boost 1.81 REQUIRED COMPONENTS context json log program_options)
 find_package(OpenSSL REQUIRED)
 find_package(TBB REQUIRED)
-find_package(rapidcheck REQUIRED)
+if(TANAGERSTALL_BUILD_TESTS)
+  find_package(Boost 1.81 REQUIRED COMPONENTS unit_test_framework)
+  find_package(rapidcheck REQUIRED)
+endif()
 
 add_library(tanagerstall_dependencies INTERFACE)
 target_compile_definitions(
--- /dev/null
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
@@ -0,0 +1,193 @@
+#include "tanagerstall/connection/tanagerstall_fleet_client.hpp"
+
+#include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
+#include "tanagerstall/process/tanagerstall_log.hpp"
+
+#include <algorithm>
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <map>
+#include <set>
+
+namespace tanagerstall {
+
+namespace {
+
+constexpr auto kConnectTimeout = 800 * kj::MILLISECONDS;
+constexpr std::chrono::milliseconds kWait{ 800 };
+/// Past the wait: the round trip and a busy control process.
+constexpr auto kAnswerTimeout = 1800 * kj::MILLISECONDS;
+/// Lets changes that come together travel together.
+constexpr auto kPause = 60 * kj::MILLISECONDS;
+constexpr auto kRetryPause = 300 * kj::MILLISECONDS;
+
+struct Link
+{
+  explicit Link(kj::Own<kj::AsyncIoStream> aStream)
+    : stream_(kj::mv(aStream))
+    , client_(*stream_)
+    , port_(client_.bootstrap().castAs<wire::FleetPort>())
+  {
+  }
+
+  kj::Own<kj::AsyncIoStream> stream_;
+  capnp::TwoPartyClient client_;
+  wire::FleetPort::Client port_;
+};
+
+using SharedLink = std::shared_ptr<Link>;
+
+} // namespace
+
+struct FleetClient::State : private kj::TaskSet::ErrorHandler
+{
+  State(ControlLoop& aLoop, Hooks aHooks)
+    : loop_(aLoop)
+    , timer_(aLoop.Io().provider->getTimer())
+    , hooks_(std::move(aHooks))
+    , tasks_(*this)
+  {
+  }
+
+  void taskFailed(kj::Exception&& aError) override
+  {
+    LogEvent(Severity::Warning,
+             "control connection failed",
+             { { "error", aError.getDescription().cStr() } });
+  }
+
+  kj::Promise<SharedLink> Connect(const std::string& aAddress)
+  {
+    if (auto it = links_.find(aAddress); it != links_.end()) {
+      return it->second;
+    }
+    auto opening =
+      loop_.Io()
+        .provider->getNetwork()
+        .parseAddress(aAddress.c_str())
+        .then([](kj::Own<kj::NetworkAddress> aTo) {
+          auto connecting = aTo->connect();
+          return connecting.attach(kj::mv(aTo));
+        })
+        .then([this, aAddress](kj::Own<kj::AsyncIoStream> aStream) {
+          auto link = std::make_shared<Link>(kj::mv(aStream));
+          links_[aAddress] = link;
+          return link;
+        });
+    return timer_.timeoutAfter(kConnectTimeout, kj::mv(opening));
+  }
+
+  kj::Promise<void> Ask(SharedLink aLink,
+                        std::string aAddress,
+                        std::chrono::milliseconds aWait)
+  {
+    auto request = aLink->port_.syncRequest();
+    EntryReport report = hooks_.report_(aAddress);
+    report.wait_ = aWait;
+    WriteReport(request.initRequest(), report);
+    return timer_.timeoutAfter(kAnswerTimeout, request.send())
+      .then([this, aLink, aAddress](auto aResponse) {
+        OnAnswer(aAddress, ReadAnswer(aResponse.getReply()));
+      });
+  }
+
+  void OnAnswer(const std::string& aAddress, const ControlAnswer& aAnswer)
+  {
+    if (unreachable_.erase(aAddress) > 0) {
+      LogEvent(Severity::Info, "control regained", { { "address", aAddress } });
+    }
+    if (aAnswer.isLeader_) {
+      named_ = { aAnswer.members_.begin(), aAnswer.members_.end() };
+    }
+    for (const auto& member : aAnswer.members_) {
+      Follow(member);
+    }
+    hooks_.take_(aAddress, aAnswer);
+  }
+
+  /// Whether an address that doesn't answer is still worth asking.
+  bool IsWanted(const std::string& aAddress) const
+  {
+    return named_.empty() || named_.contains(aAddress) ||
+           seeds_.contains(aAddress);
+  }
+
+  void OnFailure(const std::string& aAddress, const kj::Exception& aError)
+  {
+    links_.erase(aAddress);
+    if (unreachable_.insert(aAddress).second) {
+      LogEvent(Severity::Warning,
+               "control lost",
+               { { "address", aAddress },
+                 { "error", aError.getDescription().cStr() } });
+    }
+  }
+
+  kj::Promise<void> AskForever(std::string aAddress)
+  {
+    return Connect(aAddress)
+      .then([this, aAddress](SharedLink aLink) {
+        return Ask(aLink, aAddress, kWait);
+      })
+      .then([this] { return timer_.afterDelay(kPause); },
+            [this, aAddress](kj::Exception&& aError) {
+              OnFailure(aAddress, aError);
+              return timer_.afterDelay(kRetryPause);
+            })
+      .then([this, aAddress]() -> kj::Promise<void> {
+        if (!links_.contains(aAddress) && !IsWanted(aAddress)) {
+          followed_.erase(aAddress);
+          unreachable_.erase(aAddress);
+          return kj::READY_NOW;
+        }
+        return AskForever(aAddress);
+      });
+  }
+
+  void Follow(const std::string& aAddress)
+  {
+    if (!aAddress.empty() && followed_.insert(aAddress).second) {
+      tasks_.add(
+        kj::evalLater([this, aAddress] { return AskForever(aAddress); }));
+    }
+  }
+
+  ControlLoop& loop_;
+  kj::Timer& timer_;
+  Hooks hooks_;
+  std::set<std::string> seeds_;
+  /// The members, as the leader last named them.
+  std::set<std::string> named_;
+  std::set<std::string> followed_;
+  std::set<std::string> unreachable_;
+  std::map<std::string, SharedLink> links_;
+  kj::TaskSet tasks_;
+};
+
+FleetClient::FleetClient(ControlLoop& aLoop, Hooks aHooks)
+  : state_(std::make_unique<State>(aLoop, std::move(aHooks)))
+{
+}
+
+FleetClient::~FleetClient() = default;
+
+void
+FleetClient::SetSeeds(const std::vector<Address>& aSeeds)
+{
+  state_->seeds_.clear();
+  for (const auto& seed : aSeeds) {
+    state_->seeds_.insert(seed.ToString());
+    state_->Follow(seed.ToString());
+  }
+}
+
+void
+FleetClient::Refresh()
+{
+  State* state = state_.get();
+  for (const auto& [address, link] : state->links_) {
+    state->tasks_.add(state->Ask(link, address, std::chrono::milliseconds(0)));
+  }
+}
+
+} // namespace tanagerstall
--- /dev/null
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -0,0 +1,152 @@
+#include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
+
+#include "tanagerstall/internal/tanagerstall_entry_wire.hpp"
+
+#include <kj/debug.h>
+
+namespace tanagerstall {
+
+namespace {
+
+void
+WriteReplica(wire::ReplicaFact::Builder aTo, const Replica& aFrom)
+{
+  aTo.setId(ToText(aFrom.id_));
+  aTo.setService(ToText(aFrom.service_));
+  aTo.setAddress(ToText(aFrom.address_));
+  aTo.setFailureDomain(ToText(aFrom.failureDomain_));
+  aTo.setBornMs(aFrom.bornMs_);
+  aTo.setSequence(aFrom.sequence_);
+  aTo.setSlots(aFrom.slots_);
+  aTo.setStanding(static_cast<std::uint8_t>(aFrom.standing_));
+  aTo.setReclaimable(aFrom.isReclaimable_);
+  aTo.setColdMs(static_cast<std::uint32_t>(aFrom.coldFor_.count()));
+}
+
+Replica
+ReadReplica(wire::ReplicaFact::Reader aFrom)
+{
+  KJ_REQUIRE(aFrom.getStanding() <=
+               static_cast<std::uint8_t>(ReplicaStanding::Silent),
+             "unknown standing");
+  return { ToString(aFrom.getId()),
+           ToString(aFrom.getService()),
+           ToString(aFrom.getAddress()),
+           ToString(aFrom.getFailureDomain()),
+           aFrom.getBornMs(),
+           aFrom.getSequence(),
+           aFrom.getSlots(),
+           static_cast<ReplicaStanding>(aFrom.getStanding()),
+           aFrom.getReclaimable(),
+           std::chrono::milliseconds(aFrom.getColdMs()) };
+}
+
+} // namespace
+
+void
+WriteReport(wire::SyncRequest::Builder aTo, const EntryReport& aFrom)
+{
+  WriteWire(aTo.initEntry(), aFrom.entry_);
+  aTo.setControlRun(aFrom.controlRun_);
+  aTo.setStamp(aFrom.stamp_);
+  aTo.setWaitMs(static_cast<std::uint32_t>(aFrom.wait_.count()));
+  auto usage = aTo.initUsage(aFrom.usage_.size());
+  for (unsigned i = 0; i < aFrom.usage_.size(); ++i) {
+    WriteUsage(usage[i], aFrom.usage_[i]);
+  }
+  auto organisations = aTo.initOrganisations(aFrom.wanted_.size());
+  unsigned next = 0;
+  for (const auto& [name, wanted] : aFrom.wanted_) {
+    organisations[next].setName(ToText(name));
+    organisations[next].setWanted(wanted);
+    ++next;
+  }
+  auto services = aTo.initServices(aFrom.services_.size());
+  next = 0;
+  for (const auto& [name, load] : aFrom.services_) {
+    auto service = services[next++];
+    service.setName(ToText(name));
+    service.setRunning(load.running_);
+    service.setWaiting(load.waiting_);
+    service.setArrivals(load.arrivals_);
+    service.setRefused(load.refused_);
+  }
+}
+
+EntryReport
+ReadReport(wire::SyncRequest::Reader aFrom)
+{
+  EntryReport report;
+  report.entry_ = ReadWire(aFrom.getEntry());
+  report.controlRun_ = aFrom.getControlRun();
+  report.stamp_ = aFrom.getStamp();
+  report.wait_ = std::chrono::milliseconds(aFrom.getWaitMs());
+  for (auto usage : aFrom.getUsage()) {
+    report.usage_.push_back(ReadUsage(usage));
+  }
+  for (auto organisation : aFrom.getOrganisations()) {
+    report.wanted_[ToString(organisation.getName())] = organisation.getWanted();
+  }
+  for (auto service : aFrom.getServices()) {
+    report.services_[ToString(service.getName())] = { service.getRunning(),
+                                                      service.getWaiting(),
+                                                      service.getArrivals(),
+                                                      service.getRefused() };
+  }
+  return report;
+}
+
+void
+WriteAnswer(wire::SyncReply::Builder aTo, const ControlAnswer& aFrom)
+{
+  aTo.setControlRun(aFrom.replicas_.run_);
+  aTo.setStamp(aFrom.replicas_.stamp_);
+  auto replicas = aTo.initReplicas(aFrom.replicas_.changed_.size());
+  for (unsigned i = 0; i < aFrom.replicas_.changed_.size(); ++i) {
+    WriteReplica(replicas[i], aFrom.replicas_.changed_[i]);
+  }
+  aTo.setPlanNumber(aFrom.planNumber_);
+  if (aFrom.declaration_) {
+    aTo.setDocument(ToData(ViewOf(aFrom.declaration_->document_)));
+  }
+  auto members = aTo.initMembers(aFrom.members_.size());
+  for (unsigned i = 0; i < aFrom.members_.size(); ++i) {
+    members.set(i, ToText(aFrom.members_[i]));
+  }
+  aTo.setEntries(aFrom.entries_);
+  auto shares = aTo.initShares(aFrom.shares_.size());
+  unsigned next = 0;
+  for (const auto& [organisation, fraction] : aFrom.shares_) {
+    shares[next].setOrganisation(ToText(organisation));
+    shares[next].setFraction(fraction);
+    ++next;
+  }
+  aTo.setLeads(aFrom.isLeader_);
+}
+
+ControlAnswer
+ReadAnswer(wire::SyncReply::Reader aFrom)
+{
+  ControlAnswer answer;
+  answer.replicas_.run_ = aFrom.getControlRun();
+  answer.replicas_.stamp_ = aFrom.getStamp();
+  for (auto replica : aFrom.getReplicas()) {
+    answer.replicas_.changed_.push_back(ReadReplica(replica));
+  }
+  answer.planNumber_ = aFrom.getPlanNumber();
+  if (aFrom.getDocument().size() > 0) {
+    answer.declaration_ = { aFrom.getPlanNumber(),
+                            TextOf(ToBytes(aFrom.getDocument())) };
+  }
+  for (auto member : aFrom.getMembers()) {
+    answer.members_.push_back(ToString(member));
+  }
+  answer.entries_ = aFrom.getEntries();
+  for (auto share : aFrom.getShares()) {
+    answer.shares_[ToString(share.getOrganisation())] = share.getFraction();
+  }
+  answer.isLeader_ = aFrom.getLeads();
+  return answer;
+}
+
+} // namespace tanagerstall
--- /dev/null
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -0,0 +1,59 @@
+#ifndef TANAGERSTALL_FLEET_MESSAGES_HPP_INCLUDED
+#define TANAGERSTALL_FLEET_MESSAGES_HPP_INCLUDED
+
+#include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
+#include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
+#include "tanagerstall/version/tanagerstall_fleet_state.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tanagerstall {
+
+/// The load of one service at one entry, since its last report.
+struct ServiceLoad
+{
+  std::uint32_t running_ = 0;
+  std::uint32_t waiting_ = 0;
+  std::uint64_t arrivals_ = 0;
+  std::uint64_t refused_ = 0;
+};
+
+/// What an entry tells a control process with every question.
+struct EntryReport
+{
+  /// Its revision is the number of the declaration in force there; its weight
+  /// is 0 while callers may not be sent to it.
+  EntryInfo entry_;
+  /// What it knows already of this control process.
+  std::uint64_t controlRun_ = 0;
+  std::uint64_t stamp_ = 0;
+  /// How long the answer may wait for a change.
+  std::chrono::milliseconds wait_{ 0 };
+  std::vector<UsageWindow> usage_;
+  /// Cost that callers of an organisation asked for a second.
+  CountsByName wanted_;
+  std::map<std::string, ServiceLoad> services_;
+};
+
+/// The answer of a control process.
+struct ControlAnswer
+{
+  ReplicaReport replicas_;
+  std::uint64_t planNumber_ = 0;
+  /// The declaration, where it is newer than the entry's.
+  std::optional<Declaration> declaration_;
+  /// Where entries reach the members of the cluster.
+  std::vector<std::string> members_;
+  /// Entries that take requests.
+  std::uint32_t entries_ = 0;
+  /// The entry's part of each organisation's limit.
+  std::map<std::string, double> shares_;
+  bool isLeader_ = false;
+};
+
+} // namespace tanagerstall
+
+#endif
--- /dev/null
+++ b/src/tanagerstall/connection/tanagerstall_fleet_server.cpp
@@ -0,0 +1,129 @@
+#include "tanagerstall/connection/tanagerstall_fleet_server.hpp"
+
+#include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
+#include "tanagerstall/process/tanagerstall_log.hpp"
+
+#include <algorithm>
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <list>
+
+namespace tanagerstall {
+
+namespace {
+
+/// The longest wait that an entry may ask for.
+constexpr std::chrono::milliseconds kMaxWait{ 2000 };
+
+/// A question that waits for a change.
+struct Waiting
+{
+  EntryReport report_;
+  kj::Own<kj::PromiseFulfiller<void>> fulfiller_;
+};
+
+using WaitingList = std::list<std::shared_ptr<Waiting>>;
+
+} // namespace
+
+struct FleetServer::State : private kj::TaskSet::ErrorHandler
+{
+  State(ControlLoop& aLoop, Hooks aHooks)
+    : loop_(aLoop)
+    , timer_(aLoop.Io().provider->getTimer())
+    , hooks_(std::move(aHooks))
+    , tasks_(*this)
+  {
+  }
+
+  void taskFailed(kj::Exception&& aError) override
+  {
+    LogEvent(Severity::Warning,
+             "entry connection failed",
+             { { "error", aError.getDescription().cStr() } });
+  }
+
+  /// Ends at news for the entry, or after the time that it is ready to wait.
+  kj::Promise<void> AwaitNews(const EntryReport& aReport)
+  {
+    if (aReport.wait_.count() == 0 || hooks_.hasNews_(aReport)) {
+      return kj::READY_NOW;
+    }
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    auto waiting =
+      std::make_shared<Waiting>(Waiting{ aReport, kj::mv(pair.fulfiller) });
+    waiting_.push_back(waiting);
+    auto wait = std::min(aReport.wait_, kMaxWait).count() * kj::MILLISECONDS;
+    return pair.promise.exclusiveJoin(timer_.afterDelay(wait))
+      .attach(kj::defer([this, waiting] { waiting_.remove(waiting); }));
+  }
+
+  ControlLoop& loop_;
+  kj::Timer& timer_;
+  Hooks hooks_;
+  WaitingList waiting_;
+  kj::Own<capnp::TwoPartyServer> server_;
+  kj::Own<kj::ConnectionReceiver> receiver_;
+  kj::TaskSet tasks_;
+};
+
+namespace {
+
+template<class State>
+class FleetCapability final : public wire::FleetPort::Server
+{
+public:
+  explicit FleetCapability(State& aState)
+    : state_(aState)
+  {
+  }
+
+protected:
+  kj::Promise<void> sync(SyncContext aContext) override
+  {
+    auto report = std::make_shared<EntryReport>(
+      ReadReport(aContext.getParams().getRequest()));
+    state_.hooks_.take_(*report);
+    return state_.AwaitNews(*report).then([this, aContext, report]() mutable {
+      WriteAnswer(aContext.getResults().initReply(),
+                  state_.hooks_.answer_(*report));
+    });
+  }
+
+private:
+  State& state_;
+};
+
+} // namespace
+
+FleetServer::FleetServer(ControlLoop& aLoop, Hooks aHooks)
+  : state_(std::make_unique<State>(aLoop, std::move(aHooks)))
+{
+}
+
+FleetServer::~FleetServer() = default;
+
+void
+FleetServer::Listen(const Address& aAddress)
+{
+  auto& io = state_->loop_.Io();
+  state_->server_ =
+    kj::heap<capnp::TwoPartyServer>(kj::heap<FleetCapability<State>>(*state_));
+  auto address = io.provider->getNetwork()
+                   .parseAddress(aAddress.ToString().c_str())
+                   .wait(io.waitScope);
+  state_->receiver_ = address->listen();
+  state_->tasks_.add(state_->server_->listen(*state_->receiver_));
+}
+
+void
+FleetServer::Notify()
+{
+  for (const auto& waiting : state_->waiting_) {
+    if (state_->hooks_.hasNews_(waiting->report_)) {
+      waiting->fulfiller_->fulfill();
+    }
+  }
+}
+
+} // namespace tanagerstall
--- a/src/tanagerstall/connection/tanagerstall_http_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.cpp
@@ -56,28 +56,56 @@
 struct HttpConnection::State
 {
   explicit State(Fiber& aFiber)
-    : fiber_(aFiber)
+    : fiber_(&aFiber)
     , stream_(aFiber.GetContext().io_)
   {
   }
 
-  asio::yield_context& Yield() { return fiber_.GetContext().yield_; }
+  asio::yield_context& Yield() { return fiber_->GetContext().yield_; }
 
-  Fiber& fiber_;
+  void Prepare(const HttpRequest& aRequest)
+  {
+    message_ = {};
+    message_.version(11);
+    message_.method_string(aRequest.method_);
+    message_.target(aRequest.target_);
+    message_.set(http::field::host, host_);
+    for (const auto& header : aRequest.headers_) {
+      message_.set(header.name_, header.value_);
+    }
+    message_.body() = aRequest.body_;
+    message_.prepare_payload();
+  }
+
+  Fiber* fiber_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::string host_;
+  http::request<http::string_body> message_;
   std::array<char, kReadBytes> chunk_{};
   bool wasCancelled_ = false;
+  /// Whether a send is under way, or has failed.
+  bool isSending_ = false;
+  bool wasFramed_ = true;
 };
 
-HttpConnection::HttpConnection(std::unique_ptr<State> aState)
+HttpConnection::HttpConnection(std::shared_ptr<State> aState)
   : state_(std::move(aState))
 {
 }
 
-HttpConnection::~HttpConnection() = default;
+HttpConnection::~HttpConnection()
+{
+  // A send that is under way must not outlive its connection.
+  state_->stream_.close();
+}
+
+void
+HttpConnection::Use(Fiber& aFiber)
+{
+  state_->fiber_ = &aFiber;
+}
 
 auto
 HttpConnection::Connect(Fiber& aFiber,
@@ -85,7 +113,7 @@
                         Duration aTimeout)
   -> Result<std::unique_ptr<HttpConnection>>
 {
-  auto state = std::make_unique<State>(aFiber);
+  auto state = std::make_shared<State>(aFiber);
   beast::error_code error;
   auto host = asio::ip::make_address(aAddress.host_, error);
   if (!error) {
@@ -106,25 +134,30 @@
 HttpConnection::Send(const HttpRequest& aRequest, Duration aTimeout)
   -> Result<void>
 {
-  http::request<http::string_body> message;
-  message.version(11);
-  message.method_string(aRequest.method_);
-  message.target(aRequest.target_);
-  message.set(http::field::host, state_->host_);
-  for (const auto& header : aRequest.headers_) {
-    message.set(header.name_, header.value_);
-  }
-  message.body() = aRequest.body_;
-  message.prepare_payload();
+  state_->Prepare(aRequest);
   beast::error_code error;
   state_->stream_.expires_after(aTimeout);
-  http::async_write(state_->stream_, message, state_->Yield()[error]);
+  http::async_write(state_->stream_, state_->message_, state_->Yield()[error]);
   if (error) {
     return tl::make_unexpected(FromSystem(error, state_->wasCancelled_));
   }
   return {};
 }
 
+void
+HttpConnection::StartSend(const HttpRequest& aRequest, Duration aTimeout)
+{
+  state_->Prepare(aRequest);
+  state_->isSending_ = true;
+  state_->stream_.expires_after(aTimeout);
+  http::async_write(
+    state_->stream_,
+    state_->message_,
+    [state = state_](const beast::error_code& aError, std::size_t /*aBytes*/) {
+      state->isSending_ = static_cast<bool>(aError);
+    });
+}
+
 auto
 HttpConnection::ReadHead(Duration aTimeout) -> Result<HttpResponse>
 {
@@ -139,6 +172,8 @@
     return tl::make_unexpected(FromSystem(error, state_->wasCancelled_));
   }
   const auto& message = state_->parser_->get();
+  state_->wasFramed_ =
+    !state_->parser_->need_eof() || state_->parser_->is_done();
   HttpResponse response;
   response.status_ = static_cast<int>(message.result_int());
   for (const auto& field : message) {
@@ -194,6 +229,32 @@
   return response;
 }
 
+bool
+HttpConnection::IsReusable() const
+{
+  return state_->parser_ && state_->parser_->is_done() &&
+         state_->parser_->keep_alive() && !state_->isSending_ &&
+         !state_->wasCancelled_ && state_->buffer_.size() == 0;
+}
+
+bool
+HttpConnection::IsQuiet()
+{
+  char byte = 0;
+  beast::error_code error;
+  auto& socket = state_->stream_.socket();
+  socket.non_blocking(true, error);
+  socket.receive(
+    asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+bool
+HttpConnection::WasFramed() const
+{
+  return state_->wasFramed_;
+}
+
 void
 HttpConnection::Cancel()
 {
--- a/src/tanagerstall/connection/tanagerstall_http_client.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.hpp
@@ -16,7 +16,7 @@
 namespace tanagerstall {
 
 /// One HTTP/1.1 connection of ours. Used by one fiber at a time, but for
-/// Cancel().
+/// Cancel(); all its fibers run on one thread.
 class HttpConnection
 {
 public:
@@ -28,8 +28,14 @@
   static Result<std::unique_ptr<HttpConnection>>
   Connect(Fiber& aFiber, const Address& aAddress, Duration aTimeout);
 
+  /// Hands the connection to another fiber of its thread.
+  void Use(Fiber& aFiber);
+
   /// Sends a whole request. On an error the peer may have read any of it.
   Result<void> Send(const HttpRequest& aRequest, Duration aTimeout);
+  /// Begins to send a request and returns; a peer may answer before it has
+  /// read all of it.
+  void StartSend(const HttpRequest& aRequest, Duration aTimeout);
   /// Waits for the head of the response; its body is empty.
   Result<HttpResponse> ReadHead(Duration aTimeout);
   /// Waits for the next part of the body; nothing at its end.
@@ -38,15 +44,24 @@
   /// bounds each wait.
   Result<HttpResponse> ReadWhole(Duration aTimeout, std::uint64_t aMaxBytes);
 
+  /// Whether another request may follow the last response, which has been read
+  /// to its end.
+  bool IsReusable() const;
+  /// Whether nothing has arrived since the last response, its end included.
+  bool IsQuiet();
+  /// Whether the last response said where its body ends.
+  bool WasFramed() const;
+
   /// Ends a wait of the fiber that uses the connection with
   /// TransportFault::Cancelled. Only from the same thread.
   void Cancel();
 
 private:
   struct State;
-  explicit HttpConnection(std::unique_ptr<State> aState);
+  explicit HttpConnection(std::shared_ptr<State> aState);
 
-  std::unique_ptr<State> state_;
+  /// Shared with a send that is under way.
+  std::shared_ptr<State> state_;
 };
 
 /// Connects, sends one request and reads the whole response.
--- a/src/tanagerstall/connection/tanagerstall_http_message.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_message.cpp
@@ -30,6 +30,13 @@
   return {};
 }
 
+std::string_view
+PathOf(const HttpRequest& aRequest)
+{
+  std::string_view path = aRequest.target_;
+  return path.substr(0, path.find('?'));
+}
+
 HttpResponse
 JsonResponse(int aStatus, std::string aBody)
 {
--- a/src/tanagerstall/connection/tanagerstall_http_message.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_message.hpp
@@ -46,6 +46,10 @@
   }
 };
 
+/// The path of a request without its query.
+std::string_view
+PathOf(const HttpRequest& aRequest);
+
 /// A response with a JSON body.
 HttpResponse
 JsonResponse(int aStatus, std::string aBody);
--- a/src/tanagerstall/connection/tanagerstall_http_server.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_server.cpp
@@ -16,6 +16,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <map>
+#include <mutex>
 #include <optional>
 
 namespace tanagerstall {
@@ -44,6 +46,9 @@
   std::atomic<bool> keepsAlive_{ true };
   std::atomic<std::size_t> connections_{ 0 };
   std::atomic<std::size_t> exchanges_{ 0 };
+  std::mutex idleMutex_;
+  /// Connections that wait for a request.
+  std::map<const void*, std::weak_ptr<HttpExchange::State>> idle_;
 };
 
 /// The life of one accepted connection; its exchanges follow one another.
@@ -103,6 +108,7 @@
   std::function<void()> onCallerGone_;
   bool isWatching_ = false;
   bool isInExchange_ = false;
+  bool isIdle_ = false;
   bool isCallerGone_ = false;
   int status_ = 0;
   bool keepsAlive_ = true;
@@ -283,6 +289,18 @@
   aState.isCallerGone_ = false;
 }
 
+void
+SetIdle(HttpExchange::State& aState, bool aIsIdle)
+{
+  aState.isIdle_ = aIsIdle;
+  std::scoped_lock lock(aState.server_->idleMutex_);
+  if (aIsIdle) {
+    aState.server_->idle_[&aState] = aState.weak_from_this();
+  } else {
+    aState.server_->idle_.erase(&aState);
+  }
+}
+
 /// Waits for a request's first byte; false once the connection has ended.
 bool
 WaitForRequest(HttpExchange::State& aState)
@@ -290,10 +308,15 @@
   if (aState.buffer_.size() > 0) {
     return true;
   }
+  if (!aState.server_->isAccepting_) {
+    return false;
+  }
   beast::error_code error;
+  SetIdle(aState, true);
   aState.stream_.expires_after(aState.server_->limits_.idleTimeout_);
   auto count = aState.stream_.async_read_some(aState.buffer_.prepare(4096),
                                               aState.Yield()[error]);
+  SetIdle(aState, false);
   aState.buffer_.commit(count);
   return !error;
 }
@@ -474,6 +497,32 @@
   }
 }
 
+void
+HttpServer::CloseIdle()
+{
+  std::scoped_lock lock(state_->idleMutex_);
+  for (const auto& [key, weak] : state_->idle_) {
+    auto idle = weak.lock();
+    if (!idle) {
+      continue;
+    }
+    asio::post(idle->stream_.get_executor(), [idle] {
+      if (idle->isIdle_) {
+        beast::error_code ignored;
+        idle->stream_.socket().cancel(ignored);
+      }
+    });
+  }
+}
+
+void
+HttpServer::SetLimits(HttpLimits aLimits)
+{
+  for (const auto& loop : state_->threads_.GetState().loops_) {
+    asio::post(*loop, [state = state_, aLimits] { state->limits_ = aLimits; });
+  }
+}
+
 std::size_t
 HttpServer::ActiveExchanges() const
 {
--- a/src/tanagerstall/connection/tanagerstall_http_server.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_server.hpp
@@ -80,6 +80,10 @@
   void StopKeepingAlive();
   /// Takes no new connections and closes kept ones after their response.
   void StopAccepting();
+  /// Closes the connections on which no request has begun.
+  void CloseIdle();
+  /// New limits, from the next request on.
+  void SetLimits(HttpLimits aLimits);
   /// The exchanges whose response has not ended.
   std::size_t ActiveExchanges() const;
 
--- a/src/tanagerstall/connection/tanagerstall_traffic_threads.cpp
+++ b/src/tanagerstall/connection/tanagerstall_traffic_threads.cpp
@@ -3,6 +3,8 @@
 #include "tanagerstall/internal/tanagerstall_fiber_context.hpp"
 #include "tanagerstall/internal/tanagerstall_traffic_state.hpp"
 
+#include <boost/asio/post.hpp>
+
 namespace tanagerstall {
 
 TrafficThreads::TrafficThreads(std::size_t aCount)
@@ -27,6 +29,12 @@
   SpawnFiber(state_->NextLoop(), std::move(aBody));
 }
 
+void
+TrafficThreads::Post(std::function<void()> aTask)
+{
+  boost::asio::post(*state_->loops_.front(), std::move(aTask));
+}
+
 void
 TrafficThreads::Stop()
 {
--- a/src/tanagerstall/connection/tanagerstall_traffic_threads.hpp
+++ b/src/tanagerstall/connection/tanagerstall_traffic_threads.hpp
@@ -21,6 +21,8 @@
 
   /// Starts a fiber on one of the threads. Safe from any thread.
   void Spawn(std::function<void(Fiber&)> aBody);
+  /// Runs a task on the first thread. Safe from any thread.
+  void Post(std::function<void()> aTask);
   /// Ends the threads; fibers that still wait are dropped.
   void Stop();
 
--- /dev/null
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -0,0 +1,97 @@
+@0xa8e1c5b7d2f04639;
+# What entries and control processes tell each other, and what the fleet's
+# replicated state keeps.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("tanagerstall::wire");
+using Control = import "control.capnp";
+
+struct NamedCount {
+  name @0 :Text;
+  count @1 :UInt64;
+}
+
+struct UsageWindow {
+  # Requests that began to run, by organisation.
+  window @0 :Int64;
+  counts @1 :List(NamedCount);
+}
+
+struct FleetCommand {
+  union {
+    declare :group {
+      number @0 :UInt64;
+      document @1 :Data;
+    }
+    usage @2 :UsageWindow;
+  }
+}
+
+struct FleetSnapshot {
+  number @0 :UInt64;
+  document @1 :Data;
+  usage @2 :List(UsageWindow);
+}
+
+struct ReplicaFact {
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  failureDomain @3 :Text;
+  bornMs @4 :UInt64;
+  sequence @5 :UInt64;
+  slots @6 :UInt32;
+  standing @7 :UInt8;
+  reclaimable @8 :Bool;
+  coldMs @9 :UInt32;
+}
+
+struct OrganisationLoad {
+  name @0 :Text;
+  # Cost that the entry admitted, or would have, since its last report.
+  wanted @1 :UInt64;
+}
+
+struct ServiceLoad {
+  name @0 :Text;
+  running @1 :UInt32;
+  waiting @2 :UInt32;
+  arrivals @3 :UInt64;
+  refused @4 :UInt64;
+}
+
+struct SyncRequest {
+  entry @0 :Control.EntryInfo;
+  controlRun @1 :UInt64;
+  # The run of the control process that the stamp is of.
+  stamp @2 :UInt64;
+  waitMs @3 :UInt32;
+  usage @4 :List(UsageWindow);
+  organisations @5 :List(OrganisationLoad);
+  services @6 :List(ServiceLoad);
+}
+
+struct Share {
+  organisation @0 :Text;
+  fraction @1 :Float64;
+}
+
+struct SyncReply {
+  controlRun @0 :UInt64;
+  stamp @1 :UInt64;
+  replicas @2 :List(ReplicaFact);
+  # Those that changed after the stamp in the request.
+  planNumber @3 :UInt64;
+  document @4 :Data;
+  # Only where it is newer than what the entry has.
+  members @5 :List(Text);
+  entries @6 :UInt32;
+  # Entries that take requests, the asking one included.
+  shares @7 :List(Share);
+  leads @8 :Bool;
+}
+
+interface FleetPort {
+  sync @0 (request :SyncRequest) -> (reply :SyncReply);
+  # Answers at a change or after a pause.
+}
--- /dev/null
+++ b/src/tanagerstall/process/presence/tanagerstall_entry_selection.cpp
@@ -0,0 +1,44 @@
+#include "tanagerstall/process/presence/tanagerstall_entry_selection.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace tanagerstall {
+
+namespace {
+
+/// So that a caller has another one when an entry fails it.
+constexpr std::size_t kEnough = 2;
+
+} // namespace
+
+std::vector<EntryInfo>
+SelectEntries(const std::vector<EntryInfo>& aEntries,
+              const CallerPlace& aCaller,
+              std::size_t aMost)
+{
+  auto matching = [&](const auto& aMatches) {
+    std::vector<EntryInfo> found;
+    std::copy_if(aEntries.begin(),
+                 aEntries.end(),
+                 std::back_inserter(found),
+                 [&](const EntryInfo& aIt) {
+                   return !aIt.isDraining_ && aIt.weight_ > 0 && aMatches(aIt);
+                 });
+    return found;
+  };
+  auto selected = matching([&](const EntryInfo& aIt) {
+    return aIt.failureDomain_ == aCaller.failureDomain_;
+  });
+  if (selected.size() < kEnough) {
+    selected = matching(
+      [&](const EntryInfo& aIt) { return aIt.region_ == aCaller.region_; });
+  }
+  if (selected.empty()) {
+    selected = matching([](const EntryInfo&) { return true; });
+  }
+  selected.resize(std::min(selected.size(), aMost));
+  return selected;
+}
+
+} // namespace tanagerstall
--- /dev/null
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
@@ -0,0 +1,60 @@
+#ifndef TANAGERSTALL_REPLICA_TABLE_HPP_INCLUDED
+#define TANAGERSTALL_REPLICA_TABLE_HPP_INCLUDED
+
+#include "tanagerstall/process/presence/tanagerstall_replica.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tanagerstall {
+
+/// The replicas that announce themselves to one control process. Soft state;
+/// a plain state machine. Each change gets a stamp, so that entries ask only
+/// for what changed.
+class ReplicaTable
+{
+public:
+  /// `aSilentAfter`: the age of the last announcement at which a replica
+  /// counts as silent.
+  explicit ReplicaTable(Duration aSilentAfter);
+
+  /// Takes an announcement in; false where it is older than what is known.
+  bool Announce(const Replica& aReplica, TimePoint aNow);
+  /// Notes that a replica leaves. Later announcements of the same incarnation
+  /// change nothing. `aBornMs` is 0 where the replica didn't say it.
+  void Leave(const std::string& aId, std::uint64_t aBornMs, TimePoint aNow);
+  /// Marks the replicas that have gone silent; forgets those long gone.
+  void Tick(TimePoint aNow);
+
+  /// Grows with every change.
+  std::uint64_t Stamp() const { return stamp_; }
+  /// What changed after a stamp.
+  std::vector<Replica> ChangedAfter(std::uint64_t aStamp) const;
+  /// The replicas that would take work.
+  std::vector<Replica> Ready() const;
+  /// All that is known, the silent and the gone included.
+  std::vector<Replica> All() const { return ChangedAfter(0); }
+
+private:
+  struct Known
+  {
+    Replica replica_;
+    TimePoint heardAt_;
+    std::uint64_t stamp_ = 0;
+  };
+
+  bool YieldsAddress(const Replica& aReplica, TimePoint aNow);
+  void SetStanding(Known& aKnown, ReplicaStanding aStanding);
+
+  Duration silentAfter_;
+  std::uint64_t stamp_ = 0;
+  std::map<std::string, Known> known_;
+  /// The id of the newest replica at an address.
+  std::map<std::string, std::string> byAddress_;
+};
+
+} // namespace tanagerstall
+
+#endif
--- /dev/null
+++ b/src/tanagerstall/process/raft/tanagerstall_cluster_keeper.cpp
@@ -0,0 +1,159 @@
+#include "tanagerstall/process/raft/tanagerstall_cluster_keeper.hpp"
+
+#include <algorithm>
+
+namespace tanagerstall {
+
+namespace {
+
+/// A voter that is silent for this long gives way to a learner that stands
+/// ready.
+constexpr Duration kLostAfter = std::chrono::seconds(4);
+/// A learner that is silent for this long is forgotten.
+constexpr Duration kForgetLearner = std::chrono::seconds(30);
+
+const MemberProgress*
+Find(const std::vector<MemberProgress>& aProgress, MemberKey aKey)
+{
+  auto it = std::find_if(
+    aProgress.begin(), aProgress.end(), [&](const MemberProgress& aIt) {
+      return aIt.member_.key_ == aKey;
+    });
+  return it == aProgress.end() ? nullptr : &*it;
+}
+
+bool
+IsCaughtUp(const std::vector<MemberProgress>& aProgress,
+           MemberKey aKey,
+           LogIndex aCommit)
+{
+  const auto* progress = Find(aProgress, aKey);
+  return progress != nullptr && progress->isHeard_ &&
+         progress->match_ >= aCommit;
+}
+
+bool
+IsHeard(const std::vector<MemberProgress>& aProgress, MemberKey aKey)
+{
+  const auto* progress = Find(aProgress, aKey);
+  return progress != nullptr && progress->isHeard_;
+}
+
+std::size_t
+CountVoters(const Membership& aMembers)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aMembers.begin(), aMembers.end(), [](const Member& aIt) {
+      return aIt.isVoter_;
+    }));
+}
+
+/// Whether a quorum of these members holds every committed entry now.
+bool
+HasQuorum(const Membership& aMembers,
+          const std::vector<MemberProgress>& aProgress,
+          LogIndex aCommit)
+{
+  auto ready =
+    std::count_if(aMembers.begin(), aMembers.end(), [&](const Member& aIt) {
+      return aIt.isVoter_ && IsCaughtUp(aProgress, aIt.key_, aCommit);
+    });
+  return static_cast<std::size_t>(ready) > CountVoters(aMembers) / 2;
+}
+
+/// Whether another member answers at the address of this silent one, which
+/// therefore lost its disk.
+bool
+IsSuperseded(const Member& aMember,
+             const Membership& aMembers,
+             const std::vector<MemberProgress>& aProgress)
+{
+  return !IsHeard(aProgress, aMember.key_) &&
+         std::any_of(aMembers.begin(), aMembers.end(), [&](const Member& aIt) {
+           return aIt.key_ != aMember.key_ &&
+                  aIt.memberAddress_ == aMember.memberAddress_ &&
+                  IsHeard(aProgress, aIt.key_);
+         });
+}
+
+MembershipStep
+Without(const Membership& aMembers, const Member& aMember, const char* aReason)
+{
+  MembershipStep step{ aMembers, aReason, aMember.name_ };
+  std::erase_if(step.members_,
+                [&](const Member& aIt) { return aIt.key_ == aMember.key_; });
+  return step;
+}
+
+} // namespace
+
+Duration
+ClusterKeeper::SilentFor(MemberKey aKey, TimePoint aNow) const
+{
+  auto it = silentSince_.find(aKey);
+  return it == silentSince_.end() ? Duration::zero() : aNow - it->second;
+}
+
+std::optional<MembershipStep>
+ClusterKeeper::Next(const Membership& aMembers,
+                    const std::vector<MemberProgress>& aProgress,
+                    LogIndex aCommit,
+                    std::size_t aWantedVoters,
+                    TimePoint aNow)
+{
+  for (const auto& member : aMembers) {
+    if (IsHeard(aProgress, member.key_)) {
+      silentSince_.erase(member.key_);
+    } else {
+      silentSince_.try_emplace(member.key_, aNow);
+    }
+  }
+  std::size_t voters = CountVoters(aMembers);
+  bool isVoterLost = false;
+  for (const auto& member : aMembers) {
+    bool isLost = SilentFor(member.key_, aNow) > kLostAfter;
+    bool isSuperseded = IsSuperseded(member, aMembers, aProgress);
+    isVoterLost = isVoterLost || (member.isVoter_ && isLost);
+    if (!isSuperseded &&
+        !(isLost && member.isVoter_ && voters > aWantedVoters)) {
+      continue;
+    }
+    auto step =
+      Without(aMembers,
+              member,
+              isSuperseded ? "its disk was replaced" : "it was replaced");
+    if (HasQuorum(step.members_, aProgress, aCommit)) {
+      return step;
+    }
+  }
+  for (const auto& member : aMembers) {
+    if (member.isVoter_) {
+      continue;
+    }
+    if (SilentFor(member.key_, aNow) > kForgetLearner) {
+      return Without(aMembers, member, "a learner is gone");
+    }
+    bool isWanted =
+      voters < aWantedVoters || (isVoterLost && voters == aWantedVoters);
+    if (isWanted && IsCaughtUp(aProgress, member.key_, aCommit)) {
+      MembershipStep step{ aMembers, "a learner gets its vote", member.name_ };
+      for (auto& it : step.members_) {
+        it.isVoter_ = it.isVoter_ || it.key_ == member.key_;
+      }
+      return step;
+    }
+  }
+  return std::nullopt;
+}
+
+RepairGoal
+LearnerGoal(const RepairGoal& aGoal, const Membership& aMembers)
+{
+  bool isMember =
+    std::any_of(aMembers.begin(), aMembers.end(), [&](const Member& aIt) {
+      return aIt.key_ == aGoal.add_.key_;
+    });
+  return isMember ? RepairGoal() : aGoal;
+}
+
+} // namespace tanagerstall
--- a/src/tanagerstall/process/raft/tanagerstall_raft_group.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_group.cpp
@@ -43,17 +43,18 @@
 
 void
 RaftGroup::Bootstrap(LogStorage& aStorage,
-                     const Member& aFirst,
+                     Membership aFirst,
                      const StateMachine& aMachine)
 {
   auto start = aStorage.Open();
   if (start.snapshot_ || !start.entries_.empty()) {
     throw DiskError("the data folder holds a group already");
   }
-  Member first = aFirst;
-  first.isVoter_ = true;
+  for (auto& first : aFirst) {
+    first.isVoter_ = true;
+  }
   auto snapshot = std::make_shared<RaftSnapshot>(
-    RaftSnapshot{ 1, 1, { first }, aMachine.takeSnapshot_() });
+    RaftSnapshot{ 1, 1, std::move(aFirst), aMachine.takeSnapshot_() });
   RaftStart fresh{ { 1, 0 }, snapshot, 1, 1, {} };
   aStorage.WriteSnapshot(fresh.hardState_, *snapshot, RaftLog(fresh));
 }
--- a/src/tanagerstall/process/raft/tanagerstall_raft_group.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_group.hpp
@@ -43,9 +43,10 @@
             TimePoint aNow,
             Hooks aHooks);
 
-  /// Writes the state of a new group with one voter. For empty storage only.
+  /// Writes the state of a new group with these voters. For empty storage
+  /// only.
   static void Bootstrap(LogStorage& aStorage,
-                        const Member& aFirst,
+                        Membership aFirst,
                         const StateMachine& aMachine);
 
   /// Commits a command; answers with the state machine's result.
--- a/src/tanagerstall/process/raft/tanagerstall_raft_identity.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_identity.cpp
@@ -24,6 +24,13 @@
   return identity;
 }
 
+MemberKey
+FounderKey(const Address& aMemberAddress)
+{
+  // The lowest bit keeps the key from being 0, which is no member.
+  return Checksum(ViewOf(aMemberAddress.ToString())) | 1U;
+}
+
 std::string
 MakeClusterName()
 {
--- a/src/tanagerstall/process/raft/tanagerstall_raft_identity.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_identity.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerstall/process/raft/tanagerstall_log_disk.hpp"
 #include "tanagerstall/process/raft/tanagerstall_raft_types.hpp"
+#include "tanagerstall/process/tanagerstall_settings.hpp"
 
 namespace tanagerstall {
 
@@ -18,6 +19,11 @@
 MemberIdentity
 MakeIdentity(const std::string& aName);
 
+/// The key of a first voter, which all others know from its address. Only for
+/// the first start of a cluster: a folder that was lost gets a random key.
+MemberKey
+FounderKey(const Address& aMemberAddress);
+
 /// A random name for a new cluster.
 std::string
 MakeClusterName();
--- a/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
@@ -1,7 +1,9 @@
 #include "tanagerstall/process/raft/tanagerstall_raft_member.hpp"
 
+#include "tanagerstall/process/raft/tanagerstall_cluster_keeper.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 #include <kj/async-io.h>
@@ -14,6 +16,10 @@
 
 constexpr auto kTick = 30 * kj::MILLISECONDS;
 constexpr auto kRetryPause = 100 * kj::MILLISECONDS;
+constexpr auto kJoinPause = 300 * kj::MILLISECONDS;
+constexpr Duration kKeepPause = std::chrono::milliseconds(300);
+/// Without a leader for this long, a member asks whether it still is one.
+constexpr Duration kLeaderless = std::chrono::seconds(3);
 /// How long a call looks for the leader.
 constexpr Duration kLeaderSearch = std::chrono::milliseconds(2500);
 constexpr std::array<const char*, 2> kGroupNames{ "configuration", "ledger" };
@@ -56,7 +62,9 @@
     , link_(loop_, MakeHooks())
     , tasks_(*this)
   {
-    if (settings_.isBootstrap_ && HasFiles(disk_)) {
+    if (!settings_.founders_.empty()) {
+      PrepareFounder();
+    } else if (settings_.isBootstrap_ && HasFiles(disk_)) {
       throw DiskError("the data folder is in use: a new cluster needs an "
                       "empty folder; start without --bootstrap to go on with "
                       "what the folder holds");
@@ -64,6 +72,9 @@
     auto identity = ReadIdentity(disk_);
     isFresh_ = !identity;
     identity_ = identity ? *identity : MakeIdentity(settings_.name_);
+    if (isFresh_ && settings_.isBootstrap_ && !settings_.founders_.empty()) {
+      identity_.member_.key_ = FounderKey(settings_.memberAddress_);
+    }
     if (identity_.member_.name_ != settings_.name_) {
       throw DiskError("the data folder is of the member " +
                       identity_.member_.name_);
@@ -71,16 +82,65 @@
     CheckFiles();
   }
 
+  /// A founder that stopped before it wrote its identity has told nobody
+  /// anything, and begins anew; one with an identity goes on.
+  void PrepareFounder()
+  {
+    bool isFounder =
+      std::find(settings_.founders_.begin(),
+                settings_.founders_.end(),
+                settings_.memberAddress_) != settings_.founders_.end();
+    bool isKnown = disk_.read_("identity").has_value();
+    settings_.isBootstrap_ = settings_.isBootstrap_ && isFounder && !isKnown;
+    if (isKnown) {
+      return;
+    }
+    for (const std::string name : kGroupNames) {
+      for (const auto& file : { name + ".log", name + ".snapshot" }) {
+        if (disk_.read_(file)) {
+          disk_.remove_(file);
+        }
+      }
+    }
+    disk_.syncFolder_();
+  }
+
+  Membership FirstMembers() const
+  {
+    if (settings_.founders_.empty()) {
+      return { identity_.member_ };
+    }
+    Membership members;
+    for (const auto& founder : settings_.founders_) {
+      Member member;
+      member.key_ = FounderKey(founder);
+      member.name_ = founder.ToString();
+      member.memberAddress_ = founder.ToString();
+      members.push_back(member);
+    }
+    return members;
+  }
+
+  std::string NewClusterName() const
+  {
+    if (settings_.founders_.empty()) {
+      return MakeClusterName();
+    }
+    std::string all;
+    for (const auto& founder : settings_.founders_) {
+      all += founder.ToString() + ",";
+    }
+    return "cluster-" + std::to_string(Checksum(ViewOf(all)));
+  }
+
   /// A folder that lost a part of its files must not vote.
   void CheckFiles()
   {
     if (isFresh_ && HasFiles(disk_)) {
       throw DiskError("the identity file is missing; replace this member");
     }
-    for (const std::string name : kGroupNames) {
-      if (!isFresh_ && !disk_.read_(name + ".log")) {
-        throw DiskError(name + ".log is missing; replace this member");
-      }
+    if (!isFresh_ && !disk_.read_(std::string(kGroupNames[0]) + ".log")) {
+      throw DiskError("the log is missing; replace this member");
     }
   }
 
@@ -127,29 +187,33 @@
     identity_.member_.controlAddress_ = aControlAddress.ToString();
   }
 
-  void Open(const StateMachine& aConfiguration, const StateMachine& aLedger)
+  void Open(const std::vector<StateMachine>& aMachines)
   {
-    const std::array<StateMachine, 2> machines{ aConfiguration, aLedger };
     if (settings_.isBootstrap_) {
-      identity_.cluster_ = MakeClusterName();
+      identity_.cluster_ = NewClusterName();
     }
-    for (std::size_t i = 0; i < groups_.size(); ++i) {
-      LogStorage storage(disk_, kGroupNames.at(i));
+    for (std::size_t i = 0; i < aMachines.size(); ++i) {
+      const std::string name = kGroupNames.at(i);
+      if (!isFresh_ && !disk_.read_(name + ".log")) {
+        throw DiskError(name + ".log is missing; replace this member");
+      }
+      LogStorage storage(disk_, name);
       if (settings_.isBootstrap_) {
-        RaftGroup::Bootstrap(storage, identity_.member_, machines.at(i));
+        RaftGroup::Bootstrap(storage, FirstMembers(), aMachines.at(i));
       }
       auto group = static_cast<GroupName>(i);
       groups_.at(i) = std::make_unique<RaftGroup>(
         identity_.member_.key_,
         RaftSettings{},
         std::move(storage),
-        machines.at(i),
+        aMachines.at(i),
         std::random_device()(),
         clock_.Now(),
         RaftGroup::Hooks{
           [this, group](const RaftMessage& aMessage) { Send(group, aMessage); },
           [this, group] { FlushSoon(group); } });
     }
+    openGroups_ = aMachines.size();
     // Last, so that a folder with an identity holds the groups' files.
     WriteIdentity(disk_, identity_);
     LogEvent(Severity::Info,
@@ -160,7 +224,7 @@
   }
 
   /// Calls can arrive while the ports are open and the groups are not.
-  bool IsOpen() const { return groups_.back() != nullptr; }
+  bool IsOpen() const { return openGroups_ > 0; }
 
   static GroupResult StartingError()
   {
@@ -176,14 +240,116 @@
   kj::Promise<void> TickForever()
   {
     return timer_.afterDelay(kTick).then([this] {
-      for (std::size_t i = 0; i < groups_.size(); ++i) {
+      for (std::size_t i = 0; i < openGroups_; ++i) {
         groups_.at(i)->Tick(clock_.Now());
         NoteRole(i);
+        KeepMembers(i);
       }
       return TickForever();
     });
   }
 
+  /// As leader, takes the next step towards the wanted members.
+  void KeepMembers(std::size_t aGroup)
+  {
+    TimePoint now = clock_.Now();
+    if (settings_.wantedVoters_ == 0 || now < keepAt_.at(aGroup)) {
+      return;
+    }
+    keepAt_.at(aGroup) = now + kKeepPause;
+    RaftGroup& group = *groups_.at(aGroup);
+    if (group.Core().Role() != RaftRole::Leader) {
+      keepers_.at(aGroup) = ClusterKeeper();
+      return;
+    }
+    auto step = keepers_.at(aGroup).Next(group.Core().Log().Members(),
+                                         group.Core().Progress(now),
+                                         group.Core().Commit(),
+                                         settings_.wantedVoters_,
+                                         now);
+    if (!step) {
+      return;
+    }
+    LogEvent(Severity::Info,
+             "members change",
+             { { "group", kGroupNames.at(aGroup) },
+               { "step", step->reason_ },
+               { "member", step->member_ } });
+    group.ChangeMembers(step->members_, [](const GroupResult&) {});
+  }
+
+  /// Whether this member has to ask to be added, or added again.
+  bool SeeksCluster(std::size_t aGroup, TimePoint aNow)
+  {
+    const Raft& core = groups_.at(aGroup)->Core();
+    const Membership& members = core.Log().Members();
+    bool isMember =
+      std::any_of(members.begin(), members.end(), [this](const Member& aIt) {
+        return aIt.key_ == identity_.member_.key_;
+      });
+    if (core.Leader() != 0) {
+      leaderSeenAt_ = aNow;
+    }
+    return !isMember || aNow - leaderSeenAt_ > kLeaderless;
+  }
+
+  /// Asks the contacts in turn until one of them is the leader and adds this
+  /// member as a learner.
+  kj::Promise<void> SeekForever()
+  {
+    return timer_.afterDelay(kJoinPause).then([this] {
+      if (!settings_.contacts_.empty() && SeeksCluster(0, clock_.Now())) {
+        if (leaderHint_.empty()) {
+          AskContact(
+            settings_.contacts_.at(nextContact_++ % settings_.contacts_.size())
+              .ToString());
+        } else {
+          AskContact(std::exchange(leaderHint_, ""));
+        }
+      }
+      return SeekForever();
+    });
+  }
+
+  void AskContact(const std::string& aAddress)
+  {
+    if (aAddress == identity_.member_.memberAddress_) {
+      return;
+    }
+    link_.Identify(
+      aAddress,
+      [this, aAddress](tl::expected<MemberIdentity, std::string> aIdentity) {
+        if (!aIdentity || aIdentity->cluster_.empty()) {
+          return;
+        }
+        if (identity_.cluster_.empty()) {
+          identity_.cluster_ = aIdentity->cluster_;
+          OrExit([this] { WriteIdentity(disk_, identity_); });
+        }
+        RepairGoal goal;
+        goal.add_ = identity_.member_;
+        link_.Call(aAddress,
+                   MemberCall::Advance,
+                   GroupName::Configuration,
+                   EncodeGoal(goal),
+                   [this](const GroupResult& aResult) { OnAsked(aResult); });
+      });
+  }
+
+  /// A member that doesn't lead names the one that does.
+  void OnAsked(const GroupResult& aResult)
+  {
+    if (aResult || aResult.error().detail_.empty()) {
+      return;
+    }
+    auto leader = ParseAddress(aResult.error().detail_);
+    auto self = ParseAddress(identity_.member_.memberAddress_);
+    if (aResult.error().fault_ == GroupFault::NotLeader && leader && self) {
+      // All members listen on the same port.
+      leaderHint_ = Address{ leader->host_, self->port_ }.ToString();
+    }
+  }
+
   void NoteRole(std::size_t aGroup)
   {
     bool isLeader = groups_.at(aGroup)->Core().Role() == RaftRole::Leader;
@@ -271,7 +437,12 @@
       case MemberCall::Advance:
         break;
     }
-    auto status = AdvanceRepair(group, DecodeGoal(aBytes), clock_.Now());
+    RepairGoal goal = DecodeGoal(aBytes);
+    if (settings_.wantedVoters_ > 0) {
+      // The leader itself decides who votes.
+      goal = LearnerGoal(goal, group.Core().Log().Members());
+    }
+    auto status = AdvanceRepair(group, goal, clock_.Now());
     if (status) {
       aDone(EncodeStatus(*status));
     } else {
@@ -318,6 +489,12 @@
   bool isFresh_ = false;
   std::map<MemberKey, std::string> addresses_;
   std::array<std::unique_ptr<RaftGroup>, 2> groups_;
+  std::size_t openGroups_ = 0;
+  std::array<ClusterKeeper, 2> keepers_;
+  std::array<TimePoint, 2> keepAt_{};
+  std::size_t nextContact_ = 0;
+  std::string leaderHint_;
+  TimePoint leaderSeenAt_;
   std::array<bool, 2> isFlushDue_{};
   std::array<bool, 2> wasLeader_{};
   MemberLink link_;
@@ -343,12 +520,12 @@
 
 void
 RaftMember::Start(const Address& aControlAddress,
-                  const StateMachine& aConfiguration,
-                  const StateMachine& aLedger)
+                  const std::vector<StateMachine>& aMachines)
 {
   state_->Listen(aControlAddress);
-  state_->Open(aConfiguration, aLedger);
+  state_->Open(aMachines);
   state_->tasks_.add(state_->TickForever());
+  state_->tasks_.add(state_->SeekForever());
 }
 
 void
@@ -393,6 +570,18 @@
   state_->link_.Identify(aAddress, std::move(aDone));
 }
 
+void
+RaftMember::SetContacts(std::vector<Address> aContacts)
+{
+  state_->settings_.contacts_ = std::move(aContacts);
+}
+
+const RaftGroup&
+RaftMember::Group(GroupName aGroup) const
+{
+  return *state_->groups_.at(static_cast<std::size_t>(aGroup));
+}
+
 const MemberIdentity&
 RaftMember::Identity() const
 {
--- a/src/tanagerstall/process/raft/tanagerstall_raft_member.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_member.hpp
@@ -15,8 +15,18 @@
   /// Where other members reach this one; port 0 for the port it had before,
   /// or one that the system chooses.
   Address memberAddress_;
-  /// Whether to start a new cluster; refused in a folder in use.
+  /// Whether to start a new cluster; refused in a folder in use, unless
+  /// founders are named.
   bool isBootstrap_ = false;
+  /// The member addresses of a new cluster's first voters. All of them are
+  /// started with the same list, so that they agree on who they are without a
+  /// word; empty for a cluster that begins with one.
+  std::vector<Address> founders_;
+  /// Where a member that is in no cluster asks to be added; empty for one that
+  /// waits for an operator.
+  std::vector<Address> contacts_;
+  /// Voters that the leader keeps by itself; 0 leaves that to an operator.
+  std::size_t wantedVoters_ = 0;
 };
 
 /// This process as a member of a cluster: both groups, their storage and the
@@ -34,10 +44,10 @@
 
   /// The address for entries that this member had before, to be used again.
   std::optional<Address> PastControlAddress() const;
-  /// Listens and begins. Throws DiskError.
+  /// Listens and begins. Throws DiskError. The first machine is the
+  /// configuration group's; the second, if any, the ledger's.
   void Start(const Address& aControlAddress,
-             const StateMachine& aConfiguration,
-             const StateMachine& aLedger);
+             const std::vector<StateMachine>& aMachines);
 
   /// These run at the group's leader, wherever it is, and answer NotLeader
   /// where none is found in time.
@@ -50,7 +60,12 @@
   void Identify(const std::string& aAddress,
                 MemberLink::IdentityCallback aDone);
 
+  /// Other places to ask from now on.
+  void SetContacts(std::vector<Address> aContacts);
+
   const MemberIdentity& Identity() const;
+  /// A started group, for its standing; not for commands.
+  const RaftGroup& Group(GroupName aGroup) const;
 
 private:
   struct State;
--- a/src/tanagerstall/process/tanagerstall_controller.cpp
+++ b/src/tanagerstall/process/tanagerstall_controller.cpp
@@ -25,7 +25,10 @@
               { settings_.id_,
                 settings_.dataFolder_,
                 settings_.memberAddress_,
-                settings_.isBootstrap_ })
+                settings_.isBootstrap_,
+                {},
+                {},
+                0 })
     , rpc_(loop_,
            clock_,
            store_,
@@ -164,7 +167,7 @@
   }
   auto rpc = state_->ListenForEntries();
   state_->member_.Start(
-    rpc, state_->store_.AsStateMachine(), state_->ledger_.AsStateMachine());
+    rpc, { state_->store_.AsStateMachine(), state_->ledger_.AsStateMachine() });
   LogEvent(
     Severity::Info,
     "listening",
--- /dev/null
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -0,0 +1,421 @@
+#include "tanagerstall/process/tanagerstall_fleet_control.hpp"
+
+#include "tanagerstall/connection/tanagerstall_fleet_server.hpp"
+#include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
+#include "tanagerstall/process/raft/tanagerstall_duty_lease.hpp"
+#include "tanagerstall/process/tanagerstall_log.hpp"
+#include "tanagerstall/process/tanagerstall_share_splitter.hpp"
+#include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
+#include "tanagerstall/request/tanagerstall_usage_counter.hpp"
+
+#include <atomic>
+#include <kj/async-io.h>
+#include <random>
+#include <set>
+
+namespace tanagerstall {
+
+namespace {
+
+constexpr auto kTick = 100 * kj::MILLISECONDS;
+constexpr Duration kSettingsPause = std::chrono::seconds(2);
+constexpr Duration kDutyPause = std::chrono::milliseconds(500);
+/// From a window's end until all entries have reported it.
+constexpr std::chrono::milliseconds kUsageSettles{ 3000 };
+/// Windows that are still reported after their end.
+constexpr std::int64_t kLateWindows = 4;
+/// After its start a control process doesn't know all entries yet.
+constexpr Duration kDirectoryWarmUp = std::chrono::milliseconds(700);
+
+template<class Value>
+Value
+OnLoop(ControlLoop& aLoop, Fiber& aFiber, const std::function<Value()>& aRead)
+{
+  return aFiber.Await<Value>([&](std::function<void(Value)> aDone) {
+    aLoop.Post([aRead, aDone] { aDone(aRead()); });
+  });
+}
+
+std::uint64_t
+RandomRun()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+} // namespace
+
+struct FleetControl::State : private kj::TaskSet::ErrorHandler
+{
+  State(FleetControl& aSelf,
+        FleetControlSettings aSettings,
+        FleetControlHooks aHooks)
+    : settings_(std::move(aSettings))
+    , hooks_(std::move(aHooks))
+    , threads_(1)
+    , timer_(loop_.Io().provider->getTimer())
+    , fleet_([this] { OnDeclaration(); })
+    , member_(loop_, clock_, settings_.member_)
+    , replicas_(settings_.silentAfter_)
+    , lease_(settings_.dutyLease_)
+    , entriesServer_(
+        loop_,
+        { [this](const EntryReport& aReport) { TakeReport(aReport); },
+          [this](const EntryReport& aReport) { return HasNews(aReport); },
+          [this](const EntryReport& aReport) { return MakeAnswer(aReport); } })
+    , control_(threads_,
+               HttpLimits(),
+               [this, &aSelf](HttpExchange& aExchange) {
+                 hooks_.handleControl_(aExchange, aSelf);
+               })
+    , directory_(threads_,
+                 HttpLimits(),
+                 [this, &aSelf](HttpExchange& aExchange) {
+                   hooks_.handleDirectory_(aExchange, aSelf);
+                 })
+    , tasks_(*this)
+  {
+    isBuilt_ = true;
+  }
+
+  void taskFailed(kj::Exception&& aError) override
+  {
+    LogEvent(Severity::Error,
+             "control task failed",
+             { { "error", aError.getDescription().cStr() } });
+  }
+
+  void OnDeclaration()
+  {
+    if (!isBuilt_) {
+      return;
+    }
+    LogEvent(Severity::Info,
+             "declaration applied",
+             { { "number", fleet_.Current().number_ } });
+    entriesServer_.Notify();
+  }
+
+  void TakeReport(const EntryReport& aReport)
+  {
+    entries_.Observe(aReport.entry_, clock_.Now());
+    tally_.Take(aReport.entry_.id_ + "#" +
+                  std::to_string(aReport.entry_.incarnation_),
+                aReport.usage_);
+    splitter_.SetDemand(aReport.entry_.id_, aReport.wanted_);
+  }
+
+  bool HasNews(const EntryReport& aReport) const
+  {
+    return aReport.controlRun_ != run_ || aReport.stamp_ < replicas_.Stamp() ||
+           aReport.entry_.revision_ < fleet_.Current().number_;
+  }
+
+  ControlAnswer MakeAnswer(const EntryReport& aReport)
+  {
+    ControlAnswer answer;
+    bool isKnown = aReport.controlRun_ == run_;
+    answer.replicas_ = { run_,
+                         replicas_.Stamp(),
+                         replicas_.ChangedAfter(isKnown ? aReport.stamp_ : 0) };
+    answer.planNumber_ = fleet_.Current().number_;
+    if (answer.planNumber_ > aReport.entry_.revision_) {
+      answer.declaration_ = fleet_.Current();
+    }
+    const Raft& core = member_.Group(GroupName::Configuration).Core();
+    for (const auto& member : core.Log().Members()) {
+      if (auto address = ParseAddress(member.memberAddress_)) {
+        // Entries are served at the same port everywhere.
+        answer.members_.push_back(
+          Address{ address->host_, settings_.entriesAddress_.port_ }
+            .ToString());
+      }
+    }
+    answer.entries_ = static_cast<std::uint32_t>(Serving().size());
+    answer.shares_ = splitter_.SharesOf(aReport.entry_.id_);
+    answer.isLeader_ = core.Role() == RaftRole::Leader;
+    return answer;
+  }
+
+  std::vector<EntryInfo> Serving() const
+  {
+    auto present = entries_.Present(clock_.Now());
+    std::erase_if(present, [](const EntryInfo& aIt) {
+      return aIt.isDraining_ || aIt.weight_ == 0;
+    });
+    return present;
+  }
+
+  kj::Promise<void> TickForever()
+  {
+    return timer_.afterDelay(kTick).then([this] {
+      TimePoint now = clock_.Now();
+      auto stamp = replicas_.Stamp();
+      replicas_.Tick(now);
+      if (stamp != replicas_.Stamp()) {
+        entriesServer_.Notify();
+      }
+      const Raft& core = member_.Group(GroupName::Configuration).Core();
+      lease_.Observe(core.Role() == RaftRole::Leader, core.CurrentTerm(), now);
+      if (now >= settingsAt_) {
+        Reload(false);
+      }
+      return TickForever();
+    });
+  }
+
+  void Reload(bool aIsAsked)
+  {
+    settingsAt_ = clock_.Now() + kSettingsPause;
+    auto contacts = hooks_.readContacts_();
+    if (aIsAsked) {
+      LogEvent(
+        Severity::Info, "settings read", { { "contacts", contacts.size() } });
+    }
+    if (!contacts.empty()) {
+      member_.SetContacts(std::move(contacts));
+    }
+    std::vector<std::string> names;
+    for (const auto& entry : entries_.Present(clock_.Now())) {
+      names.push_back(entry.id_);
+    }
+    splitter_.Retain(names);
+  }
+
+  /// Asks a quorum whether this member still leads.
+  void ConfirmLease(const std::function<void(bool)>& aDone)
+  {
+    const Raft& core = member_.Group(GroupName::Configuration).Core();
+    if (core.Role() != RaftRole::Leader) {
+      aDone(false);
+      return;
+    }
+    TimePoint askedAt = clock_.Now();
+    Term term = core.CurrentTerm();
+    member_.Query(GroupName::Configuration,
+                  {},
+                  [this, askedAt, term, aDone](const GroupResult& aResult) {
+                    const Raft& now =
+                      member_.Group(GroupName::Configuration).Core();
+                    bool leads = aResult && now.Role() == RaftRole::Leader &&
+                                 now.CurrentTerm() == term;
+                    if (leads) {
+                      lease_.Confirm(term, askedAt);
+                    }
+                    token_ = lease_.Token(clock_.Now()).value_or(0);
+                    actUntil_ = askedAt + kMayActFor;
+                    aDone(token_ != 0);
+                  });
+  }
+
+  /// Whether the process may act as the holder that it was confirmed to be.
+  bool MayAct() const { return token_ != 0 && clock_.Now() < actUntil_.load(); }
+
+  void ServeDuties(Fiber& aFiber)
+  {
+    while (true) {
+      aFiber.Sleep(kDutyPause);
+      bool holds = aFiber.Await<bool>([&](std::function<void(bool)> aDone) {
+        loop_.Post([this, aDone] { ConfirmLease(aDone); });
+      });
+      if (holds) {
+        ReportUsage(aFiber);
+      }
+    }
+  }
+
+  /// The next window that has ended and has not been reported from here.
+  std::int64_t NextWindow()
+  {
+    auto length = std::chrono::duration_cast<std::chrono::milliseconds>(
+      settings_.usageWindow_);
+    auto settled = ReadWallTime().time_since_epoch() - kUsageSettles;
+    std::int64_t last = settled / length - 1;
+    return std::max(reported_ + 1, last - kLateWindows + 1) <= last
+             ? std::max(reported_ + 1, last - kLateWindows + 1)
+             : 0;
+  }
+
+  void ReportUsage(Fiber& aFiber)
+  {
+    std::int64_t window = NextWindow();
+    if (window == 0) {
+      return;
+    }
+    auto agreed = aFiber.Await<GroupResult>(
+      [&](const std::function<void(GroupResult)>& aDone) {
+        loop_.Post([this, window, aDone] {
+          UsageWindow usage{ window, tally_.SumOf(window) };
+          tally_.ForgetBefore(window - 2 * kLateWindows);
+          member_.Propose(
+            GroupName::Configuration, FleetState::EncodeUsage(usage), aDone);
+        });
+      });
+    if (!agreed) {
+      return;
+    }
+    UsageWindow usage = FleetState::DecodeUsage(*agreed);
+    DutyToken token{ settings_.id_, token_ };
+    auto answer = hooks_.cloud_.reportUsage_(
+      aFiber, token, usage, [this] { return MayAct(); });
+    bool isTaken = answer && *answer == CloudAnswer::Accepted;
+    LogEvent(isTaken ? Severity::Info : Severity::Warning,
+             "usage reported",
+             { { "window", window },
+               { "fence", token.fence_ },
+               { "accepted", isTaken } });
+    if (isTaken || (answer && *answer == CloudAnswer::Refused)) {
+      reported_ = window;
+    }
+  }
+
+  static constexpr Duration kMayActFor = std::chrono::milliseconds(600);
+
+  FleetControlSettings settings_;
+  FleetControlHooks hooks_;
+  Clock clock_;
+  ShutdownSignal signal_;
+  ControlLoop loop_;
+  TrafficThreads threads_;
+  kj::Timer& timer_;
+  bool isBuilt_ = false;
+  std::uint64_t run_ = RandomRun();
+  FleetState fleet_;
+  RaftMember member_;
+  ReplicaTable replicas_;
+  EntryDirectory entries_;
+  ShareSplitter splitter_;
+  UsageTally tally_;
+  DutyLease lease_;
+  std::atomic<Term> token_{ 0 };
+  std::atomic<TimePoint> actUntil_{ TimePoint() };
+  /// Touched by the fiber of the duties only.
+  std::int64_t reported_ = 0;
+  TimePoint settingsAt_;
+  TimePoint startedAt_;
+  FleetServer entriesServer_;
+  HttpServer control_;
+  HttpServer directory_;
+  kj::TaskSet tasks_;
+};
+
+FleetControl::FleetControl(FleetControlSettings aSettings,
+                           FleetControlHooks aHooks)
+  : state_(
+      std::make_unique<State>(*this, std::move(aSettings), std::move(aHooks)))
+{
+}
+
+FleetControl::~FleetControl() = default;
+
+tl::expected<void, GroupError>
+FleetControl::Declare(Fiber& aFiber, const Declaration& aDeclaration)
+{
+  auto result = aFiber.Await<GroupResult>(
+    [&](const std::function<void(GroupResult)>& aDone) {
+      state_->loop_.Post(
+        [this, command = FleetState::EncodeDeclare(aDeclaration), aDone] {
+          state_->member_.Propose(GroupName::Configuration, command, aDone);
+        });
+    });
+  if (!result) {
+    return tl::make_unexpected(result.error());
+  }
+  return {};
+}
+
+tl::expected<Declaration, GroupError>
+FleetControl::ReadDeclaration(Fiber& aFiber)
+{
+  auto result = aFiber.Await<GroupResult>(
+    [&](const std::function<void(GroupResult)>& aDone) {
+      state_->loop_.Post([this, aDone] {
+        state_->member_.Query(GroupName::Configuration, {}, aDone);
+      });
+    });
+  return result.map(
+    [](const Bytes& aIt) { return FleetState::DecodeDeclaration(aIt); });
+}
+
+void
+FleetControl::Announce(Fiber& aFiber, const Replica& aReplica)
+{
+  OnLoop<bool>(state_->loop_, aFiber, [this, aReplica] {
+    auto stamp = state_->replicas_.Stamp();
+    bool isTaken = state_->replicas_.Announce(aReplica, state_->clock_.Now());
+    if (stamp != state_->replicas_.Stamp()) {
+      LogEvent(
+        Severity::Info,
+        "replica announced",
+        { { "replica", aReplica.id_ },
+          { "service", aReplica.service_ },
+          { "draining", aReplica.standing_ == ReplicaStanding::Draining },
+          { "sequence", aReplica.sequence_ } });
+      state_->entriesServer_.Notify();
+    }
+    return isTaken;
+  });
+}
+
+void
+FleetControl::Leave(Fiber& aFiber,
+                    const std::string& aId,
+                    std::uint64_t aBornMs)
+{
+  OnLoop<bool>(state_->loop_, aFiber, [this, aId, aBornMs] {
+    state_->replicas_.Leave(aId, aBornMs, state_->clock_.Now());
+    LogEvent(Severity::Info, "replica left", { { "replica", aId } });
+    state_->entriesServer_.Notify();
+    return true;
+  });
+}
+
+std::vector<EntryInfo>
+FleetControl::EntriesFor(Fiber& aFiber, const CallerPlace& aCaller)
+{
+  return OnLoop<std::vector<EntryInfo>>(
+    state_->loop_, aFiber, [this, aCaller]() -> std::vector<EntryInfo> {
+      if (state_->clock_.Now() - state_->startedAt_ < kDirectoryWarmUp) {
+        return {};
+      }
+      return SelectEntries(
+        state_->Serving(), aCaller, state_->settings_.maxEntriesInAnswer_);
+    });
+}
+
+int
+FleetControl::Run()
+{
+  State* state = state_.get();
+  state->startedAt_ = state->clock_.Now();
+  for (auto [server, address] :
+       { std::pair(&state->control_, &state->settings_.controlAddress_),
+         std::pair(&state->directory_, &state->settings_.directoryAddress_) }) {
+    if (auto listening = server->Listen(*address); !listening) {
+      LogEvent(Severity::Error,
+               "listen failed",
+               { { "error", listening.error().message_ } });
+      return 1;
+    }
+  }
+  state->member_.Start(state->settings_.entriesAddress_,
+                       { state->fleet_.AsStateMachine() });
+  state->entriesServer_.Listen(state->settings_.entriesAddress_);
+  LogEvent(
+    Severity::Info,
+    "started",
+    { { "id", state->settings_.id_ },
+      { "members", state->settings_.member_.memberAddress_.ToString() } });
+  state->settingsAt_ = state->clock_.Now() + kSettingsPause;
+  state->signal_.Start(
+    [state] { state->loop_.Stop(); },
+    [state] { state->loop_.Post([state] { state->Reload(true); }); });
+  state->tasks_.add(state->TickForever());
+  state->threads_.Spawn([state](Fiber& aFiber) { state->ServeDuties(aFiber); });
+  state->loop_.Run();
+  state->threads_.Stop();
+  LogEvent(Severity::Info, "stopped", { { "id", state->settings_.id_ } });
+  return 0;
+}
+
+} // namespace tanagerstall
--- /dev/null
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -0,0 +1,275 @@
+#include "tanagerstall/process/tanagerstall_fleet_entry.hpp"
+
+#include "tanagerstall/connection/tanagerstall_fleet_client.hpp"
+#include "tanagerstall/process/tanagerstall_drain.hpp"
+#include "tanagerstall/process/tanagerstall_log.hpp"
+#include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
+
+#include <atomic>
+#include <kj/async-io.h>
+
+namespace tanagerstall {
+
+namespace {
+
+constexpr auto kTick = 100 * kj::MILLISECONDS;
+constexpr Duration kReportPause = std::chrono::milliseconds(250);
+/// Kept back from the grace for ending in order.
+constexpr Duration kEndMargin = std::chrono::milliseconds(300);
+/// How often the settings are looked at without a signal.
+constexpr Duration kSettingsPause = std::chrono::seconds(2);
+
+std::uint64_t
+MakeIncarnation()
+{
+  return static_cast<std::uint64_t>(ReadWallTime().time_since_epoch().count());
+}
+
+} // namespace
+
+struct FleetEntry::State : private kj::TaskSet::ErrorHandler
+{
+  State(FleetEntrySettings aSettings, FleetEntryHooks aHooks)
+    : settings_(std::move(aSettings))
+    , hooks_(std::move(aHooks))
+    , threads_(1)
+    , timer_(loop_.Io().provider->getTimer())
+    , client_(
+        loop_,
+        { [this](const std::string& aControl) { return MakeReport(aControl); },
+          [this](const std::string& aControl, const ControlAnswer& aAnswer) {
+            TakeAnswer(aControl, aAnswer);
+          } })
+    , forwarder_(settings_.forwarder_, clock_, ReadWallTime)
+    , callers_(
+        threads_,
+        HttpLimits(),
+        [this](HttpExchange& aExchange) { forwarder_.Handle(aExchange); })
+    , readiness_(threads_,
+                 HttpLimits(),
+                 [this](HttpExchange& aExchange) {
+                   hooks_.answerReadiness_(aExchange, IsReady());
+                 })
+    , tasks_(*this)
+  {
+    self_.id_ = settings_.id_;
+    self_.callerAddress_ = settings_.callerAddress_.ToString();
+    self_.failureDomain_ = settings_.failureDomain_;
+    self_.region_ = settings_.region_;
+    self_.incarnation_ = MakeIncarnation();
+    self_.weight_ = 0;
+  }
+
+  void taskFailed(kj::Exception&& aError) override
+  {
+    LogEvent(Severity::Error,
+             "entry task failed",
+             { { "error", aError.getDescription().cStr() } });
+  }
+
+  bool IsReady() const { return hasPlan_ && !isStopping_; }
+
+  EntryReport MakeReport(const std::string& aControl)
+  {
+    EntryReport report;
+    report.entry_ = self_;
+    auto [run, stamp] = view_.Position(aControl);
+    report.controlRun_ = run;
+    report.stamp_ = stamp;
+    report.usage_ = traffic_.usage_;
+    report.wanted_ = traffic_.wanted_;
+    report.services_ = traffic_.services_;
+    return report;
+  }
+
+  void TakeAnswer(const std::string& aControl, const ControlAnswer& aAnswer)
+  {
+    TimePoint now = clock_.Now();
+    view_.Take(aControl, aAnswer.replicas_, now);
+    if (aAnswer.declaration_) {
+      TakeDeclaration(*aAnswer.declaration_);
+    }
+    if (aAnswer.isLeader_) {
+      threads_.Post(
+        [this, shares = aAnswer.shares_, entries = aAnswer.entries_]() mutable {
+          forwarder_.SetShares(std::move(shares), entries);
+        });
+    }
+    PublishReplicas(now);
+  }
+
+  void TakeDeclaration(const Declaration& aDeclaration)
+  {
+    if (aDeclaration.number_ <= self_.revision_) {
+      return;
+    }
+    auto plan = hooks_.decodePlan_(aDeclaration.document_);
+    if (!plan) {
+      LogEvent(Severity::Error,
+               "declaration not readable",
+               { { "number", aDeclaration.number_ },
+                 { "error", plan.error().message_ } });
+      return;
+    }
+    self_.revision_ = aDeclaration.number_;
+    self_.weight_ = 100;
+    LogEvent(Severity::Info,
+             "declaration in force",
+             { { "number", aDeclaration.number_ },
+               { "routes", plan->routes_.size() } });
+    auto shared = std::make_shared<const TrafficPlan>(std::move(*plan));
+    HttpLimits limits;
+    limits.maxHeadBytes_ = shared->limits_.maxHeadBytes_;
+    limits.maxBodyBytes_ = shared->limits_.maxBodyBytes_;
+    limits.requestTimeout_ = shared->limits_.headTimeout_;
+    limits.idleTimeout_ = shared->limits_.idleTimeout_;
+    callers_.SetLimits(limits);
+    threads_.Post([this, shared] {
+      forwarder_.SetPlan(shared);
+      hasPlan_ = true;
+    });
+  }
+
+  void PublishReplicas(TimePoint aNow)
+  {
+    if (view_.TakeChanged(aNow)) {
+      threads_.Post([this, present = view_.Present(aNow)] {
+        forwarder_.SetReplicas(present);
+      });
+    }
+  }
+
+  kj::Promise<void> TickForever()
+  {
+    return timer_.afterDelay(kTick).then([this]() -> kj::Promise<void> {
+      TimePoint now = clock_.Now();
+      PublishReplicas(now);
+      if (now >= settingsAt_) {
+        Reload(false);
+      }
+      if (FollowDrain(now)) {
+        loop_.Stop();
+        return kj::READY_NOW;
+      }
+      return TickForever();
+    });
+  }
+
+  void Reload(bool aIsAsked)
+  {
+    settingsAt_ = clock_.Now() + kSettingsPause;
+    auto control = hooks_.readControl_();
+    if (aIsAsked || control != settings_.control_) {
+      LogEvent(Severity::Info,
+               "settings read",
+               { { "control_addresses", control.size() } });
+    }
+    if (!control.empty()) {
+      settings_.control_ = control;
+      client_.SetSeeds(control);
+    }
+  }
+
+  void Stop()
+  {
+    if (isStopping_.exchange(true)) {
+      return;
+    }
+    LogEvent(Severity::Info,
+             "stopping",
+             { { "requests", callers_.ActiveExchanges() } });
+    self_.isDraining_ = true;
+    drain_.Start(clock_.Now(),
+                 settings_.discoveryTimeToLive_,
+                 settings_.grace_ - kEndMargin);
+    callers_.StopKeepingAlive();
+    client_.Refresh();
+  }
+
+  /// Whether the drain has come to its end.
+  bool FollowDrain(TimePoint aNow)
+  {
+    switch (drain_.Next(aNow, callers_.ActiveExchanges())) {
+      case DrainStep::Serve:
+      case DrainStep::ServeLateCallers:
+        return false;
+      case DrainStep::FinishRequests:
+        callers_.StopAccepting();
+        callers_.CloseIdle();
+        return false;
+      case DrainStep::End:
+        return true;
+    }
+    return true;
+  }
+
+  void ReportForever(Fiber& aFiber)
+  {
+    while (true) {
+      aFiber.Sleep(kReportPause);
+      forwarder_.Tidy();
+      loop_.Post([this, report = forwarder_.Report()] { traffic_ = report; });
+    }
+  }
+
+  FleetEntrySettings settings_;
+  FleetEntryHooks hooks_;
+  Clock clock_;
+  ShutdownSignal signal_;
+  ControlLoop loop_;
+  TrafficThreads threads_;
+  kj::Timer& timer_;
+  EntryInfo self_;
+  ReplicaView view_;
+  TrafficReport traffic_;
+  Drain drain_;
+  std::atomic<bool> hasPlan_{ false };
+  std::atomic<bool> isStopping_{ false };
+  TimePoint settingsAt_;
+  FleetClient client_;
+  Forwarder forwarder_;
+  HttpServer callers_;
+  HttpServer readiness_;
+  kj::TaskSet tasks_;
+};
+
+FleetEntry::FleetEntry(FleetEntrySettings aSettings, FleetEntryHooks aHooks)
+  : state_(std::make_unique<State>(std::move(aSettings), std::move(aHooks)))
+{
+}
+
+FleetEntry::~FleetEntry() = default;
+
+int
+FleetEntry::Run()
+{
+  State* state = state_.get();
+  for (auto [server, address] :
+       { std::pair(&state->callers_, &state->settings_.callerAddress_),
+         std::pair(&state->readiness_, &state->settings_.readinessAddress_) }) {
+    if (auto listening = server->Listen(*address); !listening) {
+      LogEvent(Severity::Error,
+               "listen failed",
+               { { "error", listening.error().message_ } });
+      return 1;
+    }
+  }
+  LogEvent(Severity::Info,
+           "started",
+           { { "id", state->settings_.id_ },
+             { "callers", state->settings_.callerAddress_.ToString() } });
+  state->client_.SetSeeds(state->settings_.control_);
+  state->settingsAt_ = state->clock_.Now() + kSettingsPause;
+  state->signal_.Start(
+    [state] { state->loop_.Post([state] { state->Stop(); }); },
+    [state] { state->loop_.Post([state] { state->Reload(true); }); });
+  state->tasks_.add(state->TickForever());
+  state->threads_.Spawn(
+    [state](Fiber& aFiber) { state->ReportForever(aFiber); });
+  state->loop_.Run();
+  state->threads_.Stop();
+  LogEvent(Severity::Info, "stopped", { { "id", state->settings_.id_ } });
+  return 0;
+}
+
+} // namespace tanagerstall
--- a/src/tanagerstall/process/tanagerstall_shutdown_signal.cpp
+++ b/src/tanagerstall/process/tanagerstall_shutdown_signal.cpp
@@ -1,5 +1,7 @@
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
 
+#include "tanagerstall/process/tanagerstall_log.hpp"
+
 #include <csignal>
 #include <pthread.h>
 #include <stop_token>
@@ -9,7 +11,7 @@
 
 namespace {
 
-constexpr timespec kPollInterval{ 0, 100'000'000 };
+constexpr timespec kPollInterval{ 0, 400'000'000 };
 
 sigset_t
 ShutdownSignals()
@@ -18,6 +20,7 @@
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   return set;
 }
 
@@ -39,14 +42,21 @@
 ShutdownSignal::~ShutdownSignal() = default;
 
 void
-ShutdownSignal::Start(std::function<void()> aHook)
+ShutdownSignal::Start(std::function<void()> aStop,
+                      std::function<void()> aReload)
 {
   state_->thread_ =
-    std::jthread([hook = std::move(aHook)](const std::stop_token& aStop) {
+    std::jthread([stop = std::move(aStop),
+                  reload = std::move(aReload)](const std::stop_token& aToken) {
       sigset_t set = ShutdownSignals();
-      while (!aStop.stop_requested()) {
-        if (sigtimedwait(&set, nullptr, &kPollInterval) > 0) {
-          hook();
+      while (!aToken.stop_requested()) {
+        int signal = sigtimedwait(&set, nullptr, &kPollInterval);
+        if (signal == SIGHUP && reload) {
+          reload();
+        } else if (signal == SIGHUP) {
+          LogEvent(Severity::Info, "nothing to reload");
+        } else if (signal > 0) {
+          stop();
         }
       }
     });
--- a/src/tanagerstall/process/tanagerstall_shutdown_signal.hpp
+++ b/src/tanagerstall/process/tanagerstall_shutdown_signal.hpp
@@ -6,16 +6,18 @@
 
 namespace tanagerstall {
 
-/// Waits for SIGTERM or SIGINT on a thread of its own. Made before any other
-/// thread, so that all of them leave these signals to it.
+/// Waits for SIGTERM, SIGINT and SIGHUP on a thread of its own. Made before
+/// any other thread, so that all of them leave these signals to it.
 class ShutdownSignal
 {
 public:
   ShutdownSignal();
   ~ShutdownSignal();
 
-  /// Calls `aHook` on the waiting thread at each signal.
-  void Start(std::function<void()> aHook);
+  /// Calls a hook on the waiting thread at each signal: `aStop` at SIGTERM and
+  /// SIGINT, `aReload` at SIGHUP.
+  void Start(std::function<void()> aStop,
+             std::function<void()> aReload = nullptr);
 
 private:
   struct State;
--- a/src/tanagerstall/request/tanagerstall_attempt_budget.cpp
+++ b/src/tanagerstall/request/tanagerstall_attempt_budget.cpp
@@ -4,22 +4,17 @@
 
 namespace tanagerstall {
 
-namespace {
-
-constexpr double kBurstAttempts = 10;
-
-} // namespace
-
-AttemptBudget::AttemptBudget(double aRatio)
+AttemptBudget::AttemptBudget(double aRatio, double aBurst)
   : ratio_(aRatio)
-  , tokens_(kBurstAttempts)
+  , burst_(aBurst)
+  , tokens_(aBurst)
 {
 }
 
 void
 AttemptBudget::OnRequest()
 {
-  tokens_ = std::min(kBurstAttempts, tokens_ + ratio_);
+  tokens_ = std::min(burst_, tokens_ + ratio_);
 }
 
 bool
--- a/src/tanagerstall/request/tanagerstall_attempt_budget.hpp
+++ b/src/tanagerstall/request/tanagerstall_attempt_budget.hpp
@@ -9,9 +9,13 @@
 class AttemptBudget
 {
 public:
-  explicit AttemptBudget(double aRatio);
+  static constexpr double kDefaultBurst = 10;
+
+  /// `aBurst`: attempts that may be saved up.
+  explicit AttemptBudget(double aRatio, double aBurst = kDefaultBurst);
 
   void SetRatio(double aRatio) { ratio_ = aRatio; }
+  void SetBurst(double aBurst) { burst_ = aBurst; }
   /// Earns for one request.
   void OnRequest();
   /// Takes one extra attempt; false when the budget is spent.
@@ -19,6 +23,7 @@
 
 private:
   double ratio_;
+  double burst_;
   double tokens_;
 };
 
--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -0,0 +1,265 @@
+#include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
+
+namespace tanagerstall {
+
+namespace {
+
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
+/// A kept connection that a request may not be lost on has to have been used
+/// this lately.
+constexpr Duration kFreshIdle = std::chrono::seconds(3);
+constexpr std::uint64_t kMaxAnswerBytes = 16ULL << 20U;
+/// Late answers to earlier requests that are skipped on a kept connection.
+constexpr int kMaxForeignAnswers = 3;
+constexpr int kMisdirected = 421;
+
+/// The id of an event; "" for none.
+std::string_view
+IdOf(std::string_view aEvent)
+{
+  std::size_t begin = 0;
+  while (begin < aEvent.size()) {
+    auto end = std::min(aEvent.find('\n', begin), aEvent.size());
+    std::string_view line = aEvent.substr(begin, end - begin);
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (line.starts_with("id:")) {
+      line.remove_prefix(3);
+      return line.starts_with(' ') ? line.substr(1) : line;
+    }
+    begin = end + 1;
+  }
+  return {};
+}
+
+} // namespace
+
+ForwardAttempt::ForwardAttempt(ConnectionPool& aPool,
+                               const CallerProtocol& aProtocol,
+                               Clock aClock,
+                               HttpExchange& aExchange,
+                               ForwardedRequest& aRequest,
+                               Hooks aHooks)
+  : pool_(aPool)
+  , protocol_(aProtocol)
+  , clock_(std::move(aClock))
+  , exchange_(aExchange)
+  , request_(aRequest)
+  , hooks_(std::move(aHooks))
+{
+}
+
+Duration
+ForwardAttempt::Left() const
+{
+  return std::max<Duration>(request_.deadline_ - clock_.Now(),
+                            std::chrono::milliseconds(1));
+}
+
+AttemptResult
+ForwardAttempt::Fail(const TransportError& aError, bool aWasSent) const
+{
+  AttemptResult result;
+  result.wasSent_ = aWasSent;
+  result.detail_ = std::string(ToString(aError.fault_)) + ": " + aError.detail_;
+  result.isLate_ = clock_.Now() >= request_.deadline_;
+  if (aError.fault_ == TransportFault::Cancelled || result.isLate_) {
+    result.outcome_ = AttemptOutcome::Abandoned;
+  } else if (!aWasSent) {
+    result.outcome_ = AttemptOutcome::Unreachable;
+  }
+  return result;
+}
+
+tl::expected<ConnectionPool::Lease, TransportError>
+ForwardAttempt::Open(const Replica& aReplica)
+{
+  Duration maxIdle =
+    request_.route_->IsRepeatable() ? Duration::max() : kFreshIdle;
+  if (auto kept = pool_.TakeKept(exchange_.GetFiber(), aReplica.id_, maxIdle)) {
+    return std::move(*kept);
+  }
+  auto address = ParseAddress(aReplica.address_);
+  if (!address) {
+    return tl::make_unexpected(TransportError{ TransportFault::ConnectFailed,
+                                               address.error().message_ });
+  }
+  return pool_.Connect(exchange_.GetFiber(),
+                       *address,
+                       std::min<Duration>(kConnectTimeout, Left()));
+}
+
+bool
+ForwardAttempt::IsOwn(const HttpResponse& aHead) const
+{
+  std::string_view id = aHead.Header(protocol_.requestId_);
+  return id.empty() || id == request_.id_;
+}
+
+/// Reads the head of the answer to this request. An answer to an earlier one
+/// may come first on a kept connection.
+HttpConnection::Result<HttpResponse>
+ForwardAttempt::ReadOwnHead(bool aIsKept)
+{
+  for (int i = 0; i < kMaxForeignAnswers; ++i) {
+    auto head = connection_->ReadHead(Left());
+    if (!head) {
+      return head;
+    }
+    bool isInterim = head->status_ < 200;
+    if (!isInterim && IsOwn(*head)) {
+      return head;
+    }
+    if (!isInterim && !aIsKept) {
+      break;
+    }
+    while (true) {
+      auto part = connection_->ReadBody(Left());
+      if (!part) {
+        return tl::make_unexpected(part.error());
+      }
+      if (!*part) {
+        break;
+      }
+    }
+  }
+  return tl::make_unexpected(TransportError{
+    TransportFault::Malformed, "the answer belongs to another request" });
+}
+
+AttemptResult
+ForwardAttempt::Run(const Replica& aReplica, bool aKeepsFailures)
+{
+  auto lease = Open(aReplica);
+  if (!lease) {
+    return Fail(lease.error(), false);
+  }
+  if (exchange_.IsCallerGone()) {
+    pool_.Keep(
+      aReplica.id_, std::move(lease->connection_), std::chrono::seconds(1));
+    return { AttemptOutcome::Abandoned, false, false, std::nullopt, "" };
+  }
+  connection_ = lease->connection_.get();
+  exchange_.OnCallerGone([this] { connection_->Cancel(); });
+  ++request_.sends_;
+  connection_->StartSend(
+    MakeUpstreamRequest(
+      exchange_.Request(), request_, aReplica, protocol_, clock_.Now()),
+    Left());
+  auto head = ReadOwnHead(lease->isKept_);
+  Duration keepFor = head ? KeepTimeOf(*head) : Duration::zero();
+  AttemptResult result =
+    head ? Answer(std::move(*head), aKeepsFailures) : Fail(head.error(), true);
+  exchange_.OnCallerGone(nullptr);
+  if (connection_->IsReusable()) {
+    pool_.Keep(aReplica.id_, std::move(lease->connection_), keepFor);
+  }
+  connection_ = nullptr;
+  return result;
+}
+
+AttemptResult
+ForwardAttempt::Answer(HttpResponse aHead, bool aKeepsFailures)
+{
+  bool isGood = aHead.status_ >= 200 && aHead.status_ < 300;
+  if (aHead.status_ == kMisdirected ||
+      !aHead.Header(protocol_.notRun_).empty()) {
+    auto rest = connection_->ReadBody(Left());
+    while (rest && *rest) {
+      rest = connection_->ReadBody(Left());
+    }
+    return { AttemptOutcome::Refused,
+             true,
+             false,
+             std::nullopt,
+             "status " + std::to_string(aHead.status_) };
+  }
+  if (isGood && aHead.Header(protocol_.seal_).empty()) {
+    return { AttemptOutcome::Broken,
+             true,
+             false,
+             std::nullopt,
+             "an answer without a seal" };
+  }
+  if (isGood && request_.route_->kind_ == RequestKind::Stream) {
+    return PassStream(aHead);
+  }
+  return PassWhole(std::move(aHead), aKeepsFailures);
+}
+
+AttemptResult
+ForwardAttempt::PassWhole(HttpResponse aHead, bool aKeepsFailures)
+{
+  while (true) {
+    auto part = connection_->ReadBody(Left());
+    if (!part) {
+      return Fail(part.error(), true);
+    }
+    if (!*part) {
+      break;
+    }
+    aHead.body_ += **part;
+    if (aHead.body_.size() > kMaxAnswerBytes) {
+      return Fail({ TransportFault::TooLarge, "the answer is too large" },
+                  true);
+    }
+  }
+  hooks_.onRun_();
+  AttemptResult result;
+  result.outcome_ = AttemptOutcome::Answered;
+  result.wasSent_ = true;
+  if (exchange_.HasStarted()) {
+    // A stream that went on elsewhere got no stream.
+    result.outcome_ = AttemptOutcome::Broken;
+    result.detail_ = "status " + std::to_string(aHead.status_);
+  } else if (aKeepsFailures && aHead.status_ >= 500) {
+    result.failure_ = MakeCallerResponse(aHead);
+  } else {
+    exchange_.Respond(MakeCallerResponse(aHead));
+  }
+  return result;
+}
+
+bool
+ForwardAttempt::PassEvents(const HttpResponse& aHead, std::string_view aBytes)
+{
+  for (const auto& event : events_.Take(aBytes)) {
+    if (!exchange_.HasStarted()) {
+      hooks_.onRun_();
+      exchange_.StartStream(MakeCallerResponse(aHead));
+    }
+    if (!exchange_.WritePart(event)) {
+      return false;
+    }
+    if (auto id = IdOf(event); !id.empty()) {
+      request_.lastEventId_ = id;
+    }
+  }
+  return true;
+}
+
+AttemptResult
+ForwardAttempt::PassStream(const HttpResponse& aHead)
+{
+  while (true) {
+    auto part = connection_->ReadBody(Left());
+    if (!part) {
+      return Fail(part.error(), true);
+    }
+    if (!*part) {
+      break;
+    }
+    if (!PassEvents(aHead, **part)) {
+      return { AttemptOutcome::Abandoned, true, false, std::nullopt, "" };
+    }
+  }
+  if (!exchange_.HasStarted()) {
+    hooks_.onRun_();
+    exchange_.StartStream(MakeCallerResponse(aHead));
+  }
+  exchange_.EndStream();
+  return { AttemptOutcome::Answered, true, false, std::nullopt, "" };
+}
+
+} // namespace tanagerstall
--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
@@ -0,0 +1,183 @@
+#include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace tanagerstall {
+
+namespace {
+
+constexpr std::string_view kLastEventId = "Last-Event-Id";
+constexpr std::uint32_t kLeastUrgent = 9;
+
+template<class Number>
+std::optional<Number>
+ReadNumber(std::string_view aText, int aBase = 10)
+{
+  Number number{};
+  auto end = aText.data() + aText.size();
+  auto read = std::from_chars(aText.data(), end, number, aBase);
+  if (aText.empty() || read.ec != std::errc() || read.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+/// The fields that a Connection header names.
+std::vector<std::string>
+NamedByConnection(const HttpRequest& aRequest)
+{
+  std::vector<std::string> names;
+  std::string_view rest = aRequest.Header("Connection");
+  while (!rest.empty()) {
+    auto comma = std::min(rest.find(','), rest.size());
+    std::string_view name = rest.substr(0, comma);
+    while (name.starts_with(' ')) {
+      name.remove_prefix(1);
+    }
+    while (name.ends_with(' ')) {
+      name.remove_suffix(1);
+    }
+    names.emplace_back(name);
+    rest.remove_prefix(std::min(comma + 1, rest.size()));
+  }
+  return names;
+}
+
+bool
+IsNamed(const std::vector<std::string>& aNames, std::string_view aName)
+{
+  return std::any_of(aNames.begin(), aNames.end(), [&](const auto& aIt) {
+    return EqualsIgnoringCase(aIt, aName);
+  });
+}
+
+} // namespace
+
+PromptFacts
+ReadPromptFacts(const HttpRequest& aRequest, const CallerProtocol& aProtocol)
+{
+  PromptFacts facts;
+  std::string_view counts = aRequest.Header(aProtocol.tokenCounts_);
+  auto comma = counts.find(',');
+  if (comma != std::string_view::npos) {
+    auto prompt = ReadNumber<std::uint64_t>(counts.substr(0, comma));
+    auto output = ReadNumber<std::uint64_t>(counts.substr(comma + 1));
+    if (prompt && output) {
+      facts.promptTokens_ = *prompt;
+      facts.maxOutputTokens_ = *output;
+    }
+  }
+  // The last part is the request's own; the one before it is the longest
+  // beginning that others share.
+  std::string_view parts = aRequest.Header(aProtocol.promptParts_);
+  auto last = parts.rfind(',');
+  if (last != std::string_view::npos) {
+    std::string_view shared = parts.substr(0, last);
+    auto begin = shared.rfind(',');
+    shared.remove_prefix(begin == std::string_view::npos ? 0 : begin + 1);
+    auto id = ReadNumber<std::uint64_t>(shared.substr(0, shared.find(':')), 16);
+    facts.sharedPart_ = id.value_or(0);
+  }
+  return facts;
+}
+
+std::optional<Milliseconds>
+ReadTimeRemaining(const HttpRequest& aRequest, const CallerProtocol& aProtocol)
+{
+  auto value =
+    ReadNumber<std::uint64_t>(aRequest.Header(aProtocol.timeRemaining_));
+  return value ? std::optional(Milliseconds(*value)) : std::nullopt;
+}
+
+std::string
+HostOf(const HttpRequest& aRequest)
+{
+  std::string_view host = aRequest.Header("Host");
+  std::string lower(host.substr(0, host.rfind(':')));
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](char aLetter) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(aLetter)));
+  });
+  return lower;
+}
+
+bool
+IsConnectionField(std::string_view aName)
+{
+  constexpr std::array<std::string_view, 11> kFields{ "Connection",
+                                                      "Keep-Alive",
+                                                      "Proxy-Connection",
+                                                      "Proxy-Authenticate",
+                                                      "Proxy-Authorization",
+                                                      "TE",
+                                                      "Trailer",
+                                                      "Transfer-Encoding",
+                                                      "Upgrade",
+                                                      "Content-Length",
+                                                      "Expect" };
+  return std::any_of(kFields.begin(), kFields.end(), [&](auto aIt) {
+    return EqualsIgnoringCase(aIt, aName);
+  });
+}
+
+HttpRequest
+MakeUpstreamRequest(const HttpRequest& aFrom,
+                    const ForwardedRequest& aRequest,
+                    const Replica& aReplica,
+                    const CallerProtocol& aProtocol,
+                    TimePoint aNow)
+{
+  HttpRequest request{ aFrom.method_, aFrom.target_, {}, aFrom.body_ };
+  auto named = NamedByConnection(aFrom);
+  bool isResumed = !aRequest.lastEventId_.empty();
+  for (const auto& header : aFrom.headers_) {
+    bool isOurs = EqualsIgnoringCase(header.name_, aProtocol.timeRemaining_) ||
+                  EqualsIgnoringCase(header.name_, aProtocol.key_) ||
+                  EqualsIgnoringCase(header.name_, aProtocol.organisation_) ||
+                  EqualsIgnoringCase(header.name_, aProtocol.urgency_) ||
+                  IsNamed(aProtocol.reserved_, header.name_) ||
+                  EqualsIgnoringCase(header.name_, aProtocol.expectedReplica_);
+    bool isReplaced =
+      isResumed && EqualsIgnoringCase(header.name_, kLastEventId);
+    if (!isOurs && !isReplaced && !IsConnectionField(header.name_) &&
+        !IsNamed(named, header.name_)) {
+      request.headers_.push_back(header);
+    }
+  }
+  auto left =
+    std::chrono::duration_cast<Milliseconds>(aRequest.deadline_ - aNow).count();
+  auto add = [&](const std::string& aName, std::string aValue) {
+    request.headers_.push_back({ aName, std::move(aValue) });
+  };
+  add(aProtocol.timeRemaining_, std::to_string(std::max<long>(left, 1)));
+  add(aProtocol.expectedReplica_, aReplica.id_);
+  if (aRequest.organisation_ != nullptr) {
+    add(aProtocol.organisation_, aRequest.organisation_->name_);
+  }
+  if (aRequest.route_->kind_ == RequestKind::Stream) {
+    auto urgency = std::min(1 + 2 * aRequest.Priority(), kLeastUrgent);
+    add(aProtocol.urgency_, std::to_string(urgency));
+  }
+  if (isResumed) {
+    add(std::string(kLastEventId), aRequest.lastEventId_);
+  }
+  return request;
+}
+
+HttpResponse
+MakeCallerResponse(const HttpResponse& aFrom)
+{
+  HttpResponse response;
+  response.status_ = aFrom.status_;
+  response.body_ = aFrom.body_;
+  for (const auto& header : aFrom.headers_) {
+    if (!IsConnectionField(header.name_)) {
+      response.headers_.push_back(header);
+    }
+  }
+  return response;
+}
+
+} // namespace tanagerstall
--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -0,0 +1,333 @@
+#include "tanagerstall/request/tanagerstall_forwarder.hpp"
+
+#include "tanagerstall/process/tanagerstall_log.hpp"
+#include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace tanagerstall {
+
+namespace {
+
+constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
+/// How long a share of a limit is used after it was heard.
+constexpr Duration kShareUse = std::chrono::milliseconds(2700);
+/// The part of an entry's equal share that it keeps while control is silent.
+constexpr double kUnleasedPart = 0.5;
+/// Output tokens weigh this much against prompt tokens, since each takes a
+/// step of its own.
+constexpr double kOutputWeight = 10.0;
+
+std::string
+Seconds(Duration aDuration)
+{
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(3)
+       << std::chrono::duration<double>(aDuration).count();
+  return text.str();
+}
+
+HttpResponse
+Refusal(int aStatus,
+        const char* aCode,
+        std::optional<Duration> aRetryAfter = std::nullopt)
+{
+  auto response = JsonResponse(aStatus,
+                               R"({"error":{"code":")" + std::string(aCode) +
+                                 R"(","outcome":"not_run"}})");
+  if (aRetryAfter) {
+    response.headers_.push_back({ "Retry-After", Seconds(*aRetryAfter) });
+  }
+  return response;
+}
+
+HttpResponse
+UnknownOutcome(int aStatus, const char* aCode)
+{
+  return JsonResponse(aStatus,
+                      R"({"error":{"code":")" + std::string(aCode) +
+                        R"(","outcome":"unknown"}})");
+}
+
+} // namespace
+
+Forwarder::Forwarder(ForwarderSettings aSettings,
+                     Clock aClock,
+                     WallClock aWallClock)
+  : settings_(std::move(aSettings))
+  , clock_(std::move(aClock))
+  , pool_(clock_)
+  , chooser_({ settings_.failureDomain_, settings_.regions_ },
+             std::random_device()())
+  , usage_(settings_.usageWindow_, std::move(aWallClock))
+  , random_(std::random_device()())
+{
+}
+
+Forwarder::~Forwarder() = default;
+
+void
+Forwarder::SetPlan(std::shared_ptr<const TrafficPlan> aPlan)
+{
+  if (!plan_ || aPlan->number_ > plan_->number_) {
+    plan_ = std::move(aPlan);
+  }
+}
+
+void
+Forwarder::SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas)
+{
+  chooser_.SetReplicas(std::move(aReplicas));
+}
+
+void
+Forwarder::SetShares(std::map<std::string, double> aShares,
+                     std::uint32_t aEntries)
+{
+  double equal = 1.0 / std::max(aEntries, 1U);
+  limits_.SetShares(
+    std::move(aShares), equal * kUnleasedPart, clock_.Now() + kShareUse);
+}
+
+AttemptBudget&
+Forwarder::BudgetOf(const std::string& aService)
+{
+  return budgets_
+    .try_emplace(aService, settings_.retryRatio_, settings_.retryBurst_)
+    .first->second;
+}
+
+std::optional<HttpResponse>
+Forwarder::CheckOrganisation(ForwardedRequest& aRequest,
+                             const HttpRequest& aHttp)
+{
+  if (aRequest.plan_->organisations_.empty() || aRequest.route_->isAnonymous_) {
+    return std::nullopt;
+  }
+  aRequest.organisation_ =
+    aRequest.plan_->FindOrganisation(aHttp.Header(settings_.protocol_.key_));
+  if (aRequest.organisation_ == nullptr) {
+    return Refusal(401, "unknown_key");
+  }
+  return std::nullopt;
+}
+
+std::optional<HttpResponse>
+Forwarder::CheckRate(const ForwardedRequest& aRequest)
+{
+  const PlanOrganisation* organisation = aRequest.organisation_;
+  if (organisation == nullptr) {
+    return std::nullopt;
+  }
+  double cost = 1.0;
+  if (organisation->countsTokens_) {
+    auto tokens =
+      aRequest.prompt_.promptTokens_ + aRequest.prompt_.maxOutputTokens_;
+    cost =
+      static_cast<double>(tokens > 0 ? tokens : organisation->plainTokens_);
+  }
+  auto wait =
+    limits_.Take(organisation->name_,
+                 { organisation->ratePerSecond_, organisation->burst_ },
+                 cost,
+                 clock_.Now());
+  if (!wait) {
+    return std::nullopt;
+  }
+  LogEvent(Severity::Info,
+           "request refused",
+           { { "request", aRequest.id_ },
+             { "reason", "over the organisation's rate" },
+             { "organisation", organisation->name_ } });
+  return Refusal(
+    429, "over_rate", std::max<Duration>(*wait, kDefaultRetryAfter));
+}
+
+tl::expected<ForwardedRequest, HttpResponse>
+Forwarder::Admit(HttpExchange& aExchange)
+{
+  const HttpRequest& http = aExchange.Request();
+  ForwardedRequest request;
+  request.arrivedAt_ = clock_.Now();
+  request.id_ = http.Header(settings_.protocol_.requestId_);
+  request.plan_ = plan_;
+  if (!plan_) {
+    return tl::make_unexpected(
+      Refusal(503, "no_configuration", kDefaultRetryAfter));
+  }
+  request.route_ = plan_->FindRoute(HostOf(http), PathOf(http));
+  if (request.route_ == nullptr) {
+    return tl::make_unexpected(Refusal(404, "no_route"));
+  }
+  if (auto refusal = CheckOrganisation(request, http)) {
+    return tl::make_unexpected(*refusal);
+  }
+  request.prompt_ = ReadPromptFacts(http, settings_.protocol_);
+  request.cost_ = std::max(
+    1.0,
+    static_cast<double>(request.prompt_.promptTokens_) +
+      kOutputWeight * static_cast<double>(request.prompt_.maxOutputTokens_));
+  Milliseconds wait = request.route_->timeout_;
+  if (auto remaining = ReadTimeRemaining(http, settings_.protocol_)) {
+    wait = std::min(wait, *remaining);
+  }
+  request.deadline_ = request.arrivedAt_ + wait;
+  if (auto refusal = CheckRate(request)) {
+    return tl::make_unexpected(*refusal);
+  }
+  std::vector<double> weights;
+  for (const auto& target : request.route_->services_) {
+    weights.push_back(target.weight_);
+  }
+  std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+  request.service_ = request.route_->services_[pick(random_)].service_;
+  return request;
+}
+
+void
+Forwarder::Handle(HttpExchange& aExchange)
+{
+  auto request = Admit(aExchange);
+  if (!request) {
+    aExchange.Respond(request.error());
+    return;
+  }
+  ServiceLoad& load = loads_[request->service_];
+  ++load.arrivals_;
+  BudgetOf(request->service_).OnRequest();
+  Run(aExchange, *request);
+}
+
+void
+Forwarder::Refuse(HttpExchange& aExchange,
+                  const ForwardedRequest& aRequest,
+                  const char* aReason)
+{
+  ++loads_[aRequest.service_].refused_;
+  LogEvent(Severity::Info,
+           "request refused",
+           { { "request", aRequest.id_ },
+             { "reason", aReason },
+             { "service", aRequest.service_ },
+             { "replicas", chooser_.CountReplicas(aRequest.service_) } });
+  aExchange.Respond(Refusal(503, "unavailable", kDefaultRetryAfter));
+}
+
+/// Whether the request may be sent once more. An attempt that reached no
+/// replica costs nothing of the budget.
+bool
+Forwarder::MayRetry(const ForwardedRequest& aRequest, bool aWasSent)
+{
+  if (clock_.Now() >= aRequest.deadline_) {
+    return false;
+  }
+  return !aWasSent || BudgetOf(aRequest.service_).Take();
+}
+
+void
+Forwarder::Run(HttpExchange& aExchange, ForwardedRequest& aRequest)
+{
+  const Route& route = *aRequest.route_;
+  bool hasRun = false;
+  bool isBudgeted = true;
+  std::optional<HttpResponse> failure;
+  AttemptResult last;
+  while (isBudgeted) {
+    ChoiceRequest choice{ aRequest.service_,
+                          aRequest.prompt_.sharedPart_,
+                          aRequest.cost_,
+                          aRequest.excluded_ };
+    auto replica = chooser_.Choose(choice, clock_.Now());
+    if (!replica) {
+      break;
+    }
+    bool mayRunAgain =
+      route.IsRepeatable() && aRequest.runs_ + 1 < route.maxAttempts_;
+    ForwardAttempt attempt(
+      pool_, settings_.protocol_, clock_, aExchange, aRequest, { [&] {
+        if (!hasRun && aRequest.organisation_ != nullptr) {
+          usage_.Count(aRequest.organisation_->name_);
+        }
+        hasRun = true;
+      } });
+    last = attempt.Run(*replica, mayRunAgain && !failure);
+    chooser_.Finish(*replica, aRequest.cost_, last.outcome_, clock_.Now());
+    if (last.outcome_ == AttemptOutcome::Abandoned) {
+      break;
+    }
+    if (last.outcome_ == AttemptOutcome::Answered && !last.failure_) {
+      return;
+    }
+    aRequest.excluded_.insert(replica->id_);
+    if (last.failure_) {
+      failure = std::move(last.failure_);
+    }
+    bool mayHaveRun = last.outcome_ == AttemptOutcome::Broken ||
+                      last.outcome_ == AttemptOutcome::Answered;
+    aRequest.runs_ += mayHaveRun ? 1 : 0;
+    LogEvent(Severity::Info,
+             "attempt failed",
+             { { "request", aRequest.id_ },
+               { "replica", replica->id_ },
+               { "sent", last.wasSent_ },
+               { "may_have_run", mayHaveRun },
+               { "detail", last.detail_ } });
+    if (mayHaveRun && !mayRunAgain) {
+      break;
+    }
+    isBudgeted = MayRetry(aRequest, last.wasSent_);
+  }
+  if (aExchange.IsCallerGone()) {
+    return;
+  }
+  if (aExchange.HasStarted()) {
+    LogEvent(Severity::Info,
+             "stream broken off",
+             { { "request", aRequest.id_ }, { "detail", last.detail_ } });
+    aExchange.Abort();
+    return;
+  }
+  if (failure) {
+    aExchange.Respond(*failure);
+    return;
+  }
+  bool mayHaveRun =
+    aRequest.runs_ > 0 ||
+    (last.outcome_ == AttemptOutcome::Abandoned && last.wasSent_);
+  if (!mayHaveRun) {
+    Refuse(aExchange, aRequest, "no replica took it");
+    return;
+  }
+  LogEvent(Severity::Info,
+           "outcome unknown",
+           { { "request", aRequest.id_ },
+             { "late", last.isLate_ },
+             { "detail", last.detail_ } });
+  aExchange.Respond(last.isLate_ ? UnknownOutcome(504, "timeout")
+                                 : UnknownOutcome(502, "upstream_failed"));
+}
+
+TrafficReport
+Forwarder::Report()
+{
+  TrafficReport report;
+  report.usage_ = usage_.Latest();
+  report.wanted_ = limits_.Wanted(clock_.Now());
+  for (auto& [service, load] : loads_) {
+    load.running_ = chooser_.Running(service);
+  }
+  report.services_ = loads_;
+  return report;
+}
+
+void
+Forwarder::Tidy()
+{
+  pool_.Trim([this](const std::string& aReplica) {
+    return chooser_.IsPresent(aReplica);
+  });
+}
+
+} // namespace tanagerstall
--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -0,0 +1,91 @@
+#ifndef TANAGERSTALL_FORWARDER_HPP_INCLUDED
+#define TANAGERSTALL_FORWARDER_HPP_INCLUDED
+
+#include "tanagerstall/connection/tanagerstall_connection_pool.hpp"
+#include "tanagerstall/connection/tanagerstall_fleet_messages.hpp"
+#include "tanagerstall/connection/tanagerstall_http_server.hpp"
+#include "tanagerstall/request/tanagerstall_attempt_budget.hpp"
+#include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
+#include "tanagerstall/request/tanagerstall_cost_limits.hpp"
+#include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
+#include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
+#include "tanagerstall/request/tanagerstall_usage_counter.hpp"
+#include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace tanagerstall {
+
+/// How an entry forwards requests.
+struct ForwarderSettings
+{
+  CallerProtocol protocol_;
+  std::string failureDomain_;
+  /// The region of each failure domain.
+  std::map<std::string, std::string> regions_;
+  /// Retries per request, over all entries.
+  double retryRatio_ = 0.2;
+  /// Retries that this entry may save up.
+  double retryBurst_ = 3.0;
+  Duration usageWindow_ = std::chrono::seconds(5);
+};
+
+/// What control learns of an entry's traffic.
+struct TrafficReport
+{
+  std::vector<UsageWindow> usage_;
+  CountsByName wanted_;
+  std::map<std::string, ServiceLoad> services_;
+};
+
+/// Forwards callers' requests to replicas by the routes of the traffic plan.
+/// Used by one traffic thread only.
+class Forwarder
+{
+public:
+  using WallClock = std::function<WallTime()>;
+
+  Forwarder(ForwarderSettings aSettings, Clock aClock, WallClock aWallClock);
+  ~Forwarder();
+
+  void SetPlan(std::shared_ptr<const TrafficPlan> aPlan);
+  void SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas);
+  void SetShares(std::map<std::string, double> aShares, std::uint32_t aEntries);
+
+  /// Answers one request, or ends its connection where an answer that was
+  /// begun can't be finished.
+  void Handle(HttpExchange& aExchange);
+
+  TrafficReport Report();
+  /// Drops what is no longer used.
+  void Tidy();
+
+private:
+  tl::expected<ForwardedRequest, HttpResponse> Admit(HttpExchange& aExchange);
+  std::optional<HttpResponse> CheckOrganisation(ForwardedRequest& aRequest,
+                                                const HttpRequest& aHttp);
+  std::optional<HttpResponse> CheckRate(const ForwardedRequest& aRequest);
+  void Run(HttpExchange& aExchange, ForwardedRequest& aRequest);
+  bool MayRetry(const ForwardedRequest& aRequest, bool aWasSent);
+  void Refuse(HttpExchange& aExchange,
+              const ForwardedRequest& aRequest,
+              const char* aReason);
+  AttemptBudget& BudgetOf(const std::string& aService);
+
+  ForwarderSettings settings_;
+  Clock clock_;
+  std::shared_ptr<const TrafficPlan> plan_;
+  ConnectionPool pool_;
+  ReplicaChooser chooser_;
+  CostLimits limits_;
+  UsageCounter usage_;
+  std::map<std::string, AttemptBudget> budgets_;
+  std::map<std::string, ServiceLoad> loads_;
+  std::mt19937_64 random_;
+};
+
+} // namespace tanagerstall
+
+#endif
--- a/src/tanagerstall/request/tanagerstall_operator_api.cpp
+++ b/src/tanagerstall/request/tanagerstall_operator_api.cpp
@@ -26,13 +26,6 @@
     404, Outcome::NotRun, "unknown_path", "there is nothing at this path"));
 }
 
-std::string_view
-PathOf(const HttpRequest& aRequest)
-{
-  std::string_view path = aRequest.target_;
-  return path.substr(0, path.find('?'));
-}
-
 GroupResult
 CallGroup(Fiber& aFiber,
           const OperatorHooks::GroupCall& aCall,
--- a/src/tanagerstall/request/tanagerstall_operator_api.hpp
+++ b/src/tanagerstall/request/tanagerstall_operator_api.hpp
@@ -38,10 +38,6 @@
   std::vector<OperatorRoute> routes_;
 };
 
-/// The path of a request without its query.
-std::string_view
-PathOf(const HttpRequest& aRequest);
-
 /// Calls a group from a fiber and waits for its answer.
 GroupResult
 CallGroup(Fiber& aFiber,
--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -0,0 +1,202 @@
+#include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
+
+#include "tanagerstall/process/tanagerstall_bytes.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace tanagerstall {
+
+namespace {
+
+/// A preferred replica is passed over above this many times the mean work.
+constexpr double kMaxLoadFactor = 1.4;
+/// Work that is too little to pass a preferred replica over, in requests.
+constexpr double kFreeRequests = 3.0;
+constexpr Duration kFirstAvoidance = std::chrono::milliseconds(500);
+constexpr Duration kFullAvoidance = std::chrono::milliseconds(60);
+constexpr Duration kLongestAvoidance = std::chrono::seconds(4);
+/// Work at a replica of another region counts this much more.
+constexpr double kOtherRegionRequests = 4.0;
+
+/// Ranks replicas for a key alike at every entry.
+std::uint64_t
+RankOf(std::uint64_t aKey, const std::string& aReplica)
+{
+  return Checksum(ViewOf(aReplica + "#" + std::to_string(aKey)));
+}
+
+} // namespace
+
+ReplicaChooser::ReplicaChooser(Settings aSettings, std::uint64_t aSeed)
+  : settings_(std::move(aSettings))
+  , random_(aSeed)
+  , replicas_(std::make_shared<ReplicasByService>())
+{
+}
+
+void
+ReplicaChooser::SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas)
+{
+  replicas_ = std::move(aReplicas);
+  present_.clear();
+  for (const auto& [service, replicas] : *replicas_) {
+    for (const auto& replica : replicas) {
+      present_.insert(replica.id_);
+    }
+  }
+  std::erase_if(standings_, [this](const auto& aIt) {
+    return aIt.second.running_ == 0 && !present_.contains(aIt.first);
+  });
+}
+
+bool
+ReplicaChooser::IsPresent(const std::string& aId) const
+{
+  return present_.contains(aId);
+}
+
+std::size_t
+ReplicaChooser::CountReplicas(const std::string& aService) const
+{
+  auto it = replicas_->find(aService);
+  return it == replicas_->end() ? 0 : it->second.size();
+}
+
+std::uint32_t
+ReplicaChooser::Running(const std::string& aService) const
+{
+  std::uint32_t running = 0;
+  if (auto it = replicas_->find(aService); it != replicas_->end()) {
+    for (const auto& replica : it->second) {
+      if (auto found = standings_.find(replica.id_);
+          found != standings_.end()) {
+        running += found->second.running_;
+      }
+    }
+  }
+  return running;
+}
+
+ReplicaChooser::Standing&
+ReplicaChooser::StandingOf(const Replica& aReplica)
+{
+  Standing& standing = standings_[aReplica.id_];
+  if (standing.bornMs_ != aReplica.bornMs_) {
+    standing = { aReplica.bornMs_, 0, 0.0, 0, TimePoint() };
+  }
+  return standing;
+}
+
+bool
+ReplicaChooser::IsInRegion(const Replica& aReplica) const
+{
+  auto region = [this](const std::string& aDomain) {
+    auto it = settings_.regions_.find(aDomain);
+    return it == settings_.regions_.end() ? aDomain : it->second;
+  };
+  return region(aReplica.failureDomain_) == region(settings_.failureDomain_);
+}
+
+std::vector<const Replica*>
+ReplicaChooser::Candidates(const ChoiceRequest& aRequest, TimePoint aNow)
+{
+  std::vector<const Replica*> sound;
+  std::vector<const Replica*> avoided;
+  auto it = replicas_->find(aRequest.service_);
+  if (it == replicas_->end()) {
+    return sound;
+  }
+  for (const auto& replica : it->second) {
+    if (aRequest.excluded_.contains(replica.id_)) {
+      continue;
+    }
+    bool isAvoided = aNow < StandingOf(replica).avoidUntil_;
+    (isAvoided ? avoided : sound).push_back(&replica);
+  }
+  // Where all look bad, the fault is more likely on the way to them.
+  return sound.empty() ? avoided : sound;
+}
+
+const Replica*
+ReplicaChooser::Pick(const std::vector<const Replica*>& aFrom,
+                     const ChoiceRequest& aRequest)
+{
+  double total = 0.0;
+  for (const auto* replica : aFrom) {
+    total += StandingOf(*replica).work_;
+  }
+  double mean = total / static_cast<double>(aFrom.size());
+  double limit =
+    std::max(mean * kMaxLoadFactor, mean + kFreeRequests * aRequest.cost_);
+  const Replica* preferred = nullptr;
+  std::uint64_t best = 0;
+  const Replica* least = nullptr;
+  double leastWork = std::numeric_limits<double>::max();
+  std::uniform_real_distribution<double> tie(0.0, 0.1);
+  for (const auto* replica : aFrom) {
+    double work = StandingOf(*replica).work_ + tie(random_) * aRequest.cost_;
+    if (!IsInRegion(*replica)) {
+      work += kOtherRegionRequests * aRequest.cost_;
+    }
+    if (work < leastWork) {
+      leastWork = work;
+      least = replica;
+    }
+    if (aRequest.affinityKey_ == 0 || work > limit) {
+      continue;
+    }
+    std::uint64_t rank = RankOf(aRequest.affinityKey_, replica->id_);
+    bool isNear = IsInRegion(*replica);
+    bool isBetter = preferred == nullptr ||
+                    (isNear && !IsInRegion(*preferred)) ||
+                    (isNear == IsInRegion(*preferred) && rank > best);
+    if (isBetter) {
+      preferred = replica;
+      best = rank;
+    }
+  }
+  return preferred != nullptr ? preferred : least;
+}
+
+std::optional<Replica>
+ReplicaChooser::Choose(const ChoiceRequest& aRequest, TimePoint aNow)
+{
+  auto candidates = Candidates(aRequest, aNow);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const Replica* chosen = Pick(candidates, aRequest);
+  Standing& standing = StandingOf(*chosen);
+  ++standing.running_;
+  standing.work_ += aRequest.cost_;
+  return *chosen;
+}
+
+void
+ReplicaChooser::Finish(const Replica& aReplica,
+                       double aCost,
+                       AttemptOutcome aOutcome,
+                       TimePoint aNow)
+{
+  auto it = standings_.find(aReplica.id_);
+  if (it == standings_.end() || it->second.bornMs_ != aReplica.bornMs_) {
+    return;
+  }
+  Standing& standing = it->second;
+  standing.running_ -= standing.running_ > 0 ? 1 : 0;
+  standing.work_ =
+    standing.running_ == 0 ? 0.0 : std::max(0.0, standing.work_ - aCost);
+  if (aOutcome == AttemptOutcome::Answered) {
+    standing.failures_ = 0;
+  } else if (aOutcome == AttemptOutcome::Refused) {
+    // It is full, not broken.
+    standing.avoidUntil_ = aNow + kFullAvoidance;
+  } else if (aOutcome != AttemptOutcome::Abandoned) {
+    auto pause = kFirstAvoidance * (1U << std::min(standing.failures_, 4U));
+    standing.avoidUntil_ = aNow + std::min<Duration>(pause, kLongestAvoidance);
+    ++standing.failures_;
+  }
+}
+
+} // namespace tanagerstall
--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
@@ -0,0 +1,97 @@
+#ifndef TANAGERSTALL_REPLICA_CHOOSER_HPP_INCLUDED
+#define TANAGERSTALL_REPLICA_CHOOSER_HPP_INCLUDED
+
+#include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace tanagerstall {
+
+/// What the choice of a replica depends on.
+struct ChoiceRequest
+{
+  std::string service_;
+  /// Requests with the same key read the same prompt parts; 0 for none.
+  std::uint64_t affinityKey_ = 0;
+  /// Tokens or another measure of the work; at least 1.
+  double cost_ = 1.0;
+  /// Replicas that are not to be tried again.
+  std::set<std::string> excluded_;
+};
+
+/// How a request ended at a replica.
+enum class AttemptOutcome
+{
+  /// An answer, be it a failure of the request's own.
+  Answered,
+  /// Refused without having run.
+  Refused,
+  /// No connection could be made.
+  Unreachable,
+  /// The connection broke, or bytes came that are no answer.
+  Broken,
+  /// The caller left, or the time ran out.
+  Abandoned
+};
+
+/// Chooses replicas by the work that this entry has there, by prompt parts
+/// that a replica holds already, and by what requests have seen of it. For a
+/// skewed load: requests that share prompt parts meet at one replica until it
+/// has clearly more work than the others. Plain state machine.
+class ReplicaChooser
+{
+public:
+  struct Settings
+  {
+    std::string failureDomain_;
+    /// The region of each failure domain.
+    std::map<std::string, std::string> regions_;
+  };
+
+  ReplicaChooser(Settings aSettings, std::uint64_t aSeed);
+
+  void SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas);
+  /// The replica for a request, which counts as running there until Finish().
+  std::optional<Replica> Choose(const ChoiceRequest& aRequest, TimePoint aNow);
+  void Finish(const Replica& aReplica,
+              double aCost,
+              AttemptOutcome aOutcome,
+              TimePoint aNow);
+  /// Whether a replica is still to be used.
+  bool IsPresent(const std::string& aId) const;
+  std::size_t CountReplicas(const std::string& aService) const;
+  /// Requests that run at a service's replicas from here.
+  std::uint32_t Running(const std::string& aService) const;
+
+private:
+  struct Standing
+  {
+    std::uint64_t bornMs_ = 0;
+    std::uint32_t running_ = 0;
+    double work_ = 0.0;
+    /// Failures since the last good answer.
+    std::uint32_t failures_ = 0;
+    TimePoint avoidUntil_;
+  };
+
+  Standing& StandingOf(const Replica& aReplica);
+  bool IsInRegion(const Replica& aReplica) const;
+  const Replica* Pick(const std::vector<const Replica*>& aFrom,
+                      const ChoiceRequest& aRequest);
+  std::vector<const Replica*> Candidates(const ChoiceRequest& aRequest,
+                                         TimePoint aNow);
+
+  Settings settings_;
+  std::mt19937_64 random_;
+  std::shared_ptr<const ReplicasByService> replicas_;
+  std::set<std::string> present_;
+  std::map<std::string, Standing> standings_;
+};
+
+} // namespace tanagerstall
+
+#endif
--- a/tests/raft_member_tests.cpp
+++ b/tests/raft_member_tests.cpp
@@ -41,8 +41,9 @@
     member_ = std::make_unique<RaftMember>(
       loop_,
       Clock(),
-      MemberSettings{ aName, folder_.path_, { "127.0.0.1", 0 }, aIsBootstrap });
-    member_->Start({ "127.0.0.1", 1 }, EmptyMachine(), EmptyMachine());
+      MemberSettings{
+        aName, folder_.path_, { "127.0.0.1", 0 }, aIsBootstrap, {}, {}, 0 });
+    member_->Start({ "127.0.0.1", 1 }, { EmptyMachine(), EmptyMachine() });
   }
 
   /// Delivers an envelope over a real connection; gives the refusal, or "".
--- a/tools/scripts/format.sh
+++ b/tools/scripts/format.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 mapfile -t files < <(git ls-files -co --exclude-standard -- \
-  'src/*.cpp' 'src/*.hpp' 'tests/*.cpp' 'tests/*.hpp' 'examples/*.cpp')
+  'src/*.cpp' 'src/*.hpp' 'platform/*.cpp' 'platform/*.hpp' 'tests/*.cpp' 'tests/*.hpp' 'examples/*.cpp')
 if [ "${1:-}" = --check ]; then
   clang-format --dry-run -Werror "${files[@]}"
 else
--- a/tools/scripts/lint.sh
+++ b/tools/scripts/lint.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 case "${1:-}" in
-  '') mapfile -t files < <(git ls-files -- 'src/*.cpp' 'tests/*.cpp' \
+  '') mapfile -t files < <(git ls-files -- 'src/*.cpp' 'platform/*.cpp' 'tests/*.cpp' \
         'examples/*.cpp') ;;
   changed) mapfile -t files < <({ git diff --name-only --diff-filter=d main
         git ls-files -o --exclude-standard; } | grep -E '\.cpp$' | sort -u) ;;
