--- a/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
@@ -82,7 +82,7 @@
                         std::chrono::milliseconds aWait)
   {
     auto request = aLink->port_.syncRequest();
-    EntryReport report = hooks_.report_(aAddress);
+    EntryReport report = hooks_.report_(aAddress, aAddress == leader_);
     report.wait_ = aWait;
     WriteReport(request.initRequest(), report);
     return timer_.timeoutAfter(kAnswerTimeout, request.send())
@@ -97,6 +97,7 @@
       LogEvent(Severity::Info, "control regained", { { "address", aAddress } });
     }
     if (aAnswer.isLeader_) {
+      leader_ = aAddress;
       named_ = { aAnswer.members_.begin(), aAnswer.members_.end() };
     }
     for (const auto& member : aAnswer.members_) {
@@ -158,6 +159,7 @@
   std::set<std::string> seeds_;
   /// The members, as the leader last named them.
   std::set<std::string> named_;
+  std::string leader_;
   std::set<std::string> followed_;
   std::set<std::string> unreachable_;
   std::map<std::string, SharedLink> links_;
@@ -181,6 +183,16 @@
   }
 }
 
+void
+FleetClient::RefreshLeader()
+{
+  State* state = state_.get();
+  if (auto it = state->links_.find(state->leader_); it != state->links_.end()) {
+    state->tasks_.add(
+      state->Ask(it->second, it->first, std::chrono::milliseconds(0)));
+  }
+}
+
 void
 FleetClient::Refresh()
 {
--- a/src/tanagerstall/connection/tanagerstall_fleet_client.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.hpp
@@ -18,8 +18,10 @@
 public:
   struct Hooks
   {
-    /// What to tell the control process at this address.
-    std::function<EntryReport(const std::string& aControl)> report_;
+    /// What to tell the control process at this address, which led when it
+    /// last answered.
+    std::function<EntryReport(const std::string& aControl, bool aLeads)>
+      report_;
     std::function<void(const std::string& aControl, const ControlAnswer&)>
       take_;
   };
@@ -31,6 +33,8 @@
   void SetSeeds(const std::vector<Address>& aSeeds);
   /// Reports to all control processes at once.
   void Refresh();
+  /// Reports to the leader at once, where one is known.
+  void RefreshLeader();
 
 private:
   struct State;
--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -54,11 +54,12 @@
   for (unsigned i = 0; i < aFrom.usage_.size(); ++i) {
     WriteUsage(usage[i], aFrom.usage_[i]);
   }
-  auto organisations = aTo.initOrganisations(aFrom.wanted_.size());
+  auto asks = aTo.initAsks(aFrom.asks_.size());
   unsigned next = 0;
-  for (const auto& [name, wanted] : aFrom.wanted_) {
-    organisations[next].setName(ToText(name));
-    organisations[next].setWanted(wanted);
+  for (const auto& [name, ask] : aFrom.asks_) {
+    asks[next].setName(ToText(name));
+    asks[next].setHeld(ask.held_);
+    asks[next].setNeed(ask.need_);
     ++next;
   }
   auto services = aTo.initServices(aFrom.services_.size());
@@ -84,8 +85,8 @@
   for (auto usage : aFrom.getUsage()) {
     report.usage_.push_back(ReadUsage(usage));
   }
-  for (auto organisation : aFrom.getOrganisations()) {
-    report.wanted_[ToString(organisation.getName())] = organisation.getWanted();
+  for (auto ask : aFrom.getAsks()) {
+    report.asks_[ToString(ask.getName())] = { ask.getHeld(), ask.getNeed() };
   }
   for (auto service : aFrom.getServices()) {
     report.services_[ToString(service.getName())] = { service.getRunning(),
@@ -114,11 +115,11 @@
     members.set(i, ToText(aFrom.members_[i]));
   }
   aTo.setEntries(aFrom.entries_);
-  auto shares = aTo.initShares(aFrom.shares_.size());
+  auto grants = aTo.initGrants(aFrom.grants_.size());
   unsigned next = 0;
-  for (const auto& [organisation, fraction] : aFrom.shares_) {
-    shares[next].setOrganisation(ToText(organisation));
-    shares[next].setFraction(fraction);
+  for (const auto& [organisation, cost] : aFrom.grants_) {
+    grants[next].setOrganisation(ToText(organisation));
+    grants[next].setCost(cost);
     ++next;
   }
   aTo.setLeads(aFrom.isLeader_);
@@ -142,8 +143,8 @@
     answer.members_.push_back(ToString(member));
   }
   answer.entries_ = aFrom.getEntries();
-  for (auto share : aFrom.getShares()) {
-    answer.shares_[ToString(share.getOrganisation())] = share.getFraction();
+  for (auto grant : aFrom.getGrants()) {
+    answer.grants_[ToString(grant.getOrganisation())] = grant.getCost();
   }
   answer.isLeader_ = aFrom.getLeads();
   return answer;
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
+#include "tanagerstall/request/tanagerstall_cost_limits.hpp"
 #include "tanagerstall/version/tanagerstall_fleet_state.hpp"
 
 #include <map>
@@ -33,8 +34,8 @@
   /// How long the answer may wait for a change.
   std::chrono::milliseconds wait_{ 0 };
   std::vector<UsageWindow> usage_;
-  /// Cost that callers of an organisation asked for a second.
-  CountsByName wanted_;
+  /// What it asks of the organisations' limits; to the leader only.
+  CostAsks asks_;
   std::map<std::string, ServiceLoad> services_;
 };
 
@@ -49,8 +50,8 @@
   std::vector<std::string> members_;
   /// Entries that take requests.
   std::uint32_t entries_ = 0;
-  /// The entry's part of each organisation's limit.
-  std::map<std::string, double> shares_;
+  /// What the entry gets of what it asked for.
+  CostByName grants_;
   bool isLeader_ = false;
 };
 
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -46,10 +46,12 @@
   coldMs @9 :UInt32;
 }
 
-struct OrganisationLoad {
+struct CostAsk {
   name @0 :Text;
-  # Cost that the entry admitted, or would have, since its last report.
-  wanted @1 :UInt64;
+  # Cost that the entry may still admit.
+  held @1 :Float64;
+  # Cost that it asks for.
+  need @2 :Float64;
 }
 
 struct ServiceLoad {
@@ -67,13 +69,13 @@
   stamp @2 :UInt64;
   waitMs @3 :UInt32;
   usage @4 :List(UsageWindow);
-  organisations @5 :List(OrganisationLoad);
+  asks @5 :List(CostAsk);
   services @6 :List(ServiceLoad);
 }
 
-struct Share {
+struct CostGrant {
   organisation @0 :Text;
-  fraction @1 :Float64;
+  cost @1 :Float64;
 }
 
 struct SyncReply {
@@ -87,7 +89,7 @@
   members @5 :List(Text);
   entries @6 :UInt32;
   # Entries that take requests, the asking one included.
-  shares @7 :List(Share);
+  grants @7 :List(CostGrant);
   leads @8 :Bool;
 }
 
--- a/src/tanagerstall/internal/fleet.capnp.c++
+++ b/src/tanagerstall/internal/fleet.capnp.c++
@@ -511,39 +511,45 @@
   0, 10, i_99ff16a110e51354, nullptr, nullptr, { &s_99ff16a110e51354, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_870b676ed904b96c = {
+static const ::capnp::_::AlignedData<62> b_81ee73827d40ac8a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    108, 185,   4, 217, 110, 103,  11, 135,
-     12,   0,   0,   0,   1,   0,   1,   0,
+    138, 172,  64, 125, 130, 115, 238, 129,
+     12,   0,   0,   0,   1,   0,   2,   0,
      57,  70, 240, 210, 183, 197, 225, 168,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 234,   0,   0,   0,
-     33,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 162,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     102, 108, 101, 101, 116,  46,  99,  97,
-    112, 110, 112,  58,  79, 114, 103,  97,
-    110, 105, 115,  97, 116, 105, 111, 110,
-     76, 111,  97, 100,   0,   0,   0,   0,
+    112, 110, 112,  58,  67, 111, 115, 116,
+     65, 115, 107,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  42,   0,   0,   0,
+     69,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  58,   0,   0,   0,
+     73,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
     110,  97, 109, 101,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -552,22 +558,30 @@
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    119,  97, 110, 116, 101, 100,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
+    104, 101, 108, 100,   0,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 101, 101, 100,   0,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_870b676ed904b96c = b_870b676ed904b96c.words;
+::capnp::word const* const bp_81ee73827d40ac8a = b_81ee73827d40ac8a.words;
 #if !CAPNP_LITE
-static const uint16_t m_870b676ed904b96c[] = {0, 1};
-static const uint16_t i_870b676ed904b96c[] = {0, 1};
-const ::capnp::_::RawSchema s_870b676ed904b96c = {
-  0x870b676ed904b96c, b_870b676ed904b96c.words, 48, nullptr, m_870b676ed904b96c,
-  0, 2, i_870b676ed904b96c, nullptr, nullptr, { &s_870b676ed904b96c, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_81ee73827d40ac8a[] = {1, 0, 2};
+static const uint16_t i_81ee73827d40ac8a[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_81ee73827d40ac8a = {
+  0x81ee73827d40ac8a, b_81ee73827d40ac8a.words, 62, nullptr, m_81ee73827d40ac8a,
+  0, 3, i_81ee73827d40ac8a, nullptr, nullptr, { &s_81ee73827d40ac8a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<93> b_bdcd1f1d9c4ae99f = {
@@ -674,7 +688,7 @@
   0, 5, i_bdcd1f1d9c4ae99f, nullptr, nullptr, { &s_bdcd1f1d9c4ae99f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<137> b_a8bf46aabef2c4ea = {
+static const ::capnp::_::AlignedData<136> b_a8bf46aabef2c4ea = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     234, 196, 242, 190, 170,  70, 191, 168,
      12,   0,   0,   0,   1,   0,   3,   0,
@@ -730,17 +744,17 @@
       5,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   5,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    221,   0,   0,   0, 114,   0,   0,   0,
+    221,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    220,   0,   0,   0,   3,   0,   1,   0,
-    248,   0,   0,   0,   2,   0,   1,   0,
+    216,   0,   0,   0,   3,   0,   1,   0,
+    244,   0,   0,   0,   2,   0,   1,   0,
       6,   0,   0,   0,   3,   0,   0,   0,
       0,   0,   1,   0,   6,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    245,   0,   0,   0,  74,   0,   0,   0,
+    241,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    244,   0,   0,   0,   3,   0,   1,   0,
-     16,   1,   0,   0,   2,   0,   1,   0,
+    240,   0,   0,   0,   3,   0,   1,   0,
+     12,   1,   0,   0,   2,   0,   1,   0,
     101, 110, 116, 114, 121,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
      63,  13, 194,  98, 223,   7, 156, 248,
@@ -786,14 +800,13 @@
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    111, 114, 103,  97, 110, 105, 115,  97,
-    116, 105, 111, 110, 115,   0,   0,   0,
+     97, 115, 107, 115,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    108, 185,   4, 217, 110, 103,  11, 135,
+    138, 172,  64, 125, 130, 115, 238, 129,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
@@ -816,34 +829,34 @@
 ::capnp::word const* const bp_a8bf46aabef2c4ea = b_a8bf46aabef2c4ea.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_a8bf46aabef2c4ea[] = {
-  &s_870b676ed904b96c,
+  &s_81ee73827d40ac8a,
   &s_bb105d15250a0922,
   &s_bdcd1f1d9c4ae99f,
   &s_f89c07df62c20d3f,
 };
-static const uint16_t m_a8bf46aabef2c4ea[] = {1, 0, 5, 6, 2, 4, 3};
+static const uint16_t m_a8bf46aabef2c4ea[] = {5, 1, 0, 6, 2, 4, 3};
 static const uint16_t i_a8bf46aabef2c4ea[] = {0, 1, 2, 3, 4, 5, 6};
 const ::capnp::_::RawSchema s_a8bf46aabef2c4ea = {
-  0xa8bf46aabef2c4ea, b_a8bf46aabef2c4ea.words, 137, d_a8bf46aabef2c4ea, m_a8bf46aabef2c4ea,
+  0xa8bf46aabef2c4ea, b_a8bf46aabef2c4ea.words, 136, d_a8bf46aabef2c4ea, m_a8bf46aabef2c4ea,
   4, 7, i_a8bf46aabef2c4ea, nullptr, nullptr, { &s_a8bf46aabef2c4ea, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<49> b_8bc7200dff4571c0 = {
+static const ::capnp::_::AlignedData<48> b_ac458a8c09f8367d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    192, 113,  69, 255,  13,  32, 199, 139,
+    125,  54, 248,   9, 140, 138,  69, 172,
      12,   0,   0,   0,   1,   0,   1,   0,
      57,  70, 240, 210, 183, 197, 225, 168,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 146,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      25,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     102, 108, 101, 101, 116,  46,  99,  97,
-    112, 110, 112,  58,  83, 104,  97, 114,
-    101,   0,   0,   0,   0,   0,   0,   0,
+    112, 110, 112,  58,  67, 111, 115, 116,
+     71, 114,  97, 110, 116,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
       8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -856,10 +869,10 @@
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0,  74,   0,   0,   0,
+     49,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     48,   0,   0,   0,   3,   0,   1,   0,
-     60,   0,   0,   0,   2,   0,   1,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
     111, 114, 103,  97, 110, 105, 115,  97,
     116, 105, 111, 110,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
@@ -869,8 +882,7 @@
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    102, 114,  97,  99, 116, 105, 111, 110,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 115, 116,   0,   0,   0,   0,
      11,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -879,13 +891,13 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_8bc7200dff4571c0 = b_8bc7200dff4571c0.words;
+::capnp::word const* const bp_ac458a8c09f8367d = b_ac458a8c09f8367d.words;
 #if !CAPNP_LITE
-static const uint16_t m_8bc7200dff4571c0[] = {1, 0};
-static const uint16_t i_8bc7200dff4571c0[] = {0, 1};
-const ::capnp::_::RawSchema s_8bc7200dff4571c0 = {
-  0x8bc7200dff4571c0, b_8bc7200dff4571c0.words, 49, nullptr, m_8bc7200dff4571c0,
-  0, 2, i_8bc7200dff4571c0, nullptr, nullptr, { &s_8bc7200dff4571c0, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_ac458a8c09f8367d[] = {1, 0};
+static const uint16_t i_ac458a8c09f8367d[] = {0, 1};
+const ::capnp::_::RawSchema s_ac458a8c09f8367d = {
+  0xac458a8c09f8367d, b_ac458a8c09f8367d.words, 48, nullptr, m_ac458a8c09f8367d,
+  0, 2, i_ac458a8c09f8367d, nullptr, nullptr, { &s_ac458a8c09f8367d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<168> b_c45ee92c61620b2a = {
@@ -1037,13 +1049,13 @@
       8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    115, 104,  97, 114, 101, 115,   0,   0,
+    103, 114,  97, 110, 116, 115,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    192, 113,  69, 255,  13,  32, 199, 139,
+    125,  54, 248,   9, 140, 138,  69, 172,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
@@ -1061,10 +1073,10 @@
 ::capnp::word const* const bp_c45ee92c61620b2a = b_c45ee92c61620b2a.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_c45ee92c61620b2a[] = {
-  &s_8bc7200dff4571c0,
   &s_99ff16a110e51354,
+  &s_ac458a8c09f8367d,
 };
-static const uint16_t m_c45ee92c61620b2a[] = {0, 4, 6, 8, 5, 3, 2, 7, 1};
+static const uint16_t m_c45ee92c61620b2a[] = {0, 4, 6, 7, 8, 5, 3, 2, 1};
 static const uint16_t i_c45ee92c61620b2a[] = {0, 1, 2, 3, 4, 5, 6, 7, 8};
 const ::capnp::_::RawSchema s_c45ee92c61620b2a = {
   0xc45ee92c61620b2a, b_c45ee92c61620b2a.words, 168, d_c45ee92c61620b2a, m_c45ee92c61620b2a,
@@ -1263,12 +1275,12 @@
 constexpr ::capnp::_::RawSchema const* ReplicaFact::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// OrganisationLoad
-constexpr uint16_t OrganisationLoad::_capnpPrivate::dataWordSize;
-constexpr uint16_t OrganisationLoad::_capnpPrivate::pointerCount;
+// CostAsk
+constexpr uint16_t CostAsk::_capnpPrivate::dataWordSize;
+constexpr uint16_t CostAsk::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind OrganisationLoad::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* OrganisationLoad::_capnpPrivate::schema;
+constexpr ::capnp::Kind CostAsk::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* CostAsk::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // ServiceLoad
@@ -1287,12 +1299,12 @@
 constexpr ::capnp::_::RawSchema const* SyncRequest::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Share
-constexpr uint16_t Share::_capnpPrivate::dataWordSize;
-constexpr uint16_t Share::_capnpPrivate::pointerCount;
+// CostGrant
+constexpr uint16_t CostGrant::_capnpPrivate::dataWordSize;
+constexpr uint16_t CostGrant::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Share::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Share::_capnpPrivate::schema;
+constexpr ::capnp::Kind CostGrant::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* CostGrant::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // SyncReply
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -26,10 +26,10 @@
 CAPNP_DECLARE_SCHEMA(aecdefe119a00dd3);
 CAPNP_DECLARE_SCHEMA(e46d487850c4f971);
 CAPNP_DECLARE_SCHEMA(99ff16a110e51354);
-CAPNP_DECLARE_SCHEMA(870b676ed904b96c);
+CAPNP_DECLARE_SCHEMA(81ee73827d40ac8a);
 CAPNP_DECLARE_SCHEMA(bdcd1f1d9c4ae99f);
 CAPNP_DECLARE_SCHEMA(a8bf46aabef2c4ea);
-CAPNP_DECLARE_SCHEMA(8bc7200dff4571c0);
+CAPNP_DECLARE_SCHEMA(ac458a8c09f8367d);
 CAPNP_DECLARE_SCHEMA(c45ee92c61620b2a);
 CAPNP_DECLARE_SCHEMA(c852a36d1bbef954);
 CAPNP_DECLARE_SCHEMA(91babc7c35d61246);
@@ -136,15 +136,15 @@
   };
 };
 
-struct OrganisationLoad {
-  OrganisationLoad() = delete;
+struct CostAsk {
+  CostAsk() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(870b676ed904b96c, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(81ee73827d40ac8a, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -181,15 +181,15 @@
   };
 };
 
-struct Share {
-  Share() = delete;
+struct CostGrant {
+  CostGrant() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8bc7200dff4571c0, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ac458a8c09f8367d, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -849,9 +849,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class OrganisationLoad::Reader {
+class CostAsk::Reader {
 public:
-  typedef OrganisationLoad Reads;
+  typedef CostAsk Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -869,7 +869,9 @@
   inline bool hasName() const;
   inline  ::capnp::Text::Reader getName() const;
 
-  inline  ::uint64_t getWanted() const;
+  inline double getHeld() const;
+
+  inline double getNeed() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -883,9 +885,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class OrganisationLoad::Builder {
+class CostAsk::Builder {
 public:
-  typedef OrganisationLoad Builds;
+  typedef CostAsk Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -906,8 +908,11 @@
   inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline  ::uint64_t getWanted();
-  inline void setWanted( ::uint64_t value);
+  inline double getHeld();
+  inline void setHeld(double value);
+
+  inline double getNeed();
+  inline void setNeed(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -919,9 +924,9 @@
 };
 
 #if !CAPNP_LITE
-class OrganisationLoad::Pipeline {
+class CostAsk::Pipeline {
 public:
-  typedef OrganisationLoad Pipelines;
+  typedef CostAsk Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1065,8 +1070,8 @@
   inline bool hasUsage() const;
   inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader getUsage() const;
 
-  inline bool hasOrganisations() const;
-  inline  ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>::Reader getOrganisations() const;
+  inline bool hasAsks() const;
+  inline  ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Reader getAsks() const;
 
   inline bool hasServices() const;
   inline  ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader getServices() const;
@@ -1122,12 +1127,12 @@
   inline void adoptUsage(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>> disownUsage();
 
-  inline bool hasOrganisations();
-  inline  ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>::Builder getOrganisations();
-  inline void setOrganisations( ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>::Builder initOrganisations(unsigned int size);
-  inline void adoptOrganisations(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>> disownOrganisations();
+  inline bool hasAsks();
+  inline  ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Builder getAsks();
+  inline void setAsks( ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Builder initAsks(unsigned int size);
+  inline void adoptAsks(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>> disownAsks();
 
   inline bool hasServices();
   inline  ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder getServices();
@@ -1163,9 +1168,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Share::Reader {
+class CostGrant::Reader {
 public:
-  typedef Share Reads;
+  typedef CostGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1183,7 +1188,7 @@
   inline bool hasOrganisation() const;
   inline  ::capnp::Text::Reader getOrganisation() const;
 
-  inline double getFraction() const;
+  inline double getCost() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1197,9 +1202,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Share::Builder {
+class CostGrant::Builder {
 public:
-  typedef Share Builds;
+  typedef CostGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1220,8 +1225,8 @@
   inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
 
-  inline double getFraction();
-  inline void setFraction(double value);
+  inline double getCost();
+  inline void setCost(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1233,9 +1238,9 @@
 };
 
 #if !CAPNP_LITE
-class Share::Pipeline {
+class CostGrant::Pipeline {
 public:
-  typedef Share Pipelines;
+  typedef CostGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1283,8 +1288,8 @@
 
   inline  ::uint32_t getEntries() const;
 
-  inline bool hasShares() const;
-  inline  ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>::Reader getShares() const;
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
 
   inline bool getLeads() const;
 
@@ -1350,12 +1355,12 @@
   inline  ::uint32_t getEntries();
   inline void setEntries( ::uint32_t value);
 
-  inline bool hasShares();
-  inline  ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>::Builder getShares();
-  inline void setShares( ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>::Builder initShares(unsigned int size);
-  inline void adoptShares(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>> disownShares();
+  inline bool hasGrants();
+  inline  ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>> disownGrants();
 
   inline bool getLeads();
   inline void setLeads(bool value);
@@ -2137,54 +2142,68 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool OrganisationLoad::Reader::hasName() const {
+inline bool CostAsk::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool OrganisationLoad::Builder::hasName() {
+inline bool CostAsk::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader OrganisationLoad::Reader::getName() const {
+inline  ::capnp::Text::Reader CostAsk::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder OrganisationLoad::Builder::getName() {
+inline  ::capnp::Text::Builder CostAsk::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OrganisationLoad::Builder::setName( ::capnp::Text::Reader value) {
+inline void CostAsk::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder OrganisationLoad::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder CostAsk::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void OrganisationLoad::Builder::adoptName(
+inline void CostAsk::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> OrganisationLoad::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> CostAsk::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t OrganisationLoad::Reader::getWanted() const {
-  return _reader.getDataField< ::uint64_t>(
+inline double CostAsk::Reader::getHeld() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t OrganisationLoad::Builder::getWanted() {
-  return _builder.getDataField< ::uint64_t>(
+inline double CostAsk::Builder::getHeld() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void OrganisationLoad::Builder::setWanted( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void CostAsk::Builder::setHeld(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline double CostAsk::Reader::getNeed() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double CostAsk::Builder::getNeed() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CostAsk::Builder::setNeed(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServiceLoad::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2390,37 +2409,37 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SyncRequest::Reader::hasOrganisations() const {
+inline bool SyncRequest::Reader::hasAsks() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool SyncRequest::Builder::hasOrganisations() {
+inline bool SyncRequest::Builder::hasAsks() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getOrganisations() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getAsks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getOrganisations() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getAsks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void SyncRequest::Builder::setOrganisations( ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SyncRequest::Builder::setAsks( ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initOrganisations(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initAsks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void SyncRequest::Builder::adoptOrganisations(
-    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SyncRequest::Builder::adoptAsks(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownOrganisations() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::OrganisationLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownAsks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
@@ -2458,50 +2477,50 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Share::Reader::hasOrganisation() const {
+inline bool CostGrant::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Share::Builder::hasOrganisation() {
+inline bool CostGrant::Builder::hasOrganisation() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Share::Reader::getOrganisation() const {
+inline  ::capnp::Text::Reader CostGrant::Reader::getOrganisation() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Share::Builder::getOrganisation() {
+inline  ::capnp::Text::Builder CostGrant::Builder::getOrganisation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Share::Builder::setOrganisation( ::capnp::Text::Reader value) {
+inline void CostGrant::Builder::setOrganisation( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Share::Builder::initOrganisation(unsigned int size) {
+inline  ::capnp::Text::Builder CostGrant::Builder::initOrganisation(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Share::Builder::adoptOrganisation(
+inline void CostGrant::Builder::adoptOrganisation(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Share::Builder::disownOrganisation() {
+inline ::capnp::Orphan< ::capnp::Text> CostGrant::Builder::disownOrganisation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline double Share::Reader::getFraction() const {
+inline double CostGrant::Reader::getCost() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline double Share::Builder::getFraction() {
+inline double CostGrant::Builder::getCost() {
   return _builder.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Share::Builder::setFraction(double value) {
+inline void CostGrant::Builder::setCost(double value) {
   _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
@@ -2668,37 +2687,37 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SyncReply::Reader::hasShares() const {
+inline bool SyncReply::Reader::hasGrants() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool SyncReply::Builder::hasShares() {
+inline bool SyncReply::Builder::hasGrants() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getShares() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getShares() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void SyncReply::Builder::setShares( ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SyncReply::Builder::setGrants( ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initShares(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void SyncReply::Builder::adoptShares(
-    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SyncReply::Builder::adoptGrants(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownShares() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::Share,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -1,10 +1,11 @@
 #include "tanagerstall/process/tanagerstall_fleet_control.hpp"
 
+#include "tanagerstall/connection/tanagerstall_fleet_client.hpp"
 #include "tanagerstall/connection/tanagerstall_fleet_server.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
 #include "tanagerstall/process/raft/tanagerstall_duty_lease.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
-#include "tanagerstall/process/tanagerstall_share_splitter.hpp"
+#include "tanagerstall/process/tanagerstall_replica_placement.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
 #include "tanagerstall/request/tanagerstall_usage_counter.hpp"
 
@@ -24,6 +25,9 @@
 constexpr std::chrono::milliseconds kUsageSettles{ 3000 };
 /// Windows that are still reported after their end.
 constexpr std::int64_t kLateWindows = 4;
+/// The part of the tolerated overshoot that is granted; the rest covers what
+/// entries hold while the leader changes.
+constexpr double kSlackUse = 0.5;
 /// After its start a control process doesn't know all entries yet.
 constexpr Duration kDirectoryWarmUp = std::chrono::milliseconds(700);
 
@@ -63,6 +67,14 @@
         { [this](const EntryReport& aReport) { TakeReport(aReport); },
           [this](const EntryReport& aReport) { return HasNews(aReport); },
           [this](const EntryReport& aReport) { return MakeAnswer(aReport); } })
+    , others_(
+        loop_,
+        { [this](const std::string& aControl, bool) {
+           return AskOther(aControl);
+         },
+          [this](const std::string& aControl, const ControlAnswer& aAnswer) {
+            view_.Take(aControl, aAnswer.replicas_, clock_.Now());
+          } })
     , control_(threads_,
                HttpLimits(),
                [this, &aSelf](HttpExchange& aExchange) {
@@ -90,24 +102,58 @@
     if (!isBuilt_) {
       return;
     }
+    if (fleet_.Current().number_ == 0) {
+      return;
+    }
+    if (auto plan = hooks_.decodePlan_(fleet_.Current().document_)) {
+      plan_ = std::move(*plan);
+      SetLimits();
+    }
     LogEvent(Severity::Info,
              "declaration applied",
              { { "number", fleet_.Current().number_ } });
     entriesServer_.Notify();
   }
 
+  void SetLimits()
+  {
+    for (const auto& organisation : plan_->organisations_) {
+      double rate = organisation.ratePerSecond_;
+      double burst = organisation.burst_;
+      double slack =
+        settings_.costOvershoot_ *
+          (rate * std::chrono::duration<double>(settings_.costWindow_).count() +
+           burst) +
+        settings_.costSlack_;
+      leases_.SetLimit(organisation.name_, { rate, burst }, kSlackUse * slack);
+    }
+  }
+
   void TakeReport(const EntryReport& aReport)
   {
     entries_.Observe(aReport.entry_, clock_.Now());
     tally_.Take(aReport.entry_.id_ + "#" +
                   std::to_string(aReport.entry_.incarnation_),
                 aReport.usage_);
-    splitter_.SetDemand(aReport.entry_.id_, aReport.wanted_);
+    loads_[aReport.entry_.id_] = aReport.services_;
+  }
+
+  /// What the other control processes are asked for: the replicas that
+  /// announce themselves there.
+  EntryReport AskOther(const std::string& aControl)
+  {
+    EntryReport report;
+    report.entry_.id_ = settings_.id_;
+    report.entry_.weight_ = 0;
+    report.entry_.revision_ = fleet_.Current().number_;
+    std::tie(report.controlRun_, report.stamp_) = view_.Position(aControl);
+    return report;
   }
 
   bool HasNews(const EntryReport& aReport) const
   {
-    return aReport.controlRun_ != run_ || aReport.stamp_ < replicas_.Stamp() ||
+    return !aReport.asks_.empty() || aReport.controlRun_ != run_ ||
+           aReport.stamp_ < replicas_.Stamp() ||
            aReport.entry_.revision_ < fleet_.Current().number_;
   }
 
@@ -132,8 +178,11 @@
       }
     }
     answer.entries_ = static_cast<std::uint32_t>(Serving().size());
-    answer.shares_ = splitter_.SharesOf(aReport.entry_.id_);
     answer.isLeader_ = core.Role() == RaftRole::Leader;
+    if (answer.isLeader_) {
+      answer.grants_ =
+        leases_.Grant(aReport.entry_.id_, aReport.asks_, clock_.Now());
+    }
     return answer;
   }
 
@@ -175,11 +224,6 @@
     if (!contacts.empty()) {
       member_.SetContacts(std::move(contacts));
     }
-    std::vector<std::string> names;
-    for (const auto& entry : entries_.Present(clock_.Now())) {
-      names.push_back(entry.id_);
-    }
-    splitter_.Retain(names);
   }
 
   /// Asks a quorum whether this member still leads.
@@ -220,8 +264,78 @@
       });
       if (holds) {
         ReportUsage(aFiber);
+        PlaceReplicas(aFiber);
+      } else {
+        placement_ = ReplicaPlacement();
+      }
+    }
+  }
+
+  /// Runs on the control thread.
+  std::vector<PlacementInput> MakePlacementInputs()
+  {
+    std::vector<PlacementInput> inputs;
+    if (!plan_) {
+      return inputs;
+    }
+    TimePoint now = clock_.Now();
+    auto present = view_.Present(now);
+    for (const auto& [name, service] : plan_->services_) {
+      auto replicas = present->find(name);
+      if (!service.scaling_ || replicas == present->end()) {
+        continue;
       }
+      PlacementInput input{ name, *service.scaling_, {}, 0 };
+      input.domains_ = CountByDomain(replicas->second, *service.scaling_);
+      for (const auto& entry : Serving()) {
+        auto load = loads_.find(entry.id_);
+        if (load != loads_.end() && load->second.contains(name)) {
+          input.running_ += load->second.at(name).running_;
+        }
+      }
+      inputs.push_back(std::move(input));
     }
+    return inputs;
+  }
+
+  void PlaceReplicas(Fiber& aFiber)
+  {
+    auto inputs = aFiber.Await<std::vector<PlacementInput>>([&](auto aDone) {
+      loop_.Post([this, aDone] { aDone(MakePlacementInputs()); });
+    });
+    for (const auto& input : inputs) {
+      for (const auto& order : placement_.Next(input, clock_.Now())) {
+        if (!MayAct()) {
+          return;
+        }
+        PlaceOrder(aFiber, order, input);
+      }
+    }
+  }
+
+  void PlaceOrder(Fiber& aFiber,
+                  const ReplicaOrder& aOrder,
+                  const PlacementInput& aInput)
+  {
+    DutyToken token{ settings_.id_, token_ };
+    auto answer = hooks_.cloud_.orderReplicas_(
+      aFiber, token, aOrder, [this] { return MayAct(); });
+    const auto& domain = aInput.domains_.at(aOrder.failureDomain_);
+    LogEvent(
+      Severity::Info,
+      "replicas ordered",
+      { { "service", aOrder.service_ },
+        { "failure_domain", aOrder.failureDomain_ },
+        { "reclaimable", aOrder.isReclaimable_ },
+        { "count", aOrder.count_ },
+        { "ready",
+          aOrder.isReclaimable_ ? domain.reclaimable_ : domain.onDemand_ },
+        { "needed", placement_.Needed(aOrder.service_) },
+        { "running", aInput.running_ },
+        { "fence", token.fence_ },
+        { "answer", answer ? static_cast<int>(*answer) : -1 } });
+    placement_.OnAnswer(
+      aOrder, answer.value_or(CloudAnswer::TryLater), clock_.Now());
   }
 
   /// The next window that has ended and has not been reported from here.
@@ -284,16 +398,23 @@
   RaftMember member_;
   ReplicaTable replicas_;
   EntryDirectory entries_;
-  ShareSplitter splitter_;
+  CostLeases leases_;
   UsageTally tally_;
+  /// What the other control processes know of replicas.
+  ReplicaView view_;
+  /// The services' load by entry.
+  std::map<std::string, std::map<std::string, ServiceLoad>> loads_;
+  std::optional<TrafficPlan> plan_;
   DutyLease lease_;
   std::atomic<Term> token_{ 0 };
   std::atomic<TimePoint> actUntil_{ TimePoint() };
   /// Touched by the fiber of the duties only.
   std::int64_t reported_ = 0;
+  ReplicaPlacement placement_;
   TimePoint settingsAt_;
   TimePoint startedAt_;
   FleetServer entriesServer_;
+  FleetClient others_;
   HttpServer control_;
   HttpServer directory_;
   kj::TaskSet tasks_;
@@ -401,6 +522,7 @@
   state->member_.Start(state->settings_.entriesAddress_,
                        { state->fleet_.AsStateMachine() });
   state->entriesServer_.Listen(state->settings_.entriesAddress_);
+  state->others_.SetSeeds({ state->settings_.entriesAddress_ });
   LogEvent(
     Severity::Info,
     "started",
--- a/src/tanagerstall/process/tanagerstall_fleet_control.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.hpp
@@ -28,6 +28,11 @@
   Duration usageWindow_ = std::chrono::seconds(5);
   /// How long an earlier holder of duties may go on.
   Duration dutyLease_ = std::chrono::seconds(3);
+  /// Organisations may use their rate over this window and a burst, beyond
+  /// that a part of both, and a fixed cost.
+  Duration costWindow_ = std::chrono::seconds(8);
+  double costOvershoot_ = 0.0;
+  double costSlack_ = 0.0;
   std::size_t maxEntriesInAnswer_ = 64;
 };
 
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -36,11 +36,17 @@
     , timer_(loop_.Io().provider->getTimer())
     , client_(
         loop_,
-        { [this](const std::string& aControl) { return MakeReport(aControl); },
+        { [this](const std::string& aControl, bool aLeads) {
+           return MakeReport(aControl, aLeads);
+         },
           [this](const std::string& aControl, const ControlAnswer& aAnswer) {
             TakeAnswer(aControl, aAnswer);
           } })
-    , forwarder_(settings_.forwarder_, clock_, ReadWallTime)
+    , forwarder_(
+        settings_.forwarder_,
+        clock_,
+        { ReadWallTime,
+          [this] { loop_.Post([this] { client_.RefreshLeader(); }); } })
     , callers_(
         threads_,
         HttpLimits(),
@@ -69,7 +75,7 @@
 
   bool IsReady() const { return hasPlan_ && !isStopping_; }
 
-  EntryReport MakeReport(const std::string& aControl)
+  EntryReport MakeReport(const std::string& aControl, bool aLeads)
   {
     EntryReport report;
     report.entry_ = self_;
@@ -77,7 +83,9 @@
     report.controlRun_ = run;
     report.stamp_ = stamp;
     report.usage_ = traffic_.usage_;
-    report.wanted_ = traffic_.wanted_;
+    if (aLeads) {
+      report.asks_ = forwarder_.Limits().Asks(clock_.Now());
+    }
     report.services_ = traffic_.services_;
     return report;
   }
@@ -90,10 +98,7 @@
       TakeDeclaration(*aAnswer.declaration_);
     }
     if (aAnswer.isLeader_) {
-      threads_.Post(
-        [this, shares = aAnswer.shares_, entries = aAnswer.entries_]() mutable {
-          forwarder_.SetShares(std::move(shares), entries);
-        });
+      forwarder_.Limits().TakeGrants(aAnswer.grants_, aAnswer.entries_, now);
     }
     PublishReplicas(now);
   }
--- a/src/tanagerstall/request/tanagerstall_cost_limits.cpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.cpp
@@ -6,8 +6,26 @@
 
 namespace {
 
+/// An entry holds the demand of this long, so that it seldom has to ask.
+constexpr double kHeldSeconds = 1.2;
+/// It also holds some of the largest requests.
+constexpr double kHeldRequests = 1.5;
+/// What is left of the largest request's size with each request.
+constexpr double kLargestFades = 0.98;
 /// Over how long demand is counted.
-constexpr Duration kWantedPeriod = std::chrono::milliseconds(700);
+constexpr Duration kDemandPeriod = std::chrono::milliseconds(500);
+constexpr double kDemandSmoothing = 0.4;
+/// An ask whose answer is lost is repeated after this.
+constexpr Duration kAskTimeout = std::chrono::milliseconds(700);
+/// Without the leader for this long, an entry goes on with a part of an equal
+/// share of the rate.
+constexpr Duration kAlone = std::chrono::milliseconds(2500);
+constexpr double kAlonePart = 0.5;
+/// The part of what is left that one entry gets at once.
+constexpr double kLargestGrant = 0.5;
+/// The part of the limit that a new leader takes as unused.
+constexpr double kFirstLevel = 0.4;
+constexpr Duration kHeldMemory = std::chrono::seconds(4);
 
 double
 Seconds(Duration aDuration)
@@ -17,71 +35,150 @@
 
 } // namespace
 
+double
+CostLimits::TargetOf(const Account& aAccount)
+{
+  return std::max(aAccount.rate_ * kHeldSeconds,
+                  aAccount.largest_ * kHeldRequests);
+}
+
 void
-CostLimits::SetShares(std::map<std::string, double> aShares,
-                      double aFallback,
-                      TimePoint aUntil)
+CostLimits::RefillAlone(Account& aAccount, TimePoint aNow) const
 {
-  shares_ = std::move(aShares);
-  fallback_ = aFallback;
-  sharesUntil_ = aUntil;
+  TimePoint from = std::max(grantedAt_ + kAlone, aAccount.refilledAt_);
+  if (aNow > from) {
+    double share = kAlonePart / std::max(entries_, 1U);
+    double grown = aAccount.held_ + aAccount.limit_.ratePerSecond_ * share *
+                                      Seconds(aNow - from);
+    aAccount.held_ =
+      std::min(grown, std::max(aAccount.held_, aAccount.limit_.burst_ * share));
+    aAccount.refilledAt_ = aNow;
+  }
 }
 
-double
-CostLimits::ShareOf(const std::string& aOrganisation, TimePoint aNow) const
+void
+CostLimits::AddDemand(const std::string& aOrganisation, double aCost)
 {
-  auto it = shares_.find(aOrganisation);
-  return it == shares_.end() || aNow >= sharesUntil_ ? fallback_ : it->second;
+  std::scoped_lock lock(mutex_);
+  Account& account = accounts_[aOrganisation];
+  account.largest_ = std::max(account.largest_ * kLargestFades, aCost);
+  account.recent_ += aCost;
 }
 
-std::optional<Duration>
+CostVerdict
 CostLimits::Take(const std::string& aOrganisation,
                  const CostLimit& aLimit,
                  double aCost,
                  TimePoint aNow)
 {
-  Bucket& bucket = buckets_[aOrganisation];
-  bucket.wanted_ += aCost;
   if (aLimit.ratePerSecond_ <= 0.0) {
-    return std::nullopt;
+    return CostVerdict::Admitted;
+  }
+  std::scoped_lock lock(mutex_);
+  Account& account = accounts_[aOrganisation];
+  account.limit_ = aLimit;
+  RefillAlone(account, aNow);
+  if (account.held_ >= aCost) {
+    account.held_ -= aCost;
+    return CostVerdict::Admitted;
   }
-  double share = ShareOf(aOrganisation, aNow);
-  double rate = aLimit.ratePerSecond_ * share;
-  double size = aLimit.burst_ * share;
-  if (!bucket.isFilled_) {
-    bucket = { size, aNow, true, bucket.wanted_ };
+  return account.isExhausted_ ? CostVerdict::Exhausted : CostVerdict::Short;
+}
+
+CostAsks
+CostLimits::Asks(TimePoint aNow)
+{
+  std::scoped_lock lock(mutex_);
+  CostAsks asks;
+  for (auto& [organisation, account] : accounts_) {
+    Duration elapsed = aNow - account.recentSince_;
+    if (elapsed >= kDemandPeriod) {
+      double rate =
+        account.recent_ /
+        Seconds(std::min<Duration>(elapsed, std::chrono::seconds(5)));
+      account.rate_ += kDemandSmoothing * (rate - account.rate_);
+      account.recent_ = 0.0;
+      account.recentSince_ = aNow;
+    }
+    double target = TargetOf(account);
+    bool isPending = account.isAsking_ && aNow - account.askedAt_ < kAskTimeout;
+    if (!isPending && account.held_ < target / 2) {
+      account.isAsking_ = true;
+      account.askedAt_ = aNow;
+      asks[organisation] = { account.held_, target - account.held_ };
+    }
   }
-  bucket.level_ =
-    std::min(size, bucket.level_ + rate * Seconds(aNow - bucket.at_));
-  bucket.at_ = aNow;
-  // A request larger than the bucket passes when the bucket is full; what it
-  // takes too much is paid back before the next.
-  if (bucket.level_ >= std::min(aCost, size)) {
-    bucket.level_ -= aCost;
-    return std::nullopt;
+  return asks;
+}
+
+void
+CostLimits::TakeGrants(const CostByName& aGrants,
+                       std::uint32_t aEntries,
+                       TimePoint aNow)
+{
+  std::scoped_lock lock(mutex_);
+  grantedAt_ = aNow;
+  entries_ = aEntries;
+  for (const auto& [organisation, grant] : aGrants) {
+    Account& account = accounts_[organisation];
+    account.held_ += grant;
+    account.isAsking_ = false;
+    account.isExhausted_ = account.held_ < account.largest_;
   }
-  double missing = std::min(aCost, size) - bucket.level_;
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(missing / std::max(rate, 1e-9)));
 }
 
-const CountsByName&
-CostLimits::Wanted(TimePoint aNow)
+void
+CostLeases::SetLimit(const std::string& aOrganisation,
+                     const CostLimit& aLimit,
+                     double aSlack)
+{
+  Bucket& bucket = buckets_[aOrganisation];
+  bucket.limit_ = aLimit;
+  bucket.slack_ = aSlack;
+}
+
+void
+CostLeases::Refill(Bucket& aBucket, TimePoint aNow)
 {
-  Duration elapsed = aNow - wantedSince_;
-  if (elapsed < kWantedPeriod) {
-    return wanted_;
+  double held = 0.0;
+  std::erase_if(aBucket.held_, [&](const auto& aIt) {
+    return aNow - aIt.second.second > kHeldMemory;
+  });
+  for (const auto& [entry, said] : aBucket.held_) {
+    held += said.first;
+  }
+  double size = aBucket.limit_.burst_ + aBucket.slack_;
+  if (!aBucket.isFilled_) {
+    aBucket.isFilled_ = true;
+    aBucket.level_ = size * kFirstLevel;
+  } else {
+    aBucket.level_ +=
+      aBucket.limit_.ratePerSecond_ * Seconds(aNow - aBucket.at_);
   }
-  wantedSince_ = aNow;
-  wanted_.clear();
-  for (auto& [organisation, bucket] : buckets_) {
-    double rate = bucket.wanted_ / Seconds(elapsed);
-    if (rate >= 1.0) {
-      wanted_[organisation] = static_cast<std::uint64_t>(rate);
+  aBucket.at_ = aNow;
+  aBucket.level_ = std::min(aBucket.level_, std::max(0.0, size - held));
+}
+
+CostByName
+CostLeases::Grant(const std::string& aEntry,
+                  const CostAsks& aAsks,
+                  TimePoint aNow)
+{
+  CostByName grants;
+  for (const auto& [organisation, ask] : aAsks) {
+    auto it = buckets_.find(organisation);
+    if (it == buckets_.end()) {
+      continue;
     }
-    bucket.wanted_ = 0.0;
+    Bucket& bucket = it->second;
+    bucket.held_[aEntry] = { ask.held_, aNow };
+    Refill(bucket, aNow);
+    double grant = std::min(ask.need_, bucket.level_ * kLargestGrant);
+    bucket.level_ -= grant;
+    bucket.held_[aEntry].first += grant;
+    grants[organisation] = grant;
   }
-  return wanted_;
+  return grants;
 }
 
 } // namespace tanagerstall
--- a/src/tanagerstall/request/tanagerstall_cost_limits.hpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.hpp
@@ -2,10 +2,9 @@
 #define TANAGERSTALL_COST_LIMITS_HPP_INCLUDED
 
 #include "tanagerstall/process/tanagerstall_clock.hpp"
-#include "tanagerstall/version/tanagerstall_fleet_state.hpp"
 
 #include <map>
-#include <optional>
+#include <mutex>
 #include <string>
 
 namespace tanagerstall {
@@ -17,42 +16,104 @@
   double burst_ = 0.0;
 };
 
-/// Admits requests within this entry's part of each organisation's rate, for
-/// an organisation that sends many times its usual. A token bucket whose size
-/// follows the part that control leases. Plain state machine.
+/// What an entry asks of an organisation's limit.
+struct CostAsk
+{
+  /// Cost that it may still admit.
+  double held_ = 0.0;
+  /// Cost that it would like to be granted.
+  double need_ = 0.0;
+
+  bool operator==(const CostAsk&) const = default;
+};
+
+/// Cost by organisation.
+using CostByName = std::map<std::string, double>;
+using CostAsks = std::map<std::string, CostAsk>;
+
+enum class CostVerdict
+{
+  Admitted,
+  /// Nothing is held here, but control may grant more.
+  Short,
+  /// The limit over all entries is used up.
+  Exhausted
+};
+
+/// Admits requests at an entry against grants from control, which keeps the
+/// limit over all entries. For organisations that send many times their usual,
+/// and for small ones whose requests are large. Safe from any thread.
 class CostLimits
 {
 public:
-  /// The part of each organisation's limit that this entry may use until
-  /// `aUntil`; `aFallback` from then on, and for those that aren't named.
-  void SetShares(std::map<std::string, double> aShares,
-                 double aFallback,
-                 TimePoint aUntil);
-  /// Takes `aCost`; otherwise gives the time until it would be there.
-  std::optional<Duration> Take(const std::string& aOrganisation,
-                               const CostLimit& aLimit,
-                               double aCost,
-                               TimePoint aNow);
-  /// The cost that was asked for lately, a second.
-  const CountsByName& Wanted(TimePoint aNow);
+  /// Notes that a request asks for `aCost`.
+  void AddDemand(const std::string& aOrganisation, double aCost);
+  /// Takes `aCost` if as much is held. Without a limit everything is admitted.
+  CostVerdict Take(const std::string& aOrganisation,
+                   const CostLimit& aLimit,
+                   double aCost,
+                   TimePoint aNow);
+  /// What to ask the leader for now. An ask that is under way isn't repeated.
+  CostAsks Asks(TimePoint aNow);
+  /// Takes in the leader's answer to asks.
+  void TakeGrants(const CostByName& aGrants,
+                  std::uint32_t aEntries,
+                  TimePoint aNow);
+
+private:
+  struct Account
+  {
+    CostLimit limit_;
+    double held_ = 0.0;
+    /// Cost a second that was asked for lately, and the largest request.
+    double rate_ = 0.0;
+    double largest_ = 0.0;
+    double recent_ = 0.0;
+    TimePoint recentSince_;
+    TimePoint refilledAt_;
+    TimePoint askedAt_;
+    bool isAsking_ = false;
+    bool isExhausted_ = false;
+  };
+
+  static double TargetOf(const Account& aAccount);
+  void RefillAlone(Account& aAccount, TimePoint aNow) const;
+
+  std::mutex mutex_;
+  std::map<std::string, Account> accounts_;
+  TimePoint grantedAt_;
+  std::uint32_t entries_ = 1;
+};
+
+/// Keeps the organisations' limits over all entries at the leader. A token
+/// bucket each, out of which entries are granted what they ask for.
+class CostLeases
+{
+public:
+  /// `aSlack`: cost that may be admitted beyond a burst, in any window.
+  void SetLimit(const std::string& aOrganisation,
+                const CostLimit& aLimit,
+                double aSlack);
+  /// What an entry gets of what it asks for.
+  CostByName Grant(const std::string& aEntry,
+                   const CostAsks& aAsks,
+                   TimePoint aNow);
 
 private:
   struct Bucket
   {
+    CostLimit limit_;
+    double slack_ = 0.0;
     double level_ = 0.0;
     TimePoint at_;
     bool isFilled_ = false;
-    double wanted_ = 0.0;
+    /// What entries hold, and when they said so.
+    std::map<std::string, std::pair<double, TimePoint>> held_;
   };
 
-  double ShareOf(const std::string& aOrganisation, TimePoint aNow) const;
+  static void Refill(Bucket& aBucket, TimePoint aNow);
 
   std::map<std::string, Bucket> buckets_;
-  std::map<std::string, double> shares_;
-  double fallback_ = 0.0;
-  TimePoint sharesUntil_;
-  TimePoint wantedSince_;
-  CountsByName wanted_;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -12,10 +12,10 @@
 namespace {
 
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
-/// How long a share of a limit is used after it was heard.
-constexpr Duration kShareUse = std::chrono::milliseconds(2700);
-/// The part of an entry's equal share that it keeps while control is silent.
-constexpr double kUnleasedPart = 0.5;
+constexpr Duration kOverRateRetryAfter = std::chrono::milliseconds(1000);
+/// How long a request waits for control to grant its cost.
+constexpr Duration kGrantWait = std::chrono::milliseconds(250);
+constexpr Duration kGrantPoll = std::chrono::milliseconds(15);
 /// Output tokens weigh this much against prompt tokens, since each takes a
 /// step of its own.
 constexpr double kOutputWeight = 10.0;
@@ -53,15 +53,14 @@
 
 } // namespace
 
-Forwarder::Forwarder(ForwarderSettings aSettings,
-                     Clock aClock,
-                     WallClock aWallClock)
+Forwarder::Forwarder(ForwarderSettings aSettings, Clock aClock, Hooks aHooks)
   : settings_(std::move(aSettings))
   , clock_(std::move(aClock))
+  , hooks_(std::move(aHooks))
   , pool_(clock_)
   , chooser_({ settings_.failureDomain_, settings_.regions_ },
              std::random_device()())
-  , usage_(settings_.usageWindow_, std::move(aWallClock))
+  , usage_(settings_.usageWindow_, hooks_.wallClock_)
   , random_(std::random_device()())
 {
 }
@@ -82,15 +81,6 @@
   chooser_.SetReplicas(std::move(aReplicas));
 }
 
-void
-Forwarder::SetShares(std::map<std::string, double> aShares,
-                     std::uint32_t aEntries)
-{
-  double equal = 1.0 / std::max(aEntries, 1U);
-  limits_.SetShares(
-    std::move(aShares), equal * kUnleasedPart, clock_.Now() + kShareUse);
-}
-
 AttemptBudget&
 Forwarder::BudgetOf(const std::string& aService)
 {
@@ -115,7 +105,7 @@
 }
 
 std::optional<HttpResponse>
-Forwarder::CheckRate(const ForwardedRequest& aRequest)
+Forwarder::CheckRate(HttpExchange& aExchange, const ForwardedRequest& aRequest)
 {
   const PlanOrganisation* organisation = aRequest.organisation_;
   if (organisation == nullptr) {
@@ -128,21 +118,40 @@
     cost =
       static_cast<double>(tokens > 0 ? tokens : organisation->plainTokens_);
   }
-  auto wait =
-    limits_.Take(organisation->name_,
-                 { organisation->ratePerSecond_, organisation->burst_ },
-                 cost,
-                 clock_.Now());
-  if (!wait) {
+  if (AwaitCost(aExchange, *organisation, cost) == CostVerdict::Admitted) {
     return std::nullopt;
   }
   LogEvent(Severity::Info,
            "request refused",
            { { "request", aRequest.id_ },
              { "reason", "over the organisation's rate" },
+             { "cost", cost },
              { "organisation", organisation->name_ } });
-  return Refusal(
-    429, "over_rate", std::max<Duration>(*wait, kDefaultRetryAfter));
+  return Refusal(429, "over_rate", kOverRateRetryAfter);
+}
+
+/// Waits for a grant where control may have one to give.
+CostVerdict
+Forwarder::AwaitCost(HttpExchange& aExchange,
+                     const PlanOrganisation& aOrganisation,
+                     double aCost)
+{
+  CostLimit limit{ aOrganisation.ratePerSecond_, aOrganisation.burst_ };
+  TimePoint until = clock_.Now() + kGrantWait;
+  bool hasAsked = false;
+  limits_.AddDemand(aOrganisation.name_, aCost);
+  while (true) {
+    TimePoint now = clock_.Now();
+    CostVerdict verdict = limits_.Take(aOrganisation.name_, limit, aCost, now);
+    if (verdict != CostVerdict::Short || now >= until) {
+      return verdict;
+    }
+    if (!hasAsked) {
+      hasAsked = true;
+      hooks_.askForCost_();
+    }
+    aExchange.GetFiber().Sleep(kGrantPoll);
+  }
 }
 
 tl::expected<ForwardedRequest, HttpResponse>
@@ -174,7 +183,7 @@
     wait = std::min(wait, *remaining);
   }
   request.deadline_ = request.arrivedAt_ + wait;
-  if (auto refusal = CheckRate(request)) {
+  if (auto refusal = CheckRate(aExchange, request)) {
     return tl::make_unexpected(*refusal);
   }
   std::vector<double> weights;
@@ -314,7 +323,6 @@
 {
   TrafficReport report;
   report.usage_ = usage_.Latest();
-  report.wanted_ = limits_.Wanted(clock_.Now());
   for (auto& [service, load] : loads_) {
     load.running_ = chooser_.Running(service);
   }
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -36,7 +36,6 @@
 struct TrafficReport
 {
   std::vector<UsageWindow> usage_;
-  CountsByName wanted_;
   std::map<std::string, ServiceLoad> services_;
 };
 
@@ -45,14 +44,20 @@
 class Forwarder
 {
 public:
-  using WallClock = std::function<WallTime()>;
+  struct Hooks
+  {
+    std::function<WallTime()> wallClock_;
+    /// Asks control at once for what the limits lack.
+    std::function<void()> askForCost_;
+  };
 
-  Forwarder(ForwarderSettings aSettings, Clock aClock, WallClock aWallClock);
+  Forwarder(ForwarderSettings aSettings, Clock aClock, Hooks aHooks);
   ~Forwarder();
 
   void SetPlan(std::shared_ptr<const TrafficPlan> aPlan);
   void SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas);
-  void SetShares(std::map<std::string, double> aShares, std::uint32_t aEntries);
+  /// Safe from any thread.
+  CostLimits& Limits() { return limits_; }
 
   /// Answers one request, or ends its connection where an answer that was
   /// begun can't be finished.
@@ -66,7 +71,11 @@
   tl::expected<ForwardedRequest, HttpResponse> Admit(HttpExchange& aExchange);
   std::optional<HttpResponse> CheckOrganisation(ForwardedRequest& aRequest,
                                                 const HttpRequest& aHttp);
-  std::optional<HttpResponse> CheckRate(const ForwardedRequest& aRequest);
+  std::optional<HttpResponse> CheckRate(HttpExchange& aExchange,
+                                        const ForwardedRequest& aRequest);
+  CostVerdict AwaitCost(HttpExchange& aExchange,
+                        const PlanOrganisation& aOrganisation,
+                        double aCost);
   void Run(HttpExchange& aExchange, ForwardedRequest& aRequest);
   bool MayRetry(const ForwardedRequest& aRequest, bool aWasSent);
   void Refuse(HttpExchange& aExchange,
@@ -76,6 +85,7 @@
 
   ForwarderSettings settings_;
   Clock clock_;
+  Hooks hooks_;
   std::shared_ptr<const TrafficPlan> plan_;
   ConnectionPool pool_;
   ReplicaChooser chooser_;
