--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -59,6 +59,7 @@
   for (const auto& [name, ask] : aFrom.asks_) {
     asks[next].setName(ToText(name));
     asks[next].setHeld(ask.held_);
+    asks[next].setDue(ask.due_);
     asks[next].setNeed(ask.need_);
     ++next;
   }
@@ -86,7 +87,9 @@
     report.usage_.push_back(ReadUsage(usage));
   }
   for (auto ask : aFrom.getAsks()) {
-    report.asks_[ToString(ask.getName())] = { ask.getHeld(), ask.getNeed() };
+    report.asks_[ToString(ask.getName())] = { ask.getHeld(),
+                                              ask.getDue(),
+                                              ask.getNeed() };
   }
   for (auto service : aFrom.getServices()) {
     report.services_[ToString(service.getName())] = { service.getRunning(),
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -52,6 +52,8 @@
   held @1 :Float64;
   # Cost that it asks for.
   need @2 :Float64;
+  # Of that, what requests wait for.
+  due @3 :Float64;
 }
 
 struct ServiceLoad {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -144,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81ee73827d40ac8a, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(81ee73827d40ac8a, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -873,6 +873,8 @@
 
   inline double getNeed() const;
 
+  inline double getDue() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -914,6 +916,9 @@
   inline double getNeed();
   inline void setNeed(double value);
 
+  inline double getDue();
+  inline void setDue(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2204,6 +2209,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline double CostAsk::Reader::getDue() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double CostAsk::Builder::getDue() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CostAsk::Builder::setDue(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServiceLoad::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -99,6 +99,8 @@
     }
     if (aAnswer.isLeader_) {
       forwarder_.Limits().TakeGrants(aAnswer.grants_, aAnswer.entries_, now);
+      threads_.Post(
+        [this, entries = aAnswer.entries_] { forwarder_.SetEntries(entries); });
     }
     PublishReplicas(now);
   }
--- a/src/tanagerstall/process/tanagerstall_replica_placement.cpp
+++ b/src/tanagerstall/process/tanagerstall_replica_placement.cpp
@@ -13,10 +13,13 @@
 /// traffic has shown what is.
 constexpr double kFoundPart = 0.67;
 /// The weight of the newest count of running requests.
-constexpr double kRunningSmoothing = 0.2;
+constexpr double kRunningSmoothing = 0.12;
 constexpr double kLeastNeeded = 2.0;
+/// The part of the need that is covered on demand when a failure domain is
+/// lost: what is slow for a while costs less than full cover at full price.
+constexpr double kCoveredPart = 0.65;
 /// Replicas of need that may be given up a second.
-constexpr double kNeedFallsPerSecond = 0.25;
+constexpr double kNeedFallsPerSecond = 0.12;
 /// Fewer replicas have to be enough for this long before some go.
 constexpr Duration kShrinkAfter = std::chrono::seconds(3);
 /// An order is given again where its replicas don't come.
@@ -72,7 +75,7 @@
     }
     aService.needed_ = std::max(kLeastNeeded, found * kFoundPart);
     aService.isStarted_ = true;
-  } else {
+  } else if (aInput.running_ > 0) {
     double elapsed =
       std::chrono::duration<double>(aNow - aService.neededAt_).count();
     aService.needed_ -= kNeedFallsPerSecond * elapsed;
@@ -160,7 +163,7 @@
   }
   Service& service = services_[aInput.service_];
   UpdateNeed(service, aInput, aNow);
-  std::uint32_t needed = Ceil(service.needed_);
+  std::uint32_t covered = Ceil(service.needed_ * kCoveredPart);
   bool hasReclaimable = aInput.bounds_.reclaimablePrice_ > 0.0;
   std::uint32_t perDomain =
     std::clamp(Ceil(service.needed_ /
@@ -182,7 +185,7 @@
     }
   }
   std::uint32_t left = reclaimable - largest;
-  auto spread = SpreadOnDemand(aInput, needed > left ? needed - left : 0);
+  auto spread = SpreadOnDemand(aInput, covered > left ? covered - left : 0);
   for (const auto& [domain, replicas] : aInput.domains_) {
     std::uint32_t least = replicas.reclaimable_ >= aInput.bounds_.min_
                             ? 0
--- a/src/tanagerstall/request/tanagerstall_cost_limits.cpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.cpp
@@ -7,11 +7,7 @@
 namespace {
 
 /// An entry holds the demand of this long, so that it seldom has to ask.
-constexpr double kHeldSeconds = 1.2;
-/// It also holds some of the largest requests.
-constexpr double kHeldRequests = 1.5;
-/// What is left of the largest request's size with each request.
-constexpr double kLargestFades = 0.98;
+constexpr double kHeldSeconds = 0.8;
 /// Over how long demand is counted.
 constexpr Duration kDemandPeriod = std::chrono::milliseconds(500);
 constexpr double kDemandSmoothing = 0.4;
@@ -21,8 +17,10 @@
 /// share of the rate.
 constexpr Duration kAlone = std::chrono::milliseconds(2500);
 constexpr double kAlonePart = 0.5;
-/// The part of what is left that one entry gets at once.
-constexpr double kLargestGrant = 0.5;
+/// The part of what is left that one entry gets ahead of its requests.
+constexpr double kLargestGrant = 0.25;
+/// An entry asks for more below this part of what it wants to hold.
+constexpr double kAskBelow = 0.4;
 /// The part of the limit that a new leader takes as unused.
 constexpr double kFirstLevel = 0.4;
 constexpr Duration kHeldMemory = std::chrono::seconds(4);
@@ -38,8 +36,7 @@
 double
 CostLimits::TargetOf(const Account& aAccount)
 {
-  return std::max(aAccount.rate_ * kHeldSeconds,
-                  aAccount.largest_ * kHeldRequests);
+  return aAccount.rate_ * kHeldSeconds + aAccount.waiting_;
 }
 
 void
@@ -57,12 +54,20 @@
 }
 
 void
-CostLimits::AddDemand(const std::string& aOrganisation, double aCost)
+CostLimits::Begin(const std::string& aOrganisation, double aCost)
 {
   std::scoped_lock lock(mutex_);
   Account& account = accounts_[aOrganisation];
-  account.largest_ = std::max(account.largest_ * kLargestFades, aCost);
   account.recent_ += aCost;
+  account.waiting_ += aCost;
+}
+
+void
+CostLimits::End(const std::string& aOrganisation, double aCost)
+{
+  std::scoped_lock lock(mutex_);
+  Account& account = accounts_[aOrganisation];
+  account.waiting_ = std::max(0.0, account.waiting_ - aCost);
 }
 
 CostVerdict
@@ -102,10 +107,14 @@
     }
     double target = TargetOf(account);
     bool isPending = account.isAsking_ && aNow - account.askedAt_ < kAskTimeout;
-    if (!isPending && account.held_ < target / 2) {
+    bool isLow =
+      account.held_ < account.waiting_ || account.held_ < target * kAskBelow;
+    if (!isPending && isLow) {
       account.isAsking_ = true;
       account.askedAt_ = aNow;
-      asks[organisation] = { account.held_, target - account.held_ };
+      asks[organisation] = { account.held_,
+                             std::max(0.0, account.waiting_ - account.held_),
+                             target - account.held_ };
     }
   }
   return asks;
@@ -123,7 +132,7 @@
     Account& account = accounts_[organisation];
     account.held_ += grant;
     account.isAsking_ = false;
-    account.isExhausted_ = account.held_ < account.largest_;
+    account.isExhausted_ = account.held_ < account.waiting_;
   }
 }
 
@@ -173,7 +182,10 @@
     Bucket& bucket = it->second;
     bucket.held_[aEntry] = { ask.held_, aNow };
     Refill(bucket, aNow);
-    double grant = std::min(ask.need_, bucket.level_ * kLargestGrant);
+    double due = std::min(ask.due_, bucket.level_);
+    double ahead =
+      std::min(ask.need_ - ask.due_, (bucket.level_ - due) * kLargestGrant);
+    double grant = due + std::max(0.0, ahead);
     bucket.level_ -= grant;
     bucket.held_[aEntry].first += grant;
     grants[organisation] = grant;
--- a/src/tanagerstall/request/tanagerstall_cost_limits.hpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.hpp
@@ -21,7 +21,9 @@
 {
   /// Cost that it may still admit.
   double held_ = 0.0;
-  /// Cost that it would like to be granted.
+  /// Cost of requests that wait for it.
+  double due_ = 0.0;
+  /// Cost that it would like to be granted, what is due included.
   double need_ = 0.0;
 
   bool operator==(const CostAsk&) const = default;
@@ -46,8 +48,9 @@
 class CostLimits
 {
 public:
-  /// Notes that a request asks for `aCost`.
-  void AddDemand(const std::string& aOrganisation, double aCost);
+  /// Notes that a request asks for `aCost`, and that it no longer waits.
+  void Begin(const std::string& aOrganisation, double aCost);
+  void End(const std::string& aOrganisation, double aCost);
   /// Takes `aCost` if as much is held. Without a limit everything is admitted.
   CostVerdict Take(const std::string& aOrganisation,
                    const CostLimit& aLimit,
@@ -67,7 +70,7 @@
     double held_ = 0.0;
     /// Cost a second that was asked for lately, and the largest request.
     double rate_ = 0.0;
-    double largest_ = 0.0;
+    double waiting_ = 0.0;
     double recent_ = 0.0;
     TimePoint recentSince_;
     TimePoint refilledAt_;
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -169,7 +169,8 @@
     while (rest && *rest) {
       rest = connection_->ReadBody(Left());
     }
-    return { AttemptOutcome::Refused,
+    return { aHead.status_ == kMisdirected ? AttemptOutcome::Misdirected
+                                           : AttemptOutcome::Refused,
              true,
              false,
              std::nullopt,
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -15,7 +15,10 @@
 constexpr Duration kOverRateRetryAfter = std::chrono::milliseconds(1000);
 /// How long a request waits for control to grant its cost.
 constexpr Duration kGrantWait = std::chrono::milliseconds(250);
+/// The same where it had none left when it last answered.
+constexpr Duration kExhaustedWait = std::chrono::milliseconds(80);
 constexpr Duration kGrantPoll = std::chrono::milliseconds(15);
+constexpr double kSlackUse = 0.7;
 /// Output tokens weigh this much against prompt tokens, since each takes a
 /// step of its own.
 constexpr double kOutputWeight = 10.0;
@@ -81,11 +84,27 @@
   chooser_.SetReplicas(std::move(aReplicas));
 }
 
+/// This entry's part of the slack. A window may see what was saved up and what
+/// an entry that was started anew begins with.
+double
+Forwarder::RetryBurst() const
+{
+  return kSlackUse * settings_.retrySlack_ / entries_;
+}
+
+void
+Forwarder::SetEntries(std::uint32_t aEntries)
+{
+  entries_ = std::max(aEntries, 1U);
+  for (auto& [service, budget] : budgets_) {
+    budget.SetBurst(RetryBurst());
+  }
+}
+
 AttemptBudget&
 Forwarder::BudgetOf(const std::string& aService)
 {
-  return budgets_
-    .try_emplace(aService, settings_.retryRatio_, settings_.retryBurst_)
+  return budgets_.try_emplace(aService, settings_.retryRatio_, RetryBurst())
     .first->second;
 }
 
@@ -137,14 +156,18 @@
                      double aCost)
 {
   CostLimit limit{ aOrganisation.ratePerSecond_, aOrganisation.burst_ };
-  TimePoint until = clock_.Now() + kGrantWait;
+  TimePoint begin = clock_.Now();
   bool hasAsked = false;
-  limits_.AddDemand(aOrganisation.name_, aCost);
+  limits_.Begin(aOrganisation.name_, aCost);
+  CostVerdict verdict = CostVerdict::Short;
   while (true) {
     TimePoint now = clock_.Now();
-    CostVerdict verdict = limits_.Take(aOrganisation.name_, limit, aCost, now);
-    if (verdict != CostVerdict::Short || now >= until) {
-      return verdict;
+    verdict = limits_.Take(aOrganisation.name_, limit, aCost, now);
+    // Control may have more by now than when it last answered.
+    Duration wait = verdict == CostVerdict::Short ? kGrantWait : kExhaustedWait;
+    if (verdict == CostVerdict::Admitted || now - begin >= wait ||
+        aExchange.IsCallerGone()) {
+      break;
     }
     if (!hasAsked) {
       hasAsked = true;
@@ -152,6 +175,8 @@
     }
     aExchange.GetFiber().Sleep(kGrantPoll);
   }
+  limits_.End(aOrganisation.name_, aCost);
+  return verdict;
 }
 
 tl::expected<ForwardedRequest, HttpResponse>
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -27,8 +27,8 @@
   std::map<std::string, std::string> regions_;
   /// Retries per request, over all entries.
   double retryRatio_ = 0.2;
-  /// Retries that this entry may save up.
-  double retryBurst_ = 3.0;
+  /// Retries that all entries together may make beyond that.
+  double retrySlack_ = 40.0;
   Duration usageWindow_ = std::chrono::seconds(5);
 };
 
@@ -56,6 +56,8 @@
 
   void SetPlan(std::shared_ptr<const TrafficPlan> aPlan);
   void SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas);
+  /// How many entries take requests, this one included.
+  void SetEntries(std::uint32_t aEntries);
   /// Safe from any thread.
   CostLimits& Limits() { return limits_; }
 
@@ -68,6 +70,10 @@
   void Tidy();
 
 private:
+  /// Until control has said how many there are.
+  static constexpr std::uint32_t kUnknownEntries = 20;
+
+  double RetryBurst() const;
   tl::expected<ForwardedRequest, HttpResponse> Admit(HttpExchange& aExchange);
   std::optional<HttpResponse> CheckOrganisation(ForwardedRequest& aRequest,
                                                 const HttpRequest& aHttp);
@@ -92,6 +98,7 @@
   CostLimits limits_;
   UsageCounter usage_;
   std::map<std::string, AttemptBudget> budgets_;
+  std::uint32_t entries_ = kUnknownEntries;
   std::map<std::string, ServiceLoad> loads_;
   std::mt19937_64 random_;
 };
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -108,10 +108,12 @@
     return sound;
   }
   for (const auto& replica : it->second) {
-    if (aRequest.excluded_.contains(replica.id_)) {
+    TimePoint avoidUntil = StandingOf(replica).avoidUntil_;
+    if (aRequest.excluded_.contains(replica.id_) ||
+        avoidUntil == TimePoint::max()) {
       continue;
     }
-    bool isAvoided = aNow < StandingOf(replica).avoidUntil_;
+    bool isAvoided = aNow < avoidUntil;
     (isAvoided ? avoided : sound).push_back(&replica);
   }
   // Where all look bad, the fault is more likely on the way to them.
@@ -189,6 +191,9 @@
     standing.running_ == 0 ? 0.0 : std::max(0.0, standing.work_ - aCost);
   if (aOutcome == AttemptOutcome::Answered) {
     standing.failures_ = 0;
+  } else if (aOutcome == AttemptOutcome::Misdirected) {
+    // This incarnation is gone; control has yet to hear of it.
+    standing.avoidUntil_ = TimePoint::max();
   } else if (aOutcome == AttemptOutcome::Refused) {
     // It is full, not broken.
     standing.avoidUntil_ = aNow + kFullAvoidance;
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
@@ -30,6 +30,8 @@
   Answered,
   /// Refused without having run.
   Refused,
+  /// Refused, since another replica has the address.
+  Misdirected,
   /// No connection could be made.
   Unreachable,
   /// The connection broke, or bytes came that are no answer.
