--- a/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
@@ -204,7 +204,7 @@
       auto group = static_cast<GroupName>(i);
       groups_.at(i) = std::make_unique<RaftGroup>(
         identity_.member_.key_,
-        RaftSettings{},
+        settings_.raft_,
         std::move(storage),
         aMachines.at(i),
         std::random_device()(),
--- a/src/tanagerstall/process/raft/tanagerstall_raft_member.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_member.hpp
@@ -25,6 +25,8 @@
   /// Where a member that is in no cluster asks to be added; empty for one that
   /// waits for an operator.
   std::vector<Address> contacts_;
+  /// Times and sizes of the log.
+  RaftSettings raft_;
   /// Voters that the leader keeps by itself; 0 leaves that to an operator.
   std::size_t wantedVoters_ = 0;
 };
--- a/src/tanagerstall/process/tanagerstall_controller.cpp
+++ b/src/tanagerstall/process/tanagerstall_controller.cpp
@@ -28,6 +28,7 @@
                 settings_.isBootstrap_,
                 {},
                 {},
+                {},
                 0 })
     , rpc_(loop_,
            clock_,
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -98,7 +98,7 @@
       TakeDeclaration(*aAnswer.declaration_);
     }
     if (aAnswer.isLeader_) {
-      forwarder_.Limits().TakeGrants(aAnswer.grants_, aAnswer.entries_, now);
+      forwarder_.Limits().TakeGrants(aAnswer.grants_, aAnswer.entries_);
       threads_.Post(
         [this, entries = aAnswer.entries_] { forwarder_.SetEntries(entries); });
     }
--- a/src/tanagerstall/process/tanagerstall_log.cpp
+++ b/src/tanagerstall/process/tanagerstall_log.cpp
@@ -51,11 +51,11 @@
 } // namespace
 
 void
-StartLog(std::string aProgram, Severity aLowest)
+StartLog(std::string aProgram, Severity aLowest, std::ostream& aStream)
 {
   namespace expr = boost::log::expressions;
   ProgramName() = std::move(aProgram);
-  boost::log::add_console_log(std::cerr,
+  boost::log::add_console_log(aStream,
                               boost::log::keywords::format = expr::stream
                                                              << expr::smessage,
                               boost::log::keywords::auto_flush = true);
--- a/src/tanagerstall/process/tanagerstall_log.hpp
+++ b/src/tanagerstall/process/tanagerstall_log.hpp
@@ -4,6 +4,7 @@
 #include <boost/json/value.hpp>
 #include <concepts>
 #include <initializer_list>
+#include <iostream>
 #include <string>
 #include <string_view>
 
@@ -45,9 +46,11 @@
   boost::json::value value_;
 };
 
-/// Sends this process's log to standard error as JSON lines.
+/// Sends this process's log as JSON lines to standard error, or to `aStream`.
 void
-StartLog(std::string aProgram, Severity aLowest);
+StartLog(std::string aProgram,
+         Severity aLowest,
+         std::ostream& aStream = std::cerr);
 
 /// Writes one line: time, severity, program, event, then the fields.
 void
--- a/src/tanagerstall/request/tanagerstall_cost_limits.cpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.cpp
@@ -13,10 +13,10 @@
 constexpr double kDemandSmoothing = 0.4;
 /// An ask whose answer is lost is repeated after this.
 constexpr Duration kAskTimeout = std::chrono::milliseconds(700);
-/// Without the leader for this long, an entry goes on with a part of an equal
-/// share of the rate.
-constexpr Duration kAlone = std::chrono::milliseconds(2500);
-constexpr double kAlonePart = 0.5;
+/// An ask that waits for this long has found no leader: the entry goes on with
+/// a part of an equal share of the rate.
+constexpr Duration kAlone = std::chrono::milliseconds(250);
+constexpr double kAlonePart = 0.8;
 /// The part of what is left that one entry gets ahead of its requests.
 constexpr double kLargestGrant = 0.25;
 /// An entry asks for more below this part of what it wants to hold.
@@ -42,8 +42,10 @@
 void
 CostLimits::RefillAlone(Account& aAccount, TimePoint aNow) const
 {
-  TimePoint from = std::max(grantedAt_ + kAlone, aAccount.refilledAt_);
-  if (aNow > from) {
+  TimePoint from = std::max(aAccount.unansweredSince_, aAccount.refilledAt_);
+  bool isAlone =
+    aAccount.isUnanswered_ && aNow - aAccount.unansweredSince_ > kAlone;
+  if (isAlone && aNow > from) {
     double share = kAlonePart / std::max(entries_, 1U);
     double grown = aAccount.held_ + aAccount.limit_.ratePerSecond_ * share *
                                       Seconds(aNow - from);
@@ -112,6 +114,10 @@
     if (!isPending && isLow) {
       account.isAsking_ = true;
       account.askedAt_ = aNow;
+      if (!account.isUnanswered_) {
+        account.isUnanswered_ = true;
+        account.unansweredSince_ = aNow;
+      }
       asks[organisation] = { account.held_,
                              std::max(0.0, account.waiting_ - account.held_),
                              target - account.held_ };
@@ -121,17 +127,15 @@
 }
 
 void
-CostLimits::TakeGrants(const CostByName& aGrants,
-                       std::uint32_t aEntries,
-                       TimePoint aNow)
+CostLimits::TakeGrants(const CostByName& aGrants, std::uint32_t aEntries)
 {
   std::scoped_lock lock(mutex_);
-  grantedAt_ = aNow;
   entries_ = aEntries;
   for (const auto& [organisation, grant] : aGrants) {
     Account& account = accounts_[organisation];
     account.held_ += grant;
     account.isAsking_ = false;
+    account.isUnanswered_ = false;
     account.isExhausted_ = account.held_ < account.waiting_;
   }
 }
--- a/src/tanagerstall/request/tanagerstall_cost_limits.hpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.hpp
@@ -59,9 +59,7 @@
   /// What to ask the leader for now. An ask that is under way isn't repeated.
   CostAsks Asks(TimePoint aNow);
   /// Takes in the leader's answer to asks.
-  void TakeGrants(const CostByName& aGrants,
-                  std::uint32_t aEntries,
-                  TimePoint aNow);
+  void TakeGrants(const CostByName& aGrants, std::uint32_t aEntries);
 
 private:
   struct Account
@@ -76,6 +74,9 @@
     TimePoint refilledAt_;
     TimePoint askedAt_;
     bool isAsking_ = false;
+    /// Whether the last asks found no leader, and since when.
+    bool isUnanswered_ = false;
+    TimePoint unansweredSince_;
     bool isExhausted_ = false;
   };
 
@@ -84,7 +85,6 @@
 
   std::mutex mutex_;
   std::map<std::string, Account> accounts_;
-  TimePoint grantedAt_;
   std::uint32_t entries_ = 1;
 };
 
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -38,6 +38,10 @@
   /// The work that it makes, for the choice of a replica.
   double cost_ = 1.0;
 
+  /// When the first part of an answer came.
+  std::optional<TimePoint> firstPartAt_;
+  /// Requests that ran at the chosen replica from here.
+  std::uint32_t runningThere_ = 0;
   /// Replicas that turned it down or failed.
   std::set<std::string> excluded_;
   /// Replicas on which it may have run.
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -234,6 +234,29 @@
   Run(aExchange, *request);
 }
 
+void
+Forwarder::LogAnswered(const ForwardedRequest& aRequest,
+                       const Replica& aReplica,
+                       int aStatus)
+{
+  auto since = [&](TimePoint aWhen) {
+    return std::chrono::duration_cast<Milliseconds>(aWhen - aRequest.arrivedAt_)
+      .count();
+  };
+  TimePoint now = clock_.Now();
+  LogEvent(Severity::Info,
+           "answered",
+           { { "request", aRequest.id_ },
+             { "route", aRequest.route_->name_ },
+             { "plan", aRequest.plan_->number_ },
+             { "replica", aReplica.id_ },
+             { "status", aStatus },
+             { "sends", aRequest.sends_ },
+             { "running_there", aRequest.runningThere_ },
+             { "first_ms", since(aRequest.firstPartAt_.value_or(now)) },
+             { "whole_ms", since(now) } });
+}
+
 void
 Forwarder::Refuse(HttpExchange& aExchange,
                   const ForwardedRequest& aRequest,
@@ -277,6 +300,7 @@
     if (!replica) {
       break;
     }
+    aRequest.runningThere_ = chooser_.RunningAt(*replica);
     bool mayRunAgain =
       route.IsRepeatable() && aRequest.runs_ + 1 < route.maxAttempts_;
     ForwardAttempt attempt(
@@ -285,6 +309,7 @@
           usage_.Count(aRequest.organisation_->name_);
         }
         hasRun = true;
+        aRequest.firstPartAt_ = clock_.Now();
       } });
     last = attempt.Run(*replica, mayRunAgain && !failure);
     chooser_.Finish(*replica, aRequest.cost_, last.outcome_, clock_.Now());
@@ -292,6 +317,7 @@
       break;
     }
     if (last.outcome_ == AttemptOutcome::Answered && !last.failure_) {
+      LogAnswered(aRequest, *replica, aExchange.Status());
       return;
     }
     aRequest.excluded_.insert(replica->id_);
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -84,6 +84,9 @@
                         double aCost);
   void Run(HttpExchange& aExchange, ForwardedRequest& aRequest);
   bool MayRetry(const ForwardedRequest& aRequest, bool aWasSent);
+  void LogAnswered(const ForwardedRequest& aRequest,
+                   const Replica& aReplica,
+                   int aStatus);
   void Refuse(HttpExchange& aExchange,
               const ForwardedRequest& aRequest,
               const char* aReason);
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -63,6 +63,13 @@
   return it == replicas_->end() ? 0 : it->second.size();
 }
 
+std::uint32_t
+ReplicaChooser::RunningAt(const Replica& aReplica) const
+{
+  auto it = standings_.find(aReplica.id_);
+  return it == standings_.end() ? 0 : it->second.running_;
+}
+
 std::uint32_t
 ReplicaChooser::Running(const std::string& aService) const
 {
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
@@ -66,6 +66,8 @@
   /// Whether a replica is still to be used.
   bool IsPresent(const std::string& aId) const;
   std::size_t CountReplicas(const std::string& aService) const;
+  /// Requests that run at a replica from here.
+  std::uint32_t RunningAt(const Replica& aReplica) const;
   /// Requests that run at a service's replicas from here.
   std::uint32_t Running(const std::string& aService) const;
 
--- a/tests/raft_member_tests.cpp
+++ b/tests/raft_member_tests.cpp
@@ -38,11 +38,16 @@
   void Start(const std::string& aName, bool aIsBootstrap)
   {
     member_.reset();
-    member_ = std::make_unique<RaftMember>(
-      loop_,
-      Clock(),
-      MemberSettings{
-        aName, folder_.path_, { "127.0.0.1", 0 }, aIsBootstrap, {}, {}, 0 });
+    member_ = std::make_unique<RaftMember>(loop_,
+                                           Clock(),
+                                           MemberSettings{ aName,
+                                                           folder_.path_,
+                                                           { "127.0.0.1", 0 },
+                                                           aIsBootstrap,
+                                                           {},
+                                                           {},
+                                                           {},
+                                                           0 });
     member_->Start({ "127.0.0.1", 1 }, { EmptyMachine(), EmptyMachine() });
   }
 
