--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -29,7 +29,7 @@
 /// entries hold while the leader changes.
 constexpr double kSlackUse = 0.5;
 /// After its start a control process doesn't know all entries yet.
-constexpr Duration kDirectoryWarmUp = std::chrono::milliseconds(700);
+constexpr Duration kDirectoryWarmUp = std::chrono::milliseconds(300);
 
 template<class Value>
 Value
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -233,6 +233,12 @@
     if (!exchange_.WritePart(event)) {
       return false;
     }
+    TimePoint now = clock_.Now();
+    if (request_.lastPartAt_ != TimePoint()) {
+      request_.longestGap_ =
+        std::max(request_.longestGap_, now - request_.lastPartAt_);
+    }
+    request_.lastPartAt_ = now;
     if (auto id = IdOf(event); !id.empty()) {
       request_.lastEventId_ = id;
     }
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -40,6 +40,9 @@
 
   /// When the first part of an answer came.
   std::optional<TimePoint> firstPartAt_;
+  /// The longest pause between parts, and when the last one came.
+  Duration longestGap_{ 0 };
+  TimePoint lastPartAt_;
   /// Requests that ran at the chosen replica from here.
   std::uint32_t runningThere_ = 0;
   /// Replicas that turned it down or failed.
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -22,6 +22,8 @@
 /// Output tokens weigh this much against prompt tokens, since each takes a
 /// step of its own.
 constexpr double kOutputWeight = 10.0;
+/// An answer is long where its tokens so weighed pass the prompt's this often.
+constexpr double kLongAnswerFactor = 1.5;
 
 std::string
 Seconds(Duration aDuration)
@@ -32,6 +34,13 @@
   return text.str();
 }
 
+bool
+IsLongAnswer(const PromptFacts& aPrompt)
+{
+  return kOutputWeight * static_cast<double>(aPrompt.maxOutputTokens_) >
+         kLongAnswerFactor * static_cast<double>(aPrompt.promptTokens_);
+}
+
 HttpResponse
 Refusal(int aStatus,
         const char* aCode,
@@ -254,6 +263,9 @@
              { "sends", aRequest.sends_ },
              { "running_there", aRequest.runningThere_ },
              { "first_ms", since(aRequest.firstPartAt_.value_or(now)) },
+             { "gap_ms",
+               std::chrono::duration_cast<Milliseconds>(aRequest.longestGap_)
+                 .count() },
              { "whole_ms", since(now) } });
 }
 
@@ -294,6 +306,7 @@
   while (isBudgeted) {
     ChoiceRequest choice{ aRequest.service_,
                           aRequest.prompt_.sharedPart_,
+                          IsLongAnswer(aRequest.prompt_),
                           aRequest.cost_,
                           aRequest.excluded_ };
     auto replica = chooser_.Choose(choice, clock_.Now());
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -3,6 +3,8 @@
 #include "tanagerstall/process/tanagerstall_bytes.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 #include <limits>
 
 namespace tanagerstall {
@@ -19,6 +21,11 @@
 /// Work at a replica of another region counts this much more.
 constexpr double kOtherRegionRequests = 4.0;
 
+/// The part of the replicas that is kept for long answers.
+constexpr double kLongAnswerPart = 0.2;
+/// With fewer replicas in a region none are kept apart.
+constexpr std::size_t kLeastToSplit = 4;
+
 /// Ranks replicas for a key alike at every entry.
 std::uint64_t
 RankOf(std::uint64_t aKey, const std::string& aReplica)
@@ -124,7 +131,32 @@
     (isAvoided ? avoided : sound).push_back(&replica);
   }
   // Where all look bad, the fault is more likely on the way to them.
-  return sound.empty() ? avoided : sound;
+  return KeptApart(sound.empty() ? avoided : sound, aRequest.isLongAnswer_);
+}
+
+/// Splits off the replicas for long answers, of this region if it has any.
+std::vector<const Replica*>
+ReplicaChooser::KeptApart(const std::vector<const Replica*>& aFrom,
+                          bool aForLongAnswers)
+{
+  std::vector<const Replica*> near;
+  std::copy_if(aFrom.begin(),
+               aFrom.end(),
+               std::back_inserter(near),
+               [this](const auto* aIt) { return IsInRegion(*aIt); });
+  if (near.size() < kLeastToSplit) {
+    return aFrom;
+  }
+  std::sort(
+    near.begin(), near.end(), [](const auto* aLeft, const auto* aRight) {
+      return RankOf(0, aLeft->id_) < RankOf(0, aRight->id_);
+    });
+  auto kept = static_cast<std::ptrdiff_t>(
+    std::lround(static_cast<double>(near.size()) * kLongAnswerPart));
+  auto border = near.begin() + std::max<std::ptrdiff_t>(kept, 1);
+  std::vector<const Replica*> longAnswers(near.begin(), border);
+  std::vector<const Replica*> others(border, near.end());
+  return aForLongAnswers ? longAnswers : others;
 }
 
 const Replica*
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
@@ -17,6 +17,8 @@
   std::string service_;
   /// Requests with the same key read the same prompt parts; 0 for none.
   std::uint64_t affinityKey_ = 0;
+  /// Whether writing the answer takes longer than reading the prompt.
+  bool isLongAnswer_ = false;
   /// Tokens or another measure of the work; at least 1.
   double cost_ = 1.0;
   /// Replicas that are not to be tried again.
@@ -43,7 +45,10 @@
 /// Chooses replicas by the work that this entry has there, by prompt parts
 /// that a replica holds already, and by what requests have seen of it. For a
 /// skewed load: requests that share prompt parts meet at one replica until it
-/// has clearly more work than the others. Plain state machine.
+/// has clearly more work than the others. For long answers beside long
+/// prompts: some replicas are kept for long answers, whose parts would pause
+/// while prompts are read; all entries agree on them without a word. Plain
+/// state machine.
 class ReplicaChooser
 {
 public:
@@ -86,6 +91,9 @@
   bool IsInRegion(const Replica& aReplica) const;
   const Replica* Pick(const std::vector<const Replica*>& aFrom,
                       const ChoiceRequest& aRequest);
+  std::vector<const Replica*> KeptApart(
+    const std::vector<const Replica*>& aFrom,
+    bool aForLongAnswers);
   std::vector<const Replica*> Candidates(const ChoiceRequest& aRequest,
                                          TimePoint aNow);
 
