--- a/src/tanagerstall/process/raft/tanagerstall_duty_lease.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_duty_lease.cpp
@@ -6,8 +6,10 @@
 
 /// Shorter than any election, so that no successor can have begun.
 constexpr Duration kConfirmedFor = std::chrono::milliseconds(500);
+/// Long enough to hear of a new leader after a pause.
+constexpr Duration kSteady = std::chrono::milliseconds(250);
 /// A member that was frozen for longer begins anew.
-constexpr Duration kMaxPause = std::chrono::milliseconds(700);
+constexpr Duration kMaxPause = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -37,6 +39,12 @@
   }
 }
 
+bool
+DutyLease::LeadsSteadily(TimePoint aNow) const
+{
+  return leads_ && aNow - observedAt_ <= kMaxPause && aNow - since_ >= kSteady;
+}
+
 std::optional<Term>
 DutyLease::Token(TimePoint aNow) const
 {
--- a/src/tanagerstall/process/raft/tanagerstall_duty_lease.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_duty_lease.hpp
@@ -17,6 +17,9 @@
   void Observe(bool aLeads, Term aTerm, TimePoint aNow);
   /// Notes that a quorum confirmed the leader of a term, asked at `aAskedAt`.
   void Confirm(Term aTerm, TimePoint aAskedAt);
+  /// Whether this member leads and has done so for a moment without a pause, in
+  /// which another one may have been elected.
+  bool LeadsSteadily(TimePoint aNow) const;
   /// The fencing token to act with right now, or nothing.
   std::optional<Term> Token(TimePoint aNow) const;
 
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -27,7 +27,7 @@
 constexpr std::int64_t kLateWindows = 4;
 /// The part of the tolerated overshoot that is granted; the rest covers what
 /// entries hold while the leader changes.
-constexpr double kSlackUse = 0.5;
+constexpr double kSlackUse = 0.35;
 /// After its start a control process doesn't know all entries yet.
 constexpr Duration kDirectoryWarmUp = std::chrono::milliseconds(300);
 
@@ -178,7 +178,7 @@
       }
     }
     answer.entries_ = static_cast<std::uint32_t>(Serving().size());
-    answer.isLeader_ = core.Role() == RaftRole::Leader;
+    answer.isLeader_ = lease_.LeadsSteadily(clock_.Now());
     if (answer.isLeader_) {
       answer.grants_ =
         leases_.Grant(aReport.entry_.id_, aReport.asks_, clock_.Now());
--- a/src/tanagerstall/request/tanagerstall_cost_limits.cpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.cpp
@@ -16,13 +16,13 @@
 /// An ask that waits for this long has found no leader: the entry goes on with
 /// a part of an equal share of the rate.
 constexpr Duration kAlone = std::chrono::milliseconds(250);
-constexpr double kAlonePart = 0.8;
+constexpr double kAlonePart = 0.6;
 /// The part of what is left that one entry gets ahead of its requests.
 constexpr double kLargestGrant = 0.25;
 /// An entry asks for more below this part of what it wants to hold.
 constexpr double kAskBelow = 0.4;
 /// The part of the limit that a new leader takes as unused.
-constexpr double kFirstLevel = 0.4;
+constexpr double kFirstLevel = 0.25;
 constexpr Duration kHeldMemory = std::chrono::seconds(4);
 
 double
