--- a/src/tanagerstall/process/tanagerstall_replica_placement.cpp
+++ b/src/tanagerstall/process/tanagerstall_replica_placement.cpp
@@ -12,8 +12,6 @@
 /// The part of the replicas found at the start that is taken as needed, until
 /// traffic has shown what is.
 constexpr double kFoundPart = 0.67;
-/// The weight of the newest count of running requests.
-constexpr double kRunningSmoothing = 0.12;
 constexpr double kLeastNeeded = 2.0;
 /// The part of the need that is covered on demand when a failure domain is
 /// lost: what is slow for a while costs less than full cover at full price.
--- a/src/tanagerstall/process/tanagerstall_replica_placement.hpp
+++ b/src/tanagerstall/process/tanagerstall_replica_placement.hpp
@@ -66,19 +66,11 @@
   struct Service
   {
     bool isStarted_ = false;
-    /// Replicas that were there at the start, as operators had sized it.
-    std::uint32_t found_ = 0;
     double needed_ = 0.0;
-    double running_ = 0.0;
     TimePoint neededAt_;
     std::map<std::pair<std::string, bool>, Placed> placed_;
   };
 
-  static std::uint32_t Expected(const Service& aService,
-                                const std::string& aDomain,
-                                std::uint32_t aReady,
-                                Duration aBootTime,
-                                TimePoint aNow);
   static void UpdateNeed(Service& aService,
                          const PlacementInput& aInput,
                          TimePoint aNow);
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -22,7 +22,7 @@
 constexpr double kOtherRegionRequests = 4.0;
 
 /// The part of the replicas that is kept for long answers.
-constexpr double kLongAnswerPart = 0.25;
+constexpr double kLongAnswerPart = 0.2;
 /// With fewer replicas in a region none are kept apart.
 constexpr std::size_t kLeastToSplit = 4;
 
