--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -27,7 +27,10 @@
 constexpr std::int64_t kLateWindows = 4;
 /// The part of the tolerated overshoot that is granted; the rest covers what
 /// entries hold while the leader changes.
-constexpr double kSlackUse = 0.35;
+constexpr double kOvershootUse = 0.35;
+/// The same of the fixed cost, which lets small organisations send large
+/// requests.
+constexpr double kSlackUse = 0.6;
 /// After its start a control process doesn't know all entries yet.
 constexpr Duration kDirectoryWarmUp = std::chrono::milliseconds(300);
 
@@ -120,12 +123,13 @@
     for (const auto& organisation : plan_->organisations_) {
       double rate = organisation.ratePerSecond_;
       double burst = organisation.burst_;
-      double slack =
-        settings_.costOvershoot_ *
-          (rate * std::chrono::duration<double>(settings_.costWindow_).count() +
-           burst) +
-        settings_.costSlack_;
-      leases_.SetLimit(organisation.name_, { rate, burst }, kSlackUse * slack);
+      double window =
+        std::chrono::duration<double>(settings_.costWindow_).count();
+      double overshoot = settings_.costOvershoot_ * (rate * window + burst);
+      leases_.SetLimit(organisation.name_,
+                       { rate, burst },
+                       kOvershootUse * overshoot +
+                         kSlackUse * settings_.costSlack_);
     }
   }
 
--- /dev/null
+++ b/tests/cluster_keeper_tests.cpp
@@ -0,0 +1,195 @@
+// A cluster that keeps its voters right by itself, and who may act for it.
+#define BOOST_TEST_MODULE cluster_keeper
+#include "tanagerstall/process/raft/tanagerstall_cluster_keeper.hpp"
+#include "tanagerstall/process/raft/tanagerstall_duty_lease.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace tanagerstall;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+const TimePoint kStart{ 1h };
+constexpr LogIndex kCommit = 10;
+constexpr std::size_t kWanted = 3;
+
+/// A member as the leader sees it.
+struct Seen
+{
+  MemberKey key_;
+  bool isVoter_;
+  bool isHeard_;
+  LogIndex match_;
+  const char* address_;
+};
+
+struct KeeperCase
+{
+  const char* name_;
+  std::vector<Seen> members_;
+  /// How long they have been so.
+  Duration for_;
+  /// The voters after the step; empty where none is taken.
+  std::vector<MemberKey> voters_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const KeeperCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<KeeperCase> kKeeperCases{
+  { "all well",
+    { { 1, true, true, 10, "a" },
+      { 2, true, true, 10, "b" },
+      { 3, true, true, 10, "c" } },
+    1h,
+    {} },
+  { "a learner where voters are missing",
+    { { 1, true, true, 10, "a" }, { 2, false, true, 10, "b" } },
+    1s,
+    { 1, 2 } },
+  { "a learner that lags",
+    { { 1, true, true, 10, "a" }, { 2, false, true, 9, "b" } },
+    1s,
+    {} },
+  { "a spare learner",
+    { { 1, true, true, 10, "a" },
+      { 2, true, true, 10, "b" },
+      { 3, true, true, 10, "c" },
+      { 4, false, true, 10, "d" } },
+    1h,
+    {} },
+  { "a voter silent for a moment",
+    { { 1, true, true, 10, "a" },
+      { 2, true, true, 10, "b" },
+      { 3, true, false, 5, "c" },
+      { 4, false, true, 10, "d" } },
+    2s,
+    {} },
+  { "a voter lost, a learner ready",
+    { { 1, true, true, 10, "a" },
+      { 2, true, true, 10, "b" },
+      { 3, true, false, 5, "c" },
+      { 4, false, true, 10, "d" } },
+    10s,
+    { 1, 2, 3, 4 } },
+  { "a voter lost, nobody to take its place",
+    { { 1, true, true, 10, "a" },
+      { 2, true, true, 10, "b" },
+      { 3, true, false, 5, "c" } },
+    1h,
+    {} },
+  { "its place is taken, so it goes",
+    { { 1, true, true, 10, "a" },
+      { 2, true, true, 10, "b" },
+      { 3, true, false, 5, "c" },
+      { 4, true, true, 10, "d" } },
+    10s,
+    { 1, 2, 4 } },
+  { "back with an empty disk",
+    { { 1, true, true, 10, "a" },
+      { 2, true, true, 10, "b" },
+      { 3, true, false, 5, "c" },
+      { 4, false, true, 0, "c" } },
+    1s,
+    { 1, 2 } },
+  { "no quorum without it",
+    { { 1, true, true, 10, "a" },
+      { 2, true, true, 3, "b" },
+      { 3, true, false, 5, "c" },
+      { 4, false, true, 0, "c" } },
+    1h,
+    {} },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(The_leader_takes_one_safe_step_at_a_time,
+                     data::make(kKeeperCases))
+{
+  Membership members;
+  std::vector<MemberProgress> progress;
+  for (const auto& seen : sample.members_) {
+    Member member;
+    member.key_ = seen.key_;
+    member.memberAddress_ = seen.address_;
+    member.isVoter_ = seen.isVoter_;
+    members.push_back(member);
+    progress.push_back({ member, seen.match_, seen.isHeard_ });
+  }
+  ClusterKeeper keeper;
+  keeper.Next(members, progress, kCommit, kWanted, kStart);
+  auto step =
+    keeper.Next(members, progress, kCommit, kWanted, kStart + sample.for_);
+  BOOST_TEST(step.has_value() == !sample.voters_.empty());
+  std::vector<MemberKey> voters;
+  for (const auto& member : step ? step->members_ : Membership()) {
+    if (member.isVoter_) {
+      voters.push_back(member.key_);
+    }
+  }
+  BOOST_TEST(voters == sample.voters_, boost::test_tools::per_element());
+}
+
+namespace {
+
+constexpr Duration kLease = 3s;
+constexpr Duration kTick = 100ms;
+
+/// Observes a member every tick until `aUntil`.
+void
+Observe(DutyLease& aLease,
+        bool aLeads,
+        Term aTerm,
+        TimePoint aFrom,
+        TimePoint aUntil)
+{
+  for (TimePoint now = aFrom; now <= aUntil; now += kTick) {
+    aLease.Observe(aLeads, aTerm, now);
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(A_new_leader_waits_until_an_earlier_holder_has_ended)
+{
+  DutyLease lease(kLease);
+  Observe(lease, true, 7, kStart, kStart + 2900ms);
+  lease.Confirm(7, kStart + 2900ms);
+  BOOST_TEST(!lease.Token(kStart + 2900ms).has_value());
+  Observe(lease, true, 7, kStart + 3s, kStart + 3s);
+  lease.Confirm(7, kStart + 3s);
+  BOOST_TEST(lease.Token(kStart + 3s).value() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(A_holder_acts_only_while_a_quorum_has_just_confirmed_it)
+{
+  DutyLease lease(kLease);
+  Observe(lease, true, 7, kStart, kStart + 4s);
+  BOOST_TEST(!lease.Token(kStart + 4s).has_value());
+  lease.Confirm(6, kStart + 4s);
+  BOOST_TEST(!lease.Token(kStart + 4s).has_value());
+  lease.Confirm(7, kStart + 3s);
+  BOOST_TEST(!lease.Token(kStart + 4s).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(A_leader_that_was_frozen_grants_nothing_until_it_is_sure)
+{
+  DutyLease lease(kLease);
+  Observe(lease, true, 7, kStart, kStart + 10s);
+  BOOST_TEST(lease.LeadsSteadily(kStart + 10s));
+  TimePoint woken = kStart + 17s;
+  BOOST_TEST(!lease.LeadsSteadily(woken));
+  lease.Observe(true, 7, woken);
+  BOOST_TEST(!lease.LeadsSteadily(woken));
+  lease.Confirm(7, woken);
+  BOOST_TEST(!lease.Token(woken).has_value());
+  lease.Observe(false, 8, woken + kTick);
+  BOOST_TEST(!lease.LeadsSteadily(woken + 1s));
+}
--- /dev/null
+++ b/tests/cost_limits_tests.cpp
@@ -0,0 +1,260 @@
+// An organisation's rate holds over all entries together.
+#define BOOST_TEST_MODULE cost_limits
+#include "tanagerstall/request/tanagerstall_cost_limits.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <memory>
+#include <random>
+#include <vector>
+
+using namespace tanagerstall;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+const TimePoint kStart{ 1h };
+const std::string kOrganisation = "booths";
+constexpr Duration kStep = 10ms;
+constexpr Duration kAnswerTime = 60ms;
+constexpr Duration kLength = 40s;
+/// The parts of what is tolerated that control grants.
+constexpr double kOvershootUse = 0.35;
+constexpr double kSlackUse = 0.6;
+/// What a deployment tolerates: a tenth more and a fixed cost.
+constexpr double kTolerated = 72'000;
+
+struct LoadCase
+{
+  const char* name_;
+  std::uint32_t seed_;
+  std::size_t entries_;
+  CostLimit limit_;
+  /// Asked for, as a multiple of the rate.
+  double load_;
+  double requestCost_;
+  /// When the leader is silent.
+  Duration silentFrom_;
+  Duration silentUntil_;
+  /// The least part of what is within the limit that has to be admitted.
+  double leastAdmitted_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const LoadCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<LoadCase> kLoadCases{
+  { "usual load", 1, 8, { 400'000, 400'000 }, 0.55, 9'000, 1h, 1h, 0.98 },
+  { "six times the usual",
+    2,
+    8,
+    { 400'000, 400'000 },
+    3.3,
+    9'000,
+    1h,
+    1h,
+    0.85 },
+  { "small organisation, large requests",
+    3,
+    8,
+    { 18'000, 18'000 },
+    0.55,
+    12'000,
+    1h,
+    1h,
+    0.8 },
+  { "leader lost under six times the usual",
+    4,
+    8,
+    { 400'000, 400'000 },
+    3.3,
+    9'000,
+    10s,
+    14s,
+    0.7 },
+  { "leader lost under usual load",
+    5,
+    8,
+    { 400'000, 400'000 },
+    0.55,
+    9'000,
+    10s,
+    14s,
+    0.9 },
+  { "many entries", 6, 60, { 400'000, 400'000 }, 3.3, 9'000, 1h, 1h, 0.6 },
+};
+
+struct Admitted
+{
+  TimePoint at_;
+  double cost_;
+};
+
+/// Entries with their own accounts before one leader.
+class Trial
+{
+public:
+  explicit Trial(const LoadCase& aCase)
+    : case_(aCase)
+    , random_(aCase.seed_)
+  {
+    for (std::size_t i = 0; i < aCase.entries_; ++i) {
+      entries_.push_back(std::make_unique<CostLimits>());
+    }
+    double overshoot =
+      0.1 * (aCase.limit_.ratePerSecond_ * 8 + aCase.limit_.burst_);
+    leases_.SetLimit(kOrganisation,
+                     aCase.limit_,
+                     kOvershootUse * overshoot + kSlackUse * kTolerated);
+  }
+
+  void Run()
+  {
+    for (now_ = kStart; now_ < kStart + kLength; now_ += kStep) {
+      Arrive();
+      Exchange();
+      Serve();
+    }
+  }
+
+  std::vector<Admitted> admitted_;
+  double asked_ = 0.0;
+
+private:
+  struct Waiting
+  {
+    std::size_t entry_;
+    double cost_;
+    TimePoint until_;
+  };
+
+  struct Answer
+  {
+    TimePoint at_;
+    std::size_t entry_;
+    CostByName grants_;
+  };
+
+  void Arrive()
+  {
+    double seconds = std::chrono::duration<double>(kStep).count();
+    double rate =
+      case_.limit_.ratePerSecond_ * case_.load_ / case_.requestCost_;
+    std::poisson_distribution<int> arrivals(rate * seconds);
+    std::uniform_int_distribution<std::size_t> entry(0, entries_.size() - 1);
+    std::exponential_distribution<double> cost(1.0 / case_.requestCost_);
+    for (int i = arrivals(random_); i > 0; --i) {
+      Waiting waiting{ entry(random_),
+                       std::min(cost(random_), 4 * case_.requestCost_),
+                       now_ + 250ms };
+      asked_ += waiting.cost_;
+      entries_[waiting.entry_]->Begin(kOrganisation, waiting.cost_);
+      waiting_.push_back(waiting);
+    }
+  }
+
+  bool IsLeaderSilent() const
+  {
+    return now_ >= kStart + case_.silentFrom_ &&
+           now_ < kStart + case_.silentUntil_;
+  }
+
+  void Exchange()
+  {
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      CostAsks asks = entries_[i]->Asks(now_);
+      if (!asks.empty() && !IsLeaderSilent()) {
+        answers_.push_back({ now_ + kAnswerTime,
+                             i,
+                             leases_.Grant(std::to_string(i), asks, now_) });
+      }
+    }
+    while (!answers_.empty() && answers_.front().at_ <= now_) {
+      const Answer& answer = answers_.front();
+      entries_[answer.entry_]->TakeGrants(
+        answer.grants_, static_cast<std::uint32_t>(entries_.size()));
+      answers_.pop_front();
+    }
+  }
+
+  void Serve()
+  {
+    std::erase_if(waiting_, [this](const Waiting& aIt) {
+      CostLimits& entry = *entries_[aIt.entry_];
+      auto verdict = entry.Take(kOrganisation, case_.limit_, aIt.cost_, now_);
+      bool isDone = verdict == CostVerdict::Admitted || now_ >= aIt.until_;
+      if (verdict == CostVerdict::Admitted) {
+        admitted_.push_back({ now_, aIt.cost_ });
+      }
+      if (isDone) {
+        entry.End(kOrganisation, aIt.cost_);
+      }
+      return isDone;
+    });
+  }
+
+  const LoadCase& case_;
+  std::mt19937 random_;
+  TimePoint now_;
+  std::vector<std::unique_ptr<CostLimits>> entries_;
+  CostLeases leases_;
+  std::vector<Waiting> waiting_;
+  std::deque<Answer> answers_;
+};
+
+/// The most that was admitted in any window.
+double
+MostInWindow(const std::vector<Admitted>& aAdmitted, Duration aWindow)
+{
+  double most = 0.0;
+  double sum = 0.0;
+  std::size_t first = 0;
+  for (const auto& admitted : aAdmitted) {
+    sum += admitted.cost_;
+    while (admitted.at_ - aAdmitted[first].at_ > aWindow) {
+      sum -= aAdmitted[first++].cost_;
+    }
+    most = std::max(most, sum);
+  }
+  return most;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(No_window_sees_more_than_the_limit_and_its_slack,
+                     data::make(kLoadCases))
+{
+  Trial trial(sample);
+  trial.Run();
+  double allowed =
+    (sample.limit_.ratePerSecond_ * 8 + sample.limit_.burst_) * 1.1 +
+    kTolerated;
+  BOOST_TEST(MostInWindow(trial.admitted_, 8s) <= allowed);
+}
+
+BOOST_DATA_TEST_CASE(What_is_within_the_limit_is_admitted,
+                     data::make(kLoadCases))
+{
+  Trial trial(sample);
+  trial.Run();
+  double seconds = std::chrono::duration<double>(kLength).count();
+  double within =
+    std::min(trial.asked_, sample.limit_.ratePerSecond_ * seconds);
+  double sum = 0.0;
+  for (const auto& admitted : trial.admitted_) {
+    sum += admitted.cost_;
+  }
+  BOOST_TEST(sum >= within * sample.leastAdmitted_);
+}
+
+BOOST_AUTO_TEST_CASE(Without_a_limit_everything_is_admitted)
+{
+  CostLimits limits;
+  BOOST_TEST((limits.Take("free", {}, 1e12, kStart) == CostVerdict::Admitted));
+}
--- /dev/null
+++ b/tests/forwarder_tests.cpp
@@ -0,0 +1,370 @@
+// Each fault of an upstream, for each kind of request: a whole answer, a
+// truthful refusal, or a visible break.
+#define BOOST_TEST_MODULE forwarder
+#include "tanagerstall/connection/tanagerstall_http_server.hpp"
+#include "tanagerstall/request/tanagerstall_forwarder.hpp"
+#include "tanagerstall_platform_names.hpp"
+#include "tanagerstall_platform_plan.hpp"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace tanagerstall;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+constexpr const char* kSeal = "Tanagerstall-Response-Seal: s\r\n";
+
+/// How an upstream ends a connection after its bytes.
+enum class After
+{
+  Keep,
+  Close,
+  Reset
+};
+
+struct Script
+{
+  std::string bytes_;
+  After after_ = After::Keep;
+};
+
+/// An upstream that answers every request with the same bytes, in which
+/// "@ID" stands for the request's id.
+class ScriptedUpstream
+{
+public:
+  explicit ScriptedUpstream(Script aScript)
+    : script_(std::move(aScript))
+    , listener_(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    ::bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
+    ::listen(listener_, 8);
+    ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
+    port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this] { Accept(); });
+  }
+
+  ~ScriptedUpstream()
+  {
+    ::shutdown(listener_, SHUT_RDWR);
+    ::close(listener_);
+    thread_.join();
+  }
+
+  ScriptedUpstream(const ScriptedUpstream&) = delete;
+  ScriptedUpstream& operator=(const ScriptedUpstream&) = delete;
+
+  std::string Address() const { return "127.0.0.1:" + std::to_string(port_); }
+  int Requests() const { return requests_; }
+  std::string LastRequest() const { return last_; }
+
+private:
+  void Accept()
+  {
+    while (true) {
+      int connection = ::accept(listener_, nullptr, nullptr);
+      if (connection < 0) {
+        return;
+      }
+      Serve(connection);
+    }
+  }
+
+  /// Requests of these tests have no body.
+  void Serve(int aConnection)
+  {
+    std::string head;
+    char buffer[4096]; // NOLINT
+    while (head.find("\r\n\r\n") == std::string::npos) {
+      auto count = ::recv(aConnection, buffer, sizeof(buffer), 0);
+      if (count <= 0) {
+        ::close(aConnection);
+        return;
+      }
+      head.append(buffer, static_cast<std::size_t>(count));
+    }
+    last_ = head;
+    ++requests_;
+    std::string bytes = script_.bytes_;
+    constexpr std::string_view kIdHeader = "Tanagerstall-Request-Id: ";
+    auto at = head.find(kIdHeader) + kIdHeader.size();
+    std::string id = head.substr(at, head.find('\r', at) - at);
+    for (auto mark = bytes.find("@ID"); mark != std::string::npos;
+         mark = bytes.find("@ID")) {
+      bytes.replace(mark, 3, id);
+    }
+    ::send(aConnection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (script_.after_ == After::Keep) {
+      ::recv(aConnection, buffer, sizeof(buffer), 0);
+    } else if (script_.after_ == After::Reset) {
+      std::this_thread::sleep_for(30ms);
+      linger hard{ 1, 0 };
+      ::setsockopt(aConnection, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    }
+    ::close(aConnection);
+  }
+
+  Script script_;
+  int listener_;
+  std::uint16_t port_ = 0;
+  std::atomic<int> requests_{ 0 };
+  std::string last_;
+  std::thread thread_;
+};
+
+constexpr const char* kDocument =
+  R"({"version":1,"services":[{"name":"s"}],"routes":[)"
+  R"({"name":"safe","host":"h","pathPrefix":"/safe/","kind":"safe",)"
+  R"("timeoutMs":1500,"service":"s","attempts":2},)"
+  R"({"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe",)"
+  R"("timeoutMs":1500,"service":"s","attempts":2},)"
+  R"({"name":"stream","host":"h","pathPrefix":"/stream/","kind":"streaming",)"
+  R"("timeoutMs":1500,"service":"s","attempts":2},)"
+  R"({"name":"resume","host":"h","pathPrefix":"/resume/","kind":"streaming",)"
+  R"("timeoutMs":1500,"service":"s","attempts":2,"resumable":true}]})";
+
+/// An entry's forwarder behind a server, in front of scripted upstreams.
+struct World
+{
+  explicit World(const std::vector<const ScriptedUpstream*>& aUpstreams)
+    : threads_(1)
+    , forwarder_({ platform::MakeCallerProtocol(), "a", {}, 0.2, 100.0, 5s },
+                 Clock(),
+                 { ReadWallTime, [] {} })
+    , server_(threads_, {}, [this](HttpExchange& aExchange) {
+      forwarder_.Handle(aExchange);
+    })
+  {
+    auto replicas = std::make_shared<ReplicasByService>();
+    for (std::size_t i = 0; i < aUpstreams.size(); ++i) {
+      Replica replica;
+      replica.id_ = "r" + std::to_string(i);
+      replica.service_ = "s";
+      replica.address_ = aUpstreams[i]->Address();
+      replica.failureDomain_ = "a";
+      (*replicas)["s"].push_back(replica);
+    }
+    auto plan = std::make_shared<TrafficPlan>(*platform::DecodePlan(kDocument));
+    std::promise<void> ready;
+    threads_.Post([&] {
+      forwarder_.SetPlan(plan);
+      forwarder_.SetEntries(1);
+      forwarder_.SetReplicas(replicas);
+      ready.set_value();
+    });
+    ready.get_future().wait();
+    address_ = *server_.Listen({ "127.0.0.1", 0 });
+  }
+
+  ~World() { threads_.Stop(); }
+
+  /// What a caller sees.
+  tl::expected<HttpResponse, TransportError> Ask(const std::string& aPath)
+  {
+    std::promise<tl::expected<HttpResponse, TransportError>> promise;
+    threads_.Spawn([&](Fiber& aFiber) {
+      HttpRequest request{ "GET",
+                           aPath,
+                           { { "Host", "h" },
+                             { "Tanagerstall-Request-Id", "id-1" },
+                             { "Tanagerstall-Time-Remaining", "1200" } },
+                           "" };
+      promise.set_value(FetchHttp(aFiber, address_, request, 3s));
+    });
+    return promise.get_future().get();
+  }
+
+  TrafficThreads threads_;
+  Forwarder forwarder_;
+  HttpServer server_;
+  Address address_;
+};
+
+std::string
+Head(const std::string& aStatus, const std::string& aMore = kSeal)
+{
+  return "HTTP/1.1 " + aStatus + "\r\nTanagerstall-Request-Id: @ID\r\n" + aMore;
+}
+
+std::string
+Chunk(const std::string& aText)
+{
+  std::ostringstream chunk;
+  chunk << std::hex << aText.size() << "\r\n" << aText << "\r\n";
+  return chunk.str();
+}
+
+const std::string kWhole = Head("200 OK") + "Content-Length: 5\r\n\r\nhello";
+const std::string kStreamHead =
+  Head("200 OK") + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string kEvent1 = "id: 1\ndata: a\n\n";
+const std::string kEvent2 = "id: 2\ndata: b\n\n";
+
+/// A status, or 0 for a break that a caller can't take for an end.
+constexpr int kBroken = 0;
+
+struct FaultCase
+{
+  const char* name_;
+  const char* path_;
+  Script script_;
+  /// What the caller sees when every upstream does so.
+  int status_;
+  /// Requests that the upstreams got together; there are two of them.
+  int sends_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const FaultCase& aCase)
+{
+  return aOut << aCase.path_ << " " << aCase.name_;
+}
+
+const std::string kNotRun =
+  Head("503 Service Unavailable", "Tanagerstall-Not-Executed: 1\r\n") +
+  "Content-Length: 0\r\n\r\n";
+const std::string kFailed =
+  Head("500 Internal Server Error") + "Content-Length: 2\r\n\r\nno";
+const std::string kHalf = Head("200 OK") + "Content-Length: 50\r\n\r\nhello";
+const std::string kUnsealed =
+  Head("200 OK", "") + "Content-Length: 5\r\n\r\nhello";
+const std::string kForeign =
+  std::string("HTTP/1.1 200 OK\r\nTanagerstall-Request-Id: other\r\n") + kSeal +
+  "Content-Length: 5\r\n\r\nwrong";
+const std::string kMisdirected =
+  "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+
+const std::vector<FaultCase> kFaults{
+  { "whole", "/safe/x", { kWhole, After::Keep }, 200, 1 },
+  { "half", "/safe/x", { kHalf, After::Close }, 502, 2 },
+  { "reset", "/safe/x", { "", After::Reset }, 502, 2 },
+  { "closed", "/safe/x", { "", After::Close }, 502, 2 },
+  { "no answer in the protocol",
+    "/safe/x",
+    { "what?\r\n\r\n", After::Close },
+    502,
+    2 },
+  { "no seal", "/safe/x", { kUnsealed, After::Close }, 502, 2 },
+  { "of another request", "/safe/x", { kForeign, After::Close }, 502, 2 },
+  { "refused", "/safe/x", { kNotRun, After::Keep }, 503, 2 },
+  { "misdirected", "/safe/x", { kMisdirected, After::Close }, 503, 2 },
+  { "failed", "/safe/x", { kFailed, After::Keep }, 500, 2 },
+  { "silent", "/safe/x", { "", After::Keep }, 504, 1 },
+  { "unframed",
+    "/safe/x",
+    { Head("200 OK") + "\r\nhello", After::Close },
+    200,
+    1 },
+  { "unframed and reset",
+    "/safe/x",
+    { Head("200 OK") + "\r\nhello", After::Reset },
+    502,
+    2 },
+  { "whole", "/once/x", { kWhole, After::Keep }, 200, 1 },
+  { "half", "/once/x", { kHalf, After::Close }, 502, 1 },
+  { "reset", "/once/x", { "", After::Reset }, 502, 1 },
+  { "closed", "/once/x", { "", After::Close }, 502, 1 },
+  { "no answer in the protocol",
+    "/once/x",
+    { "what?\r\n\r\n", After::Close },
+    502,
+    1 },
+  { "no seal", "/once/x", { kUnsealed, After::Close }, 502, 1 },
+  { "of another request", "/once/x", { kForeign, After::Close }, 502, 1 },
+  { "refused", "/once/x", { kNotRun, After::Keep }, 503, 2 },
+  { "misdirected", "/once/x", { kMisdirected, After::Close }, 503, 2 },
+  { "failed", "/once/x", { kFailed, After::Keep }, 500, 1 },
+  { "silent", "/once/x", { "", After::Keep }, 504, 1 },
+  { "whole",
+    "/stream/x",
+    { kStreamHead + Chunk(kEvent1 + kEvent2) + "0\r\n\r\n", After::Keep },
+    200,
+    1 },
+  { "cut before an event", "/stream/x", { kStreamHead, After::Reset }, 502, 1 },
+  { "cut after an event",
+    "/stream/x",
+    { kStreamHead + Chunk(kEvent1), After::Reset },
+    kBroken,
+    1 },
+  { "cut within an event",
+    "/stream/x",
+    { kStreamHead + Chunk(kEvent1 + "id: 2\nda"), After::Close },
+    kBroken,
+    1 },
+  { "refused", "/stream/x", { kNotRun, After::Keep }, 503, 2 },
+  { "cut before an event", "/resume/x", { kStreamHead, After::Reset }, 502, 2 },
+  { "cut after an event",
+    "/resume/x",
+    { kStreamHead + Chunk(kEvent1), After::Reset },
+    kBroken,
+    2 },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(A_faulty_upstream_never_makes_a_false_answer,
+                     data::make(kFaults))
+{
+  ScriptedUpstream one(sample.script_);
+  ScriptedUpstream other(sample.script_);
+  World world({ &one, &other });
+  auto answer = world.Ask(sample.path_);
+  BOOST_TEST((answer ? answer->status_ : kBroken) == sample.status_);
+  BOOST_TEST(one.Requests() + other.Requests() == sample.sends_);
+  if (answer && answer->status_ == 503) {
+    BOOST_TEST(!answer->Header("Retry-After").empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(A_stream_goes_on_behind_its_last_whole_event)
+{
+  ScriptedUpstream cut(
+    { kStreamHead + Chunk(kEvent1 + "id: 2\nda"), After::Reset });
+  ScriptedUpstream rest(
+    { kStreamHead + Chunk(kEvent2) + "0\r\n\r\n", After::Keep });
+  // Which of the two is asked first is the chooser's affair.
+  World world({ &cut, &rest });
+  auto answer = world.Ask("/resume/x");
+  BOOST_REQUIRE(answer.has_value());
+  if (cut.Requests() == 1) {
+    BOOST_TEST(answer->body_ == kEvent1 + kEvent2);
+    BOOST_TEST(rest.LastRequest().find("Last-Event-Id: 1\r\n") !=
+               std::string::npos);
+  } else {
+    BOOST_TEST(answer->body_ == kEvent2);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(An_answer_behind_a_late_one_is_found_by_its_id)
+{
+  ScriptedUpstream upstream({ kWhole + kForeign, After::Keep });
+  World world({ &upstream });
+  for (int i = 0; i < 2; ++i) {
+    auto answer = world.Ask("/once/x");
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->body_ == "hello");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Without_replicas_a_request_is_refused_at_once)
+{
+  World world({});
+  auto answer = world.Ask("/once/x");
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->status_ == 503);
+  BOOST_TEST(world.Ask("/nowhere")->status_ == 404);
+}
--- /dev/null
+++ b/tests/platform_tests.cpp
@@ -0,0 +1,316 @@
+// What the platform writes is decoded once, with every invalid form refused.
+#define BOOST_TEST_MODULE platform
+#include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
+#include "tanagerstall/version/tanagerstall_fleet_state.hpp"
+#include "tanagerstall_platform_control.hpp"
+#include "tanagerstall_platform_names.hpp"
+#include "tanagerstall_platform_plan.hpp"
+#include "tanagerstall_platform_settings.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace tanagerstall;
+using namespace tanagerstall::platform;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+constexpr const char* kRoute =
+  R"({"name":"r1","host":"h.example","pathPrefix":"/a/","kind":"safe",)"
+  R"("timeoutMs":1000,"service":"s1","attempts":2})";
+constexpr const char* kService = R"({"name":"s1","healthPath":"/health"})";
+
+std::string
+Document(const std::string& aRoutes,
+         const std::string& aServices = kService,
+         const std::string& aMore = "")
+{
+  return R"({"version":7,"routes":[)" + aRoutes + R"(],"services":[)" +
+         aServices + "]" + aMore + "}";
+}
+
+std::string
+With(std::string aText, const std::string& aFrom, const std::string& aTo)
+{
+  return aText.replace(aText.find(aFrom), aFrom.size(), aTo);
+}
+
+struct DocumentCase
+{
+  const char* name_;
+  std::string document_;
+  /// Part of the error; "" for a valid document.
+  const char* error_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const DocumentCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::string kValid = Document(kRoute);
+const std::string kOtherRoute = With(kRoute, "/a/", "/a/b/");
+
+const std::vector<DocumentCase> kDocuments{
+  { "valid", kValid, "" },
+  { "two prefixes", Document(kRoute + ("," + kOtherRoute)), "" },
+  { "unknown fields", Document(With(kRoute, "{", R"({"new":[1],)")), "" },
+  { "cut short", kValid.substr(0, kValid.size() - 1), "JSON" },
+  { "empty", "", "JSON" },
+  { "more behind it", kValid + "x", "JSON" },
+  { "no object", "[]", "no object" },
+  { "no version", With(kValid, "version", "v"), "\"version\"" },
+  { "version as text", With(kValid, "7", "\"7\""), "\"version\"" },
+  { "negative version", With(kValid, "7", "-7"), "\"version\"" },
+  { "no services", With(kValid, "services", "s"), "\"services\"" },
+  { "unknown service",
+    Document(With(kRoute, "\"s1\"", "\"s2\"")),
+    "unknown service" },
+  { "unknown kind", Document(With(kRoute, "safe", "odd")), "unknown kind" },
+  { "no timeout", Document(With(kRoute, "1000", "0")), "timeout" },
+  { "same place", Document(kRoute + ("," + std::string(kRoute))), "share" },
+  { "prefix without slash", Document(With(kRoute, "/a/", "/a")), "slash" },
+  { "weights of 0",
+    Document(With(kRoute,
+                  R"("service":"s1")",
+                  R"("trafficSplit":[{"service":"s1","weight":0}])")),
+    "add up to 0" },
+  { "two organisations, one key",
+    Document(
+      kRoute,
+      kService,
+      R"(,"tenants":[{"name":"t1","apiKeys":["k"]},{"name":"t2","apiKeys":["k"]}])"),
+    "share a key" },
+  { "one organisation, its key twice",
+    Document(kRoute,
+             kService,
+             R"(,"tenants":[{"name":"t1","apiKeys":["k","k"]}])"),
+    "" },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(A_declaration_is_read_whole_or_refused,
+                     data::make(kDocuments))
+{
+  auto plan = DecodePlan(sample.document_);
+  BOOST_TEST(plan.has_value() == (*sample.error_ == '\0'));
+  if (!plan) {
+    BOOST_TEST(plan.error().message_.find(sample.error_) != std::string::npos,
+               plan.error().message_);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(The_longest_prefix_of_a_host_decides)
+{
+  auto plan =
+    DecodePlan(Document(kRoute + ("," + With(kOtherRoute, "r1", "r2"))));
+  BOOST_TEST(plan->FindRoute("h.example", "/a/x")->name_ == "r1");
+  BOOST_TEST(plan->FindRoute("h.example", "/a/b/x")->name_ == "r2");
+  BOOST_TEST(plan->FindRoute("h.example", "/a/bx")->name_ == "r1");
+  BOOST_TEST(plan->FindRoute("h.example", "/ax") == nullptr);
+  BOOST_TEST(plan->FindRoute("other.example", "/a/x") == nullptr);
+}
+
+namespace {
+
+struct DeclareCase
+{
+  const char* name_;
+  std::vector<Declaration> declared_;
+  Declaration kept_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const DeclareCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<DeclareCase> kDeclareCases{
+  { "higher", { { 3, "x" }, { 5, "y" } }, { 5, "y" } },
+  { "lower", { { 5, "x" }, { 3, "y" } }, { 5, "x" } },
+  { "resent", { { 5, "x" }, { 5, "x" } }, { 5, "x" } },
+  { "other content under the same number",
+    { { 5, "x" }, { 5, "y" } },
+    { 5, "x" } },
+  { "an overtaken one arrives again",
+    { { 3, "x" }, { 5, "y" }, { 3, "x" } },
+    { 5, "y" } },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(The_highest_declaration_stands, data::make(kDeclareCases))
+{
+  FleetState state;
+  auto machine = state.AsStateMachine();
+  for (const auto& declaration : sample.declared_) {
+    machine.apply_(FleetState::EncodeDeclare(declaration));
+  }
+  FleetState other;
+  other.AsStateMachine().installSnapshot_(machine.takeSnapshot_());
+  for (const auto* it : { &state, &other }) {
+    BOOST_TEST(it->Current().number_ == sample.kept_.number_);
+    BOOST_TEST(it->Current().document_ == sample.kept_.document_);
+  }
+  auto read = FleetState::DecodeDeclaration(machine.query_({}));
+  BOOST_TEST(read.document_ == sample.kept_.document_);
+}
+
+BOOST_AUTO_TEST_CASE(The_first_counts_of_a_window_stand)
+{
+  FleetState state;
+  auto machine = state.AsStateMachine();
+  machine.apply_(FleetState::EncodeUsage({ 9, { { "t1", 4 } } }));
+  auto second = FleetState::DecodeUsage(
+    machine.apply_(FleetState::EncodeUsage({ 9, { { "t1", 5 } } })));
+  BOOST_TEST(second.counts_.at("t1") == 4U);
+  BOOST_TEST(state.AgreedUsage(9)->at("t1") == 4U);
+}
+
+namespace {
+
+struct AnnouncementCase
+{
+  const char* name_;
+  const char* body_;
+  bool isTaken_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const AnnouncementCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<AnnouncementCase> kAnnouncements{
+  { "ready",
+    R"({"service":"s","address":"1.2.3.4:5","state":"ready","sequence":4})",
+    true },
+  { "draining",
+    R"({"service":"s","address":"1.2.3.4:5","state":"draining","sequence":4})",
+    true },
+  { "unknown state",
+    R"({"service":"s","address":"1.2.3.4:5","state":"odd","sequence":4})",
+    false },
+  { "no state",
+    R"({"service":"s","address":"1.2.3.4:5","sequence":4})",
+    false },
+  { "no sequence",
+    R"({"service":"s","address":"1.2.3.4:5","state":"ready"})",
+    false },
+  { "sequence as text",
+    R"({"service":"s","address":"1.2.3.4:5","state":"ready","sequence":"4"})",
+    false },
+  { "service of another type",
+    R"({"service":5,"address":"1.2.3.4:5","state":"ready","sequence":4})",
+    false },
+  { "malformed address",
+    R"({"service":"s","address":"here","state":"ready","sequence":4})",
+    false },
+  { "unreadable", "\x01\x02", false },
+  { "empty", "", false },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(An_announcement_is_typed_or_refused,
+                     data::make(kAnnouncements))
+{
+  BOOST_TEST(DecodeAnnouncement("r1", sample.body_).has_value() ==
+             sample.isTaken_);
+}
+
+namespace {
+
+constexpr const char* kEntryFile =
+  "nodeName=front-1\nzone=a\nregion=north\nzones.a=north\nzones.b=south\n"
+  "ipAddress=10.1.0.14\nlisten.front=10.1.0.14:8221\n"
+  "listen.ready=10.1.0.14:8224\ninternalPortRange=7600,7615\n"
+  "seeds=10.1.0.17:8229,10.2.0.7:8229\nbounds.graceS=8\n"
+  "bounds.retryBudgetRatio=0.2\nbounds.retryBudgetSlack=56\n"
+  "bounds.usageWindowS=5\nnew.field=1\n";
+
+struct SettingsCase
+{
+  const char* from_;
+  const char* to_;
+  /// The field that the error names.
+  const char* named_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const SettingsCase& aCase)
+{
+  return aOut << aCase.from_;
+}
+
+const std::vector<SettingsCase> kSettingsCases{
+  { "nodeName=front-1\n", "", "nodeName" },
+  { "listen.front=10.1.0.14:8221", "listen.front=here", "listen.front" },
+  { "bounds.graceS=8", "bounds.graceS=soon", "bounds.graceS" },
+  { "internalPortRange=7600,7615", "internalPortRange=x", "internalPortRange" },
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(An_entry_reads_its_settings)
+{
+  auto settings = ReadEntrySettings(ParseSettingsFile(kEntryFile));
+  BOOST_REQUIRE(settings.has_value());
+  BOOST_TEST(settings->callerAddress_.ToString() == "10.1.0.14:8221");
+  BOOST_TEST(settings->control_.at(1).ToString() == "10.2.0.7:7601");
+  BOOST_TEST((settings->grace_ == 8s));
+  BOOST_TEST(settings->forwarder_.regions_.at("b") == "south");
+}
+
+BOOST_DATA_TEST_CASE(A_setting_that_is_missing_or_malformed_is_named,
+                     data::make(kSettingsCases))
+{
+  auto settings = ReadEntrySettings(
+    ParseSettingsFile(With(kEntryFile, sample.from_, sample.to_)));
+  BOOST_REQUIRE(!settings.has_value());
+  BOOST_TEST(settings.error().message_.find(sample.named_) !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(What_is_ours_to_set_never_comes_from_the_caller)
+{
+  auto protocol = MakeCallerProtocol();
+  auto plan = std::make_shared<TrafficPlan>(*DecodePlan(kValid));
+  ForwardedRequest request;
+  request.plan_ = plan;
+  request.route_ = &plan->routes_.front();
+  request.deadline_ = TimePoint(1h) + 700ms;
+  HttpRequest from{ "GET", "/a/x?q=1", {}, "" };
+  for (const auto& name : protocol.reserved_) {
+    from.headers_.push_back({ name, "smuggled" });
+  }
+  for (const auto& name : { protocol.key_,
+                            protocol.organisation_,
+                            protocol.expectedReplica_,
+                            protocol.urgency_,
+                            protocol.timeRemaining_,
+                            std::string("X-Hop"),
+                            std::string("Transfer-Encoding") }) {
+    from.headers_.push_back({ name, "smuggled" });
+  }
+  from.headers_.push_back({ "Connection", "close, X-Hop" });
+  from.headers_.push_back({ "X-Other", "kept" });
+  Replica replica;
+  replica.id_ = "r1";
+  auto to =
+    MakeUpstreamRequest(from, request, replica, protocol, TimePoint(1h));
+  for (const auto& header : to.headers_) {
+    BOOST_TEST(header.value_ != "smuggled", header.name_);
+  }
+  BOOST_TEST(to.target_ == "/a/x?q=1");
+  BOOST_TEST(to.Header("X-Other") == "kept");
+  BOOST_TEST(to.Header(protocol.timeRemaining_) == "700");
+  BOOST_TEST(to.Header(protocol.expectedReplica_) == "r1");
+}
--- /dev/null
+++ b/tests/replica_choice_tests.cpp
@@ -0,0 +1,272 @@
+// Where requests go, and how many replicas are ordered.
+#define BOOST_TEST_MODULE replica_choice
+#include "tanagerstall/process/tanagerstall_replica_placement.hpp"
+#include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace tanagerstall;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+const TimePoint kStart{ 1h };
+
+/// Replicas "a-0", "a-1", ... of one service.
+std::shared_ptr<const ReplicasByService>
+MakeReplicas(const std::map<std::string, std::size_t>& aCounts)
+{
+  auto replicas = std::make_shared<ReplicasByService>();
+  for (const auto& [domain, count] : aCounts) {
+    for (std::size_t i = 0; i < count; ++i) {
+      Replica replica;
+      replica.id_ = domain + "-" + std::to_string(i);
+      replica.service_ = "model";
+      replica.failureDomain_ = domain;
+      replica.bornMs_ = 1;
+      (*replicas)["model"].push_back(replica);
+    }
+  }
+  return replicas;
+}
+
+ReplicaChooser
+MakeChooser(const std::map<std::string, std::size_t>& aCounts,
+            std::uint64_t aSeed = 1)
+{
+  ReplicaChooser chooser(
+    { "a", { { "a", "north" }, { "b", "north" }, { "c", "south" } } }, aSeed);
+  chooser.SetReplicas(MakeReplicas(aCounts));
+  return chooser;
+}
+
+ChoiceRequest
+Ask(std::uint64_t aKey = 0, bool aIsLong = false)
+{
+  return { "model", aKey, aIsLong, 1000.0, {} };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(Requests_that_share_parts_meet_at_one_replica)
+{
+  auto one = MakeChooser({ { "a", 6 } }, 1);
+  auto other = MakeChooser({ { "a", 6 } }, 2);
+  auto first = one.Choose(Ask(42), kStart);
+  BOOST_TEST(one.Choose(Ask(42), kStart)->id_ == first->id_);
+  BOOST_TEST(other.Choose(Ask(42), kStart)->id_ == first->id_);
+}
+
+BOOST_AUTO_TEST_CASE(A_hot_part_overflows_to_other_replicas)
+{
+  auto chooser = MakeChooser({ { "a", 6 } });
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 60; ++i) {
+    ++counts[chooser.Choose(Ask(42), kStart)->id_];
+  }
+  BOOST_TEST(counts.size() >= 4U);
+  for (const auto& [id, count] : counts) {
+    BOOST_TEST(count <= 20);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(The_own_region_goes_first)
+{
+  auto chooser = MakeChooser({ { "b", 2 }, { "c", 6 } });
+  for (std::uint64_t key = 0; key < 4; ++key) {
+    BOOST_TEST(chooser.Choose(Ask(key), kStart)->failureDomain_ == "b");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Long_answers_and_long_prompts_are_kept_apart)
+{
+  auto chooser = MakeChooser({ { "a", 10 } });
+  std::set<std::string> longAnswers;
+  std::set<std::string> others;
+  for (std::uint64_t key = 1; key < 200; ++key) {
+    longAnswers.insert(chooser.Choose(Ask(key, true), kStart)->id_);
+    others.insert(chooser.Choose(Ask(key, false), kStart)->id_);
+  }
+  BOOST_TEST(longAnswers.size() == 2U);
+  BOOST_TEST(others.size() == 8U);
+  for (const auto& id : longAnswers) {
+    BOOST_TEST(!others.contains(id));
+  }
+}
+
+namespace {
+
+struct OutcomeCase
+{
+  AttemptOutcome outcome_;
+  /// How long the replica is passed over at least, and at most.
+  Duration least_;
+  Duration most_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const OutcomeCase& aCase)
+{
+  return aOut << static_cast<int>(aCase.outcome_);
+}
+
+const std::vector<OutcomeCase> kOutcomeCases{
+  { AttemptOutcome::Answered, 0ms, 0ms },
+  { AttemptOutcome::Abandoned, 0ms, 0ms },
+  { AttemptOutcome::Refused, 10ms, 200ms },
+  { AttemptOutcome::Unreachable, 300ms, 2s },
+  { AttemptOutcome::Broken, 300ms, 2s },
+  { AttemptOutcome::Misdirected, 10min, Duration::max() },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(A_replica_that_failed_is_passed_over_for_a_while,
+                     data::make(kOutcomeCases))
+{
+  auto chooser = MakeChooser({ { "a", 2 } });
+  auto failed = chooser.Choose(Ask(7), kStart);
+  chooser.Finish(*failed, 1000.0, sample.outcome_, kStart);
+  auto isChosen = [&](Duration aAfter) {
+    auto chosen = chooser.Choose(Ask(7), kStart + aAfter);
+    chooser.Finish(*chosen, 1000.0, AttemptOutcome::Abandoned, kStart + aAfter);
+    return chosen->id_ == failed->id_;
+  };
+  if (sample.least_ > 0ms) {
+    BOOST_TEST(!isChosen(sample.least_));
+  }
+  if (sample.most_ != Duration::max()) {
+    BOOST_TEST(isChosen(sample.most_));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Where_all_look_bad_all_are_used)
+{
+  auto chooser = MakeChooser({ { "a", 2 } });
+  for (int i = 0; i < 4; ++i) {
+    auto chosen = chooser.Choose(Ask(), kStart);
+    chooser.Finish(*chosen, 1000.0, AttemptOutcome::Broken, kStart);
+  }
+  BOOST_TEST(chooser.Choose(Ask(), kStart).has_value());
+}
+
+namespace {
+
+ScalingBounds
+MakeBounds()
+{
+  return { 1, 8, 4s, 0.2, { { "a", 0.85 }, { "b", 1.0 }, { "c", 1.2 } } };
+}
+
+/// A cloud that gives what is ordered, and one placement that orders.
+struct PlacementTrial
+{
+  PlacementTrial()
+  {
+    for (const auto* domain : { "a", "b", "c" }) {
+      input_.domains_[domain] = { 0, 4 };
+    }
+  }
+
+  /// Lets time pass; orders come at once unless their domain is dry.
+  void Pass(Duration aFor)
+  {
+    for (TimePoint until = now_ + aFor; now_ < until; now_ += 500ms) {
+      for (const auto& order : placement_.Next(input_, now_)) {
+        bool isDry =
+          order.isReclaimable_ && dry_.contains(order.failureDomain_);
+        placement_.OnAnswer(order,
+                            isDry ? CloudAnswer::Unavailable
+                                  : CloudAnswer::Accepted,
+                            now_);
+        auto& domain = input_.domains_[order.failureDomain_];
+        ++orders_;
+        if (!isDry) {
+          (order.isReclaimable_ ? domain.reclaimable_ : domain.onDemand_) =
+            order.count_;
+        }
+      }
+    }
+  }
+
+  std::uint32_t Count(bool aReclaimable) const
+  {
+    std::uint32_t count = 0;
+    for (const auto& [domain, replicas] : input_.domains_) {
+      count += aReclaimable ? replicas.reclaimable_ : replicas.onDemand_;
+    }
+    return count;
+  }
+
+  ReplicaPlacement placement_;
+  PlacementInput input_{ "model", MakeBounds(), {}, 0 };
+  std::set<std::string> dry_;
+  std::size_t orders_ = 0;
+  TimePoint now_ = kStart;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(Reclaimable_replicas_take_the_place_of_those_on_demand)
+{
+  PlacementTrial trial;
+  trial.input_.running_ = 60;
+  trial.Pass(20s);
+  BOOST_TEST(trial.Count(true) >= 6U);
+  BOOST_TEST(trial.Count(false) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(A_lost_failure_domain_is_covered_on_demand)
+{
+  PlacementTrial trial;
+  trial.input_.running_ = 70;
+  trial.Pass(20s);
+  trial.dry_ = { "a", "b", "c" };
+  trial.input_.domains_["a"] = {};
+  trial.Pass(2s);
+  std::uint32_t left = trial.Count(true);
+  BOOST_TEST(left + trial.Count(false) >= 5U);
+  trial.input_.domains_["b"].reclaimable_ = 0;
+  trial.Pass(2s);
+  BOOST_TEST(trial.Count(false) >= 3U);
+}
+
+BOOST_AUTO_TEST_CASE(On_demand_replicas_go_once_reclaimable_ones_are_back)
+{
+  PlacementTrial trial;
+  trial.input_.running_ = 70;
+  trial.Pass(20s);
+  trial.dry_ = { "a" };
+  trial.input_.domains_["a"] = {};
+  trial.Pass(10s);
+  trial.dry_ = {};
+  trial.Pass(20s);
+  BOOST_TEST(trial.Count(false) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Steady_demand_calls_for_few_orders)
+{
+  PlacementTrial trial;
+  trial.input_.running_ = 60;
+  trial.Pass(60s);
+  std::size_t before = trial.orders_;
+  trial.Pass(60s);
+  BOOST_TEST(trial.orders_ - before <= 3U);
+}
+
+BOOST_AUTO_TEST_CASE(Every_order_keeps_the_bounds_of_a_domain)
+{
+  PlacementTrial trial;
+  for (std::uint32_t running : { 0U, 40U, 900U, 10U }) {
+    trial.input_.running_ = running;
+    trial.Pass(15s);
+    for (const auto& [domain, replicas] : trial.input_.domains_) {
+      BOOST_TEST(replicas.reclaimable_ + replicas.onDemand_ >= 1U);
+      BOOST_TEST(replicas.reclaimable_ <= 8U);
+      BOOST_TEST(replicas.onDemand_ <= 8U);
+    }
+  }
+}
