--- a/src/tanagerstall/connection/tanagerstall_http_server.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_server.cpp
@@ -529,4 +529,14 @@
   return state_->exchanges_;
 }
 
+void
+ListenForMetrics(HttpServer& aServer, const Address& aAddress)
+{
+  if (auto listening = aServer.Listen(aAddress); !listening) {
+    LogEvent(Severity::Warning,
+             "no metrics",
+             { { "error", listening.error().message_ } });
+  }
+}
+
 } // namespace tanagerstall
--- a/src/tanagerstall/connection/tanagerstall_http_server.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_server.hpp
@@ -91,6 +91,10 @@
   std::shared_ptr<State> state_;
 };
 
+/// Listens for metrics. A process serves on without them, and says so.
+void
+ListenForMetrics(HttpServer& aServer, const Address& aAddress);
+
 } // namespace tanagerstall
 
 #endif
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -2,6 +2,7 @@
 
 #include "tanagerstall/connection/tanagerstall_fleet_client.hpp"
 #include "tanagerstall/connection/tanagerstall_fleet_server.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
 #include "tanagerstall/process/raft/tanagerstall_duty_lease.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
@@ -88,6 +89,9 @@
                  [this, &aSelf](HttpExchange& aExchange) {
                    hooks_.handleDirectory_(aExchange, aSelf);
                  })
+    , metrics_(threads_,
+               HttpLimits(),
+               [this](HttpExchange& aExchange) { ServeMetrics(aExchange); })
     , tasks_(*this)
   {
     isBuilt_ = true;
@@ -100,6 +104,34 @@
              { { "error", aError.getDescription().cStr() } });
   }
 
+  /// Runs on the control thread.
+  Gauges ReadGauges()
+  {
+    const Raft& core = member_.Group(GroupName::Configuration).Core();
+    std::size_t voters = 0;
+    for (const auto& member : core.Log().Members()) {
+      voters += member.isVoter_ ? 1 : 0;
+    }
+    auto now = clock_.Now();
+    return { { "leads", core.Role() == RaftRole::Leader ? 1.0 : 0.0 },
+             { "holds_duties", lease_.Token(now) ? 1.0 : 0.0 },
+             { "term", static_cast<double>(core.CurrentTerm()) },
+             { "members", static_cast<double>(core.Log().Members().size()) },
+             { "voters", static_cast<double>(voters) },
+             { "declaration", static_cast<double>(fleet_.Current().number_) },
+             { "entries_serving", static_cast<double>(Serving().size()) },
+             { "replicas_ready_here",
+               static_cast<double>(replicas_.Ready().size()) } };
+  }
+
+  void ServeMetrics(HttpExchange& aExchange)
+  {
+    auto gauges = OnLoop<Gauges>(
+      loop_, aExchange.GetFiber(), [this] { return ReadGauges(); });
+    aExchange.Respond(
+      MetricsResponse(aExchange.Request(), counters_.Collect(), gauges));
+  }
+
   void OnDeclaration()
   {
     if (!isBuilt_) {
@@ -304,9 +336,8 @@
 
   void PlaceReplicas(Fiber& aFiber)
   {
-    auto inputs = aFiber.Await<std::vector<PlacementInput>>([&](auto aDone) {
-      loop_.Post([this, aDone] { aDone(MakePlacementInputs()); });
-    });
+    auto inputs = OnLoop<std::vector<PlacementInput>>(
+      loop_, aFiber, [this] { return MakePlacementInputs(); });
     for (const auto& input : inputs) {
       for (const auto& order : placement_.Next(input, clock_.Now())) {
         if (!MayAct()) {
@@ -421,6 +452,8 @@
   FleetClient others_;
   HttpServer control_;
   HttpServer directory_;
+  Metrics counters_;
+  HttpServer metrics_;
   kj::TaskSet tasks_;
 };
 
@@ -468,6 +501,8 @@
   OnLoop<bool>(state_->loop_, aFiber, [this, aReplica] {
     auto stamp = state_->replicas_.Stamp();
     bool isTaken = state_->replicas_.Announce(aReplica, state_->clock_.Now());
+    state_->counters_.Count(isTaken ? Counter::AnnouncementsTaken
+                                    : Counter::AnnouncementsStale);
     if (stamp != state_->replicas_.Stamp()) {
       LogEvent(
         Severity::Info,
@@ -527,6 +562,7 @@
                        { state->fleet_.AsStateMachine() });
   state->entriesServer_.Listen(state->settings_.entriesAddress_);
   state->others_.SetSeeds({ state->settings_.entriesAddress_ });
+  ListenForMetrics(state->metrics_, state->settings_.metricsAddress_);
   LogEvent(
     Severity::Info,
     "started",
--- a/src/tanagerstall/process/tanagerstall_fleet_control.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.hpp
@@ -22,6 +22,8 @@
   Address directoryAddress_;
   /// Where entries ask; an internal port.
   Address entriesAddress_;
+  /// Where metrics are served.
+  Address metricsAddress_;
   MemberSettings member_;
   /// How long replicas may stay silent.
   Duration silentAfter_ = std::chrono::seconds(5);
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall/process/tanagerstall_fleet_entry.hpp"
 
 #include "tanagerstall/connection/tanagerstall_fleet_client.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 #include "tanagerstall/process/tanagerstall_drain.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
@@ -56,6 +57,9 @@
                  [this](HttpExchange& aExchange) {
                    hooks_.answerReadiness_(aExchange, IsReady());
                  })
+    , metrics_(threads_,
+               HttpLimits(),
+               [this](HttpExchange& aExchange) { ServeMetrics(aExchange); })
     , tasks_(*this)
   {
     self_.id_ = settings_.id_;
@@ -73,6 +77,16 @@
              { { "error", aError.getDescription().cStr() } });
   }
 
+  void ServeMetrics(HttpExchange& aExchange)
+  {
+    Gauges gauges{ { "ready", IsReady() ? 1.0 : 0.0 },
+                   { "requests_in_progress",
+                     static_cast<double>(callers_.ActiveExchanges()) },
+                   { "declaration", static_cast<double>(inForce_) } };
+    aExchange.Respond(MetricsResponse(
+      aExchange.Request(), forwarder_.GetMetrics().Collect(), gauges));
+  }
+
   bool IsReady() const { return hasPlan_ && !isStopping_; }
 
   EntryReport MakeReport(const std::string& aControl, bool aLeads)
@@ -120,6 +134,7 @@
     }
     self_.revision_ = aDeclaration.number_;
     self_.weight_ = 100;
+    inForce_ = aDeclaration.number_;
     LogEvent(Severity::Info,
              "declaration in force",
              { { "number", aDeclaration.number_ },
@@ -232,11 +247,13 @@
   Drain drain_;
   std::atomic<bool> hasPlan_{ false };
   std::atomic<bool> isStopping_{ false };
+  std::atomic<std::uint64_t> inForce_{ 0 };
   TimePoint settingsAt_;
   FleetClient client_;
   Forwarder forwarder_;
   HttpServer callers_;
   HttpServer readiness_;
+  HttpServer metrics_;
   kj::TaskSet tasks_;
 };
 
@@ -261,6 +278,7 @@
       return 1;
     }
   }
+  ListenForMetrics(state->metrics_, state->settings_.metricsAddress_);
   LogEvent(Severity::Info,
            "started",
            { { "id", state->settings_.id_ },
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.hpp
@@ -20,6 +20,8 @@
   Address callerAddress_;
   /// Where the platform asks whether the entry is ready.
   Address readinessAddress_;
+  /// Where metrics are served.
+  Address metricsAddress_;
   /// Where entries reach control processes that were known at the start.
   std::vector<Address> control_;
   /// How long callers use an answer of the directory.
--- a/src/tanagerstall/process/tanagerstall_replica_placement.cpp
+++ b/src/tanagerstall/process/tanagerstall_replica_placement.cpp
@@ -87,12 +87,11 @@
 std::uint32_t
 ReplicaPlacement::Settle(Wanted& aWanted, std::uint32_t aCount, TimePoint aNow)
 {
-  if (aCount >= aWanted.count_) {
-    aWanted.count_ = aCount;
-    aWanted.lowerSince_.reset();
-  } else if (!aWanted.lowerSince_) {
+  bool isFewer = aCount < aWanted.count_;
+  if (isFewer && !aWanted.lowerSince_) {
     aWanted.lowerSince_ = aNow;
-  } else if (aNow - *aWanted.lowerSince_ >= kShrinkAfter) {
+  }
+  if (!isFewer || aNow - *aWanted.lowerSince_ >= kShrinkAfter) {
     aWanted.count_ = aCount;
     aWanted.lowerSince_.reset();
   }
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -41,20 +41,6 @@
          kLongAnswerFactor * static_cast<double>(aPrompt.promptTokens_);
 }
 
-HttpResponse
-Refusal(int aStatus,
-        const char* aCode,
-        std::optional<Duration> aRetryAfter = std::nullopt)
-{
-  auto response = JsonResponse(aStatus,
-                               R"({"error":{"code":")" + std::string(aCode) +
-                                 R"(","outcome":"not_run"}})");
-  if (aRetryAfter) {
-    response.headers_.push_back({ "Retry-After", Seconds(*aRetryAfter) });
-  }
-  return response;
-}
-
 HttpResponse
 UnknownOutcome(int aStatus, const char* aCode)
 {
@@ -79,6 +65,41 @@
 
 Forwarder::~Forwarder() = default;
 
+HttpResponse
+Forwarder::Refusal(int aStatus,
+                   const char* aCode,
+                   std::optional<Duration> aRetryAfter)
+{
+  metrics_.CountRefusal(aCode);
+  auto response = JsonResponse(aStatus,
+                               R"({"error":{"code":")" + std::string(aCode) +
+                                 R"(","outcome":"not_run"}})");
+  if (aRetryAfter) {
+    response.headers_.push_back({ "Retry-After", Seconds(*aRetryAfter) });
+  }
+  return response;
+}
+
+void
+Forwarder::MeasureAnswer(const ForwardedRequest& aRequest)
+{
+  WorkClass work = WorkClass::Plain;
+  if (aRequest.route_->kind_ == RequestKind::Stream) {
+    work = IsLongAnswer(aRequest.prompt_) ? WorkClass::Long : WorkClass::Short;
+  }
+  std::string_view organisation =
+    aRequest.organisation_ == nullptr ? "" : aRequest.organisation_->name_;
+  TimePoint now = clock_.Now();
+  metrics_.Observe(organisation,
+                   work,
+                   Measure::FirstToken,
+                   aRequest.firstPartAt_.value_or(now) - aRequest.arrivedAt_);
+  metrics_.Observe(
+    organisation, work, Measure::Whole, now - aRequest.arrivedAt_);
+  metrics_.Observe(
+    organisation, work, Measure::BetweenTokens, aRequest.longestGap_);
+}
+
 void
 Forwarder::SetPlan(std::shared_ptr<const TrafficPlan> aPlan)
 {
@@ -239,6 +260,7 @@
   }
   ServiceLoad& load = loads_[request->service_];
   ++load.arrivals_;
+  metrics_.Count(Counter::Requests);
   BudgetOf(request->service_).OnRequest();
   Run(aExchange, *request);
 }
@@ -253,6 +275,7 @@
       .count();
   };
   TimePoint now = clock_.Now();
+  MeasureAnswer(aRequest);
   LogEvent(Severity::Info,
            "answered",
            { { "request", aRequest.id_ },
@@ -292,7 +315,12 @@
   if (clock_.Now() >= aRequest.deadline_) {
     return false;
   }
-  return !aWasSent || BudgetOf(aRequest.service_).Take();
+  if (!aWasSent) {
+    return true;
+  }
+  bool isTaken = BudgetOf(aRequest.service_).Take();
+  metrics_.Count(Counter::Retries, isTaken ? 1 : 0);
+  return isTaken;
 }
 
 void
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -4,6 +4,7 @@
 #include "tanagerstall/connection/tanagerstall_connection_pool.hpp"
 #include "tanagerstall/connection/tanagerstall_fleet_messages.hpp"
 #include "tanagerstall/connection/tanagerstall_http_server.hpp"
+#include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
 #include "tanagerstall/request/tanagerstall_attempt_budget.hpp"
 #include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
@@ -58,8 +59,9 @@
   void SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas);
   /// How many entries take requests, this one included.
   void SetEntries(std::uint32_t aEntries);
-  /// Safe from any thread.
+  /// These are safe from any thread.
   CostLimits& Limits() { return limits_; }
+  const Metrics& GetMetrics() const { return metrics_; }
 
   /// Answers one request, or ends its connection where an answer that was
   /// begun can't be finished.
@@ -84,6 +86,10 @@
                         double aCost);
   void Run(HttpExchange& aExchange, ForwardedRequest& aRequest);
   bool MayRetry(const ForwardedRequest& aRequest, bool aWasSent);
+  HttpResponse Refusal(int aStatus,
+                       const char* aCode,
+                       std::optional<Duration> aRetryAfter = std::nullopt);
+  void MeasureAnswer(const ForwardedRequest& aRequest);
   void LogAnswered(const ForwardedRequest& aRequest,
                    const Replica& aReplica,
                    int aStatus);
@@ -99,6 +105,7 @@
   ConnectionPool pool_;
   ReplicaChooser chooser_;
   CostLimits limits_;
+  Metrics metrics_;
   UsageCounter usage_;
   std::map<std::string, AttemptBudget> budgets_;
   std::uint32_t entries_ = kUnknownEntries;
