--- a/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
@@ -9,6 +9,7 @@
 #include <kj/async-io.h>
 #include <kj/debug.h>
 #include <random>
+#include <thread>
 
 namespace tanagerstall {
 
@@ -38,6 +39,29 @@
   }
 }
 
+/// Waits until the folder takes a write: a member that ended because its disk
+/// was full would only end again.
+LogDisk
+OpenWritableDisk(const std::filesystem::path& aFolder)
+{
+  constexpr const char* kProbe = "probe";
+  constexpr int kTries = 100;
+  constexpr Duration kPause = std::chrono::milliseconds(200);
+  LogDisk disk = OpenLogDisk(aFolder);
+  for (int i = 0; i < kTries; ++i) {
+    try {
+      ReplaceFile(disk, kProbe, ViewOf("writable"));
+      return disk;
+    } catch (const DiskError& error) {
+      LogEvent(Severity::Warning,
+               "disk takes no writes",
+               { { "error", error.what() } });
+      std::this_thread::sleep_for(kPause);
+    }
+  }
+  return disk;
+}
+
 bool
 HasFiles(const LogDisk& aDisk)
 {
@@ -58,7 +82,7 @@
     , timer_(aLoop.Io().provider->getTimer())
     , clock_(std::move(aClock))
     , settings_(std::move(aSettings))
-    , disk_(OpenLogDisk(settings_.dataFolder_))
+    , disk_(OpenWritableDisk(settings_.dataFolder_))
     , link_(loop_, MakeHooks())
     , tasks_(*this)
   {
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -45,6 +45,7 @@
   TimePoint lastPartAt_;
   /// Requests that ran at the chosen replica from here.
   std::uint32_t runningThere_ = 0;
+  std::string lastReplica_;
   /// Replicas that turned it down or failed.
   std::set<std::string> excluded_;
   /// Replicas on which it may have run.
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -265,6 +265,25 @@
   Run(aExchange, *request);
 }
 
+/// Tells the choice how an attempt went. One that waited in vain for its first
+/// part says as much of its replica as one that got it late.
+void
+Forwarder::NoteAttempt(const ForwardedRequest& aRequest,
+                       const Replica& aReplica,
+                       const AttemptResult& aResult,
+                       TimePoint aBegan)
+{
+  TimePoint now = clock_.Now();
+  bool hasFirstPart = aRequest.firstPartAt_ && *aRequest.firstPartAt_ >= aBegan;
+  if (hasFirstPart) {
+    chooser_.ObserveFirstPart(aReplica, *aRequest.firstPartAt_ - aBegan, now);
+  } else if (aResult.wasSent_ &&
+             aResult.outcome_ == AttemptOutcome::Abandoned) {
+    chooser_.ObserveFirstPart(aReplica, now - aBegan, now);
+  }
+  chooser_.Finish(aReplica, aRequest.cost_, aResult.outcome_, now);
+}
+
 void
 Forwarder::LogAnswered(const ForwardedRequest& aRequest,
                        const Replica& aReplica,
@@ -292,6 +311,31 @@
              { "whole_ms", since(now) } });
 }
 
+void
+Forwarder::LogFailure(const char* aEvent,
+                      const ForwardedRequest& aRequest,
+                      const AttemptResult& aLast) const
+{
+  auto millis = [](Duration aTime) {
+    return std::chrono::duration_cast<Milliseconds>(aTime).count();
+  };
+  LogEvent(Severity::Info,
+           aEvent,
+           { { "request", aRequest.id_ },
+             { "route", aRequest.route_->name_ },
+             { "repeatable", aRequest.route_->IsRepeatable() },
+             { "plan", aRequest.plan_->number_ },
+             { "replica", aRequest.lastReplica_ },
+             { "running_there", aRequest.runningThere_ },
+             { "sends", aRequest.sends_ },
+             { "runs", aRequest.runs_ },
+             { "last_event", aRequest.lastEventId_ },
+             { "waited_ms", millis(clock_.Now() - aRequest.arrivedAt_) },
+             { "allowed_ms", millis(aRequest.deadline_ - aRequest.arrivedAt_) },
+             { "late", aLast.isLate_ },
+             { "detail", aLast.detail_ } });
+}
+
 void
 Forwarder::Refuse(HttpExchange& aExchange,
                   const ForwardedRequest& aRequest,
@@ -302,7 +346,10 @@
            "request refused",
            { { "request", aRequest.id_ },
              { "reason", aReason },
+             { "route", aRequest.route_->name_ },
+             { "plan", aRequest.plan_->number_ },
              { "service", aRequest.service_ },
+             { "sends", aRequest.sends_ },
              { "replicas", chooser_.CountReplicas(aRequest.service_) } });
   aExchange.Respond(Refusal(503, "unavailable", kDefaultRetryAfter));
 }
@@ -344,6 +391,7 @@
     aRequest.runningThere_ = chooser_.RunningAt(*replica);
     bool mayRunAgain =
       route.IsRepeatable() && aRequest.runs_ + 1 < route.maxAttempts_;
+    TimePoint began = clock_.Now();
     ForwardAttempt attempt(
       pool_, settings_.protocol_, clock_, aExchange, aRequest, { [&] {
         if (!hasRun && aRequest.organisation_ != nullptr) {
@@ -353,7 +401,8 @@
         aRequest.firstPartAt_ = clock_.Now();
       } });
     last = attempt.Run(*replica, mayRunAgain && !failure);
-    chooser_.Finish(*replica, aRequest.cost_, last.outcome_, clock_.Now());
+    NoteAttempt(aRequest, *replica, last, began);
+    aRequest.lastReplica_ = replica->id_;
     if (last.outcome_ == AttemptOutcome::Abandoned) {
       break;
     }
@@ -381,12 +430,11 @@
     isBudgeted = MayRetry(aRequest, last.wasSent_);
   }
   if (aExchange.IsCallerGone()) {
+    LogFailure("caller left", aRequest, last);
     return;
   }
   if (aExchange.HasStarted()) {
-    LogEvent(Severity::Info,
-             "stream broken off",
-             { { "request", aRequest.id_ }, { "detail", last.detail_ } });
+    LogFailure("stream broken off", aRequest, last);
     aExchange.Abort();
     return;
   }
@@ -401,11 +449,7 @@
     Refuse(aExchange, aRequest, "no replica took it");
     return;
   }
-  LogEvent(Severity::Info,
-           "outcome unknown",
-           { { "request", aRequest.id_ },
-             { "late", last.isLate_ },
-             { "detail", last.detail_ } });
+  LogFailure("outcome unknown", aRequest, last);
   aExchange.Respond(last.isLate_ ? UnknownOutcome(504, "timeout")
                                  : UnknownOutcome(502, "upstream_failed"));
 }
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -8,6 +8,7 @@
 #include "tanagerstall/request/tanagerstall_attempt_budget.hpp"
 #include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
+#include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
 #include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
 #include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
 #include "tanagerstall/request/tanagerstall_usage_counter.hpp"
@@ -90,6 +91,13 @@
                        const char* aCode,
                        std::optional<Duration> aRetryAfter = std::nullopt);
   void MeasureAnswer(const ForwardedRequest& aRequest);
+  void LogFailure(const char* aEvent,
+                  const ForwardedRequest& aRequest,
+                  const AttemptResult& aLast) const;
+  void NoteAttempt(const ForwardedRequest& aRequest,
+                   const Replica& aReplica,
+                   const AttemptResult& aResult,
+                   TimePoint aBegan);
   void LogAnswered(const ForwardedRequest& aRequest,
                    const Replica& aReplica,
                    int aStatus);
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -21,6 +21,13 @@
 /// Work at a replica of another region counts this much more.
 constexpr double kOtherRegionRequests = 4.0;
 
+/// The weight of the newest wait for a first part, at a replica and at all.
+constexpr double kOwnSmoothing = 0.25;
+constexpr double kAllSmoothing = 0.02;
+constexpr std::uint32_t kLeastSamples = 3;
+constexpr double kMaxSlowness = 8.0;
+/// How fast an old observation loses its weight.
+constexpr std::chrono::duration<double> kSlownessFades{ 3.0 };
 /// The part of the replicas that is kept for long answers.
 constexpr double kLongAnswerPart = 0.2;
 /// With fewer replicas in a region none are kept apart.
@@ -97,7 +104,8 @@
 {
   Standing& standing = standings_[aReplica.id_];
   if (standing.bornMs_ != aReplica.bornMs_) {
-    standing = { aReplica.bornMs_, 0, 0.0, 0, TimePoint() };
+    standing = Standing();
+    standing.bornMs_ = aReplica.bornMs_;
   }
   return standing;
 }
@@ -112,6 +120,43 @@
   return region(aReplica.failureDomain_) == region(settings_.failureDomain_);
 }
 
+void
+ReplicaChooser::ObserveFirstPart(const Replica& aReplica,
+                                 Duration aWait,
+                                 TimePoint aNow)
+{
+  auto it = standings_.find(aReplica.id_);
+  if (it == standings_.end() || it->second.bornMs_ != aReplica.bornMs_) {
+    return;
+  }
+  double wait = std::chrono::duration<double, std::milli>(aWait).count();
+  double& all = firstParts_.try_emplace(aReplica.service_, wait).first->second;
+  all += kAllSmoothing * (wait - all);
+  Standing& standing = it->second;
+  standing.firstPart_ += (standing.samples_ == 0 ? 1.0 : kOwnSmoothing) *
+                         (wait - standing.firstPart_);
+  ++standing.samples_;
+  standing.sampledAt_ = aNow;
+}
+
+/// How many times later first parts come than at the service's other replicas;
+/// what was seen counts less with time, so that a replica gets its next try.
+double
+ReplicaChooser::SlownessOf(const Replica& aReplica, TimePoint aNow) const
+{
+  auto it = standings_.find(aReplica.id_);
+  auto all = firstParts_.find(aReplica.service_);
+  if (it == standings_.end() || all == firstParts_.end() ||
+      it->second.samples_ < kLeastSamples) {
+    return 1.0;
+  }
+  double slowness = std::clamp(
+    it->second.firstPart_ / std::max(all->second, 1.0), 1.0, kMaxSlowness);
+  double age = std::chrono::duration<double>(aNow - it->second.sampledAt_) /
+               kSlownessFades;
+  return 1.0 + (slowness - 1.0) * std::exp(-age);
+}
+
 std::vector<const Replica*>
 ReplicaChooser::Candidates(const ChoiceRequest& aRequest, TimePoint aNow)
 {
@@ -161,7 +206,8 @@
 
 const Replica*
 ReplicaChooser::Pick(const std::vector<const Replica*>& aFrom,
-                     const ChoiceRequest& aRequest)
+                     const ChoiceRequest& aRequest,
+                     TimePoint aNow)
 {
   double total = 0.0;
   for (const auto* replica : aFrom) {
@@ -176,7 +222,9 @@
   double leastWork = std::numeric_limits<double>::max();
   std::uniform_real_distribution<double> tie(0.0, 0.1);
   for (const auto* replica : aFrom) {
-    double work = StandingOf(*replica).work_ + tie(random_) * aRequest.cost_;
+    double own = StandingOf(*replica).work_ + tie(random_) * aRequest.cost_;
+    double slowness = SlownessOf(*replica, aNow);
+    double work = own + (slowness - 1.0) * (own + aRequest.cost_);
     if (!IsInRegion(*replica)) {
       work += kOtherRegionRequests * aRequest.cost_;
     }
@@ -207,7 +255,7 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  const Replica* chosen = Pick(candidates, aRequest);
+  const Replica* chosen = Pick(candidates, aRequest, aNow);
   Standing& standing = StandingOf(*chosen);
   ++standing.running_;
   standing.work_ += aRequest.cost_;
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
@@ -47,8 +47,9 @@
 /// skewed load: requests that share prompt parts meet at one replica until it
 /// has clearly more work than the others. For long answers beside long
 /// prompts: some replicas are kept for long answers, whose parts would pause
-/// while prompts are read; all entries agree on them without a word. Plain
-/// state machine.
+/// while prompts are read; all entries agree on them without a word. For
+/// replicas that turn slow: their work weighs as much more as their first
+/// parts come later than the others'. Plain state machine.
 class ReplicaChooser
 {
 public:
@@ -68,6 +69,10 @@
               double aCost,
               AttemptOutcome aOutcome,
               TimePoint aNow);
+  /// Notes how long a request waited for its first part, or waits in vain.
+  void ObserveFirstPart(const Replica& aReplica,
+                        Duration aWait,
+                        TimePoint aNow);
   /// Whether a replica is still to be used.
   bool IsPresent(const std::string& aId) const;
   std::size_t CountReplicas(const std::string& aService) const;
@@ -85,12 +90,18 @@
     /// Failures since the last good answer.
     std::uint32_t failures_ = 0;
     TimePoint avoidUntil_;
+    /// The smoothed wait for first parts, in milliseconds.
+    double firstPart_ = 0.0;
+    std::uint32_t samples_ = 0;
+    TimePoint sampledAt_;
   };
 
   Standing& StandingOf(const Replica& aReplica);
+  double SlownessOf(const Replica& aReplica, TimePoint aNow) const;
   bool IsInRegion(const Replica& aReplica) const;
   const Replica* Pick(const std::vector<const Replica*>& aFrom,
-                      const ChoiceRequest& aRequest);
+                      const ChoiceRequest& aRequest,
+                      TimePoint aNow);
   std::vector<const Replica*> KeptApart(
     const std::vector<const Replica*>& aFrom,
     bool aForLongAnswers);
@@ -102,6 +113,8 @@
   std::shared_ptr<const ReplicasByService> replicas_;
   std::set<std::string> present_;
   std::map<std::string, Standing> standings_;
+  /// The smoothed wait for first parts of each service, in milliseconds.
+  std::map<std::string, double> firstParts_;
 };
 
 } // namespace tanagerstall
--- a/tests/replica_choice_tests.cpp
+++ b/tests/replica_choice_tests.cpp
@@ -143,6 +143,22 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(
+  A_replica_that_turned_slow_gets_little_until_it_is_tried_again)
+{
+  auto chooser = MakeChooser({ { "a", 3 } });
+  auto slow = chooser.Choose(Ask(7), kStart);
+  chooser.Finish(*slow, 1000.0, AttemptOutcome::Answered, kStart);
+  for (int i = 0; i < 300; ++i) {
+    auto chosen = chooser.Choose(Ask(), kStart);
+    bool isSlow = chosen->id_ == slow->id_;
+    chooser.ObserveFirstPart(*chosen, isSlow ? 2000ms : 100ms, kStart);
+    chooser.Finish(*chosen, 1000.0, AttemptOutcome::Answered, kStart);
+  }
+  BOOST_TEST(chooser.Choose(Ask(7), kStart)->id_ != slow->id_);
+  BOOST_TEST(chooser.Choose(Ask(7), kStart + 1min)->id_ == slow->id_);
+}
+
 BOOST_AUTO_TEST_CASE(Where_all_look_bad_all_are_used)
 {
   auto chooser = MakeChooser({ { "a", 2 } });
