A lost disk's member goes before its successor votes; platform test with processes

Found by the test: with the old member not yet noticed as silent, its successor got a vote first, and four voters with one dead don't stand a second loss.

--- a/src/tanagerstall/process/raft/tanagerstall_cluster_keeper.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_cluster_keeper.cpp
@@ -61,19 +61,19 @@
   return static_cast<std::size_t>(ready) > CountVoters(aMembers) / 2;
 }
 
-/// Whether another member answers at the address of this silent one, which
+/// Whether a member that was added later answers at this one's address, which
 /// therefore lost its disk.
 bool
 IsSuperseded(const Member& aMember,
              const Membership& aMembers,
              const std::vector<MemberProgress>& aProgress)
 {
-  return !IsHeard(aProgress, aMember.key_) &&
-         std::any_of(aMembers.begin(), aMembers.end(), [&](const Member& aIt) {
-           return aIt.key_ != aMember.key_ &&
-                  aIt.memberAddress_ == aMember.memberAddress_ &&
-                  IsHeard(aProgress, aIt.key_);
-         });
+  auto self = std::find(aMembers.begin(), aMembers.end(), aMember);
+  return std::any_of(self, aMembers.end(), [&](const Member& aIt) {
+    return aIt.key_ != aMember.key_ &&
+           aIt.memberAddress_ == aMember.memberAddress_ &&
+           IsHeard(aProgress, aIt.key_);
+  });
 }
 
 MembershipStep
--- a/tests/processes/platform_test.sh
+++ b/tests/processes/platform_test.sh
@@ -100,8 +100,15 @@
 control_settings $leader false
 start_platform control-$leader controld
 wait_until has_version "$net.$leader" 12
-has_voters() { curl -sf -m 2 "http://$net.$1:9464/metrics" | grep -q "^tanagerstall_voters 3"; }
-wait_until has_voters $leader
+# is_repaired N: the lost disk's member is gone, and its successor votes.
+is_repaired() {
+  local page
+  page=$(curl -sf -m 2 "http://$net.$1:9464/metrics") &&
+    grep -q "^tanagerstall_voters 3" <<<"$page" &&
+    grep -q "^tanagerstall_members 3" <<<"$page" &&
+    grep -hq "its disk was replaced" "$run"/control-*.log
+}
+wait_until is_repaired "$leader"
 kill -KILL "$(pid_of control-$other)"
 wait_until accepts "$net.$third" 20
 wait_until has_version "$net.$leader" 20
