--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -242,6 +242,11 @@
       }
       const Raft& core = member_.Group(GroupName::Configuration).Core();
       lease_.Observe(core.Role() == RaftRole::Leader, core.CurrentTerm(), now);
+      bool leads = lease_.LeadsSteadily(now);
+      if (leads && !std::exchange(isLeading_, leads)) {
+        leases_.StartLeading(now);
+      }
+      isLeading_ = leads;
       if (now >= settingsAt_) {
         Reload(false);
       }
@@ -434,6 +439,7 @@
   ReplicaTable replicas_;
   EntryDirectory entries_;
   CostLeases leases_;
+  bool isLeading_ = false;
   UsageTally tally_;
   /// What the other control processes know of replicas.
   ReplicaView view_;
--- a/src/tanagerstall/request/tanagerstall_cost_limits.cpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.cpp
@@ -23,6 +23,8 @@
 constexpr double kAskBelow = 0.4;
 /// The part of the limit that a new leader takes as unused.
 constexpr double kFirstLevel = 0.25;
+/// How long what an earlier leader granted counts.
+constexpr Duration kGrantsCount = std::chrono::seconds(10);
 constexpr Duration kHeldMemory = std::chrono::seconds(4);
 
 double
@@ -151,7 +153,17 @@
 }
 
 void
-CostLeases::Refill(Bucket& aBucket, TimePoint aNow)
+CostLeases::StartLeading(TimePoint aNow)
+{
+  leadsSince_ = aNow;
+  for (auto& [organisation, bucket] : buckets_) {
+    bucket.isFilled_ = false;
+    bucket.held_.clear();
+  }
+}
+
+void
+CostLeases::Refill(Bucket& aBucket, TimePoint aNow) const
 {
   double held = 0.0;
   std::erase_if(aBucket.held_, [&](const auto& aIt) {
@@ -163,7 +175,8 @@
   double size = aBucket.limit_.burst_ + aBucket.slack_;
   if (!aBucket.isFilled_) {
     aBucket.isFilled_ = true;
-    aBucket.level_ = size * kFirstLevel;
+    double led = Seconds(aNow - leadsSince_) / Seconds(kGrantsCount);
+    aBucket.level_ = size * std::min(1.0, kFirstLevel + led);
   } else {
     aBucket.level_ +=
       aBucket.limit_.ratePerSecond_ * Seconds(aNow - aBucket.at_);
--- a/src/tanagerstall/request/tanagerstall_cost_limits.hpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.hpp
@@ -97,6 +97,9 @@
   void SetLimit(const std::string& aOrganisation,
                 const CostLimit& aLimit,
                 double aSlack);
+  /// Begins anew as leader. What an earlier leader granted isn't known, but the
+  /// longer ago that was, the less of it counts.
+  void StartLeading(TimePoint aNow);
   /// What an entry gets of what it asks for.
   CostByName Grant(const std::string& aEntry,
                    const CostAsks& aAsks,
@@ -114,8 +117,9 @@
     std::map<std::string, std::pair<double, TimePoint>> held_;
   };
 
-  static void Refill(Bucket& aBucket, TimePoint aNow);
+  void Refill(Bucket& aBucket, TimePoint aNow) const;
 
+  TimePoint leadsSince_;
   std::map<std::string, Bucket> buckets_;
 };
 
--- a/tests/cost_limits_tests.cpp
+++ b/tests/cost_limits_tests.cpp
@@ -107,6 +107,7 @@
     for (std::size_t i = 0; i < aCase.entries_; ++i) {
       entries_.push_back(std::make_unique<CostLimits>());
     }
+    leases_.StartLeading(kStart - 1min);
     double overshoot =
       0.1 * (aCase.limit_.ratePerSecond_ * 8 + aCase.limit_.burst_);
     leases_.SetLimit(kOrganisation,
@@ -167,6 +168,10 @@
 
   void Exchange()
   {
+    if (wasSilent_ && !IsLeaderSilent()) {
+      leases_.StartLeading(now_);
+    }
+    wasSilent_ = IsLeaderSilent();
     for (std::size_t i = 0; i < entries_.size(); ++i) {
       CostAsks asks = entries_[i]->Asks(now_);
       if (!asks.empty() && !IsLeaderSilent()) {
@@ -202,6 +207,7 @@
   const LoadCase& case_;
   std::mt19937 random_;
   TimePoint now_;
+  bool wasSilent_ = false;
   std::vector<std::unique_ptr<CostLimits>> entries_;
   CostLeases leases_;
   std::vector<Waiting> waiting_;
--- /dev/null
+++ b/tests/processes/operations_page_test.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Every event that the platform's programs log stands in docs/OPERATIONS.md.
+set -euo pipefail
+missing=0
+while read -r event; do
+  grep -qF "\`$event\`" docs/OPERATIONS.md || { echo "not in the page: $event"; missing=1; }
+done < <(cat src/tanagerstall/process/tanagerstall_fleet_*.cpp platform/*.cpp \
+  src/tanagerstall/request/tanagerstall_forwarder.cpp \
+  src/tanagerstall/connection/tanagerstall_{fleet,http}_*.cpp \
+  src/tanagerstall/process/raft/tanagerstall_raft_member.cpp |
+  tr '\n' ' ' | grep -oE 'Log(Event|Failure)\( *(Severity::[A-Za-z]+, *)?"[^"]+"' |
+  sed -E 's/.*"([^"]+)"/\1/' | sort -u)
+[ "$missing" = 0 ] && echo "passed"
