An organisation is out of its limit only where the leader granted less than was due

Cause: an answer to an earlier ask marked newer requests as over the limit, and an ask that others had under way kept theirs from being sent.

--- a/src/tanagerstall/request/tanagerstall_cost_limits.cpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.cpp
@@ -120,8 +120,9 @@
         account.isUnanswered_ = true;
         account.unansweredSince_ = aNow;
       }
+      account.askedDue_ = std::max(0.0, account.waiting_ - account.held_);
       asks[organisation] = { account.held_,
-                             std::max(0.0, account.waiting_ - account.held_),
+                             account.askedDue_,
                              target - account.held_ };
     }
   }
@@ -138,7 +139,7 @@
     account.held_ += grant;
     account.isAsking_ = false;
     account.isUnanswered_ = false;
-    account.isExhausted_ = account.held_ < account.waiting_;
+    account.isExhausted_ = grant < account.askedDue_;
   }
 }
 
--- a/src/tanagerstall/request/tanagerstall_cost_limits.hpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.hpp
@@ -73,6 +73,8 @@
     TimePoint recentSince_;
     TimePoint refilledAt_;
     TimePoint askedAt_;
+    /// What requests waited for at the last ask.
+    double askedDue_ = 0.0;
     bool isAsking_ = false;
     /// Whether the last asks found no leader, and since when.
     bool isUnanswered_ = false;
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kGrantWait = std::chrono::milliseconds(250);
 /// The same where it had none left when it last answered.
 constexpr Duration kExhaustedWait = std::chrono::milliseconds(80);
+/// Others may have asked just before for less than is needed now.
+constexpr Duration kAskPause = std::chrono::milliseconds(45);
 constexpr Duration kGrantPoll = std::chrono::milliseconds(15);
 constexpr double kSlackUse = 0.7;
 /// Output tokens weigh this much against prompt tokens, since each takes a
@@ -187,7 +189,7 @@
 {
   CostLimit limit{ aOrganisation.ratePerSecond_, aOrganisation.burst_ };
   TimePoint begin = clock_.Now();
-  bool hasAsked = false;
+  TimePoint askAt = begin;
   limits_.Begin(aOrganisation.name_, aCost);
   CostVerdict verdict = CostVerdict::Short;
   while (true) {
@@ -199,8 +201,8 @@
         aExchange.IsCallerGone()) {
       break;
     }
-    if (!hasAsked) {
-      hasAsked = true;
+    if (now >= askAt) {
+      askAt = now + kAskPause;
       hooks_.askForCost_();
     }
     aExchange.GetFiber().Sleep(kGrantPoll);
@@ -300,6 +302,12 @@
            { { "request", aRequest.id_ },
              { "route", aRequest.route_->name_ },
              { "plan", aRequest.plan_->number_ },
+             { "organisation",
+               aRequest.organisation_ == nullptr
+                 ? ""
+                 : aRequest.organisation_->name_.c_str() },
+             { "prompt_tokens", aRequest.prompt_.promptTokens_ },
+             { "output_tokens", aRequest.prompt_.maxOutputTokens_ },
              { "replica", aReplica.id_ },
              { "status", aStatus },
              { "sends", aRequest.sends_ },
