--- a/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
@@ -13,13 +13,15 @@
 
 namespace {
 
-constexpr auto kConnectTimeout = 800 * kj::MILLISECONDS;
+/// A few rounds between regions: a process that starts together with others
+/// must not wait long for one that wasn't up yet.
+constexpr auto kConnectTimeout = 300 * kj::MILLISECONDS;
 constexpr std::chrono::milliseconds kWait{ 800 };
 /// Past the wait: the round trip and a busy control process.
 constexpr auto kAnswerTimeout = 1800 * kj::MILLISECONDS;
 /// Lets changes that come together travel together.
 constexpr auto kPause = 60 * kj::MILLISECONDS;
-constexpr auto kRetryPause = 300 * kj::MILLISECONDS;
+constexpr auto kRetryPause = 120 * kj::MILLISECONDS;
 
 struct Link
 {
--- a/src/tanagerstall/connection/tanagerstall_member_link.cpp
+++ b/src/tanagerstall/connection/tanagerstall_member_link.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::uint32_t kProtocolVersion = 1;
-constexpr auto kConnectTimeout = 1 * kj::SECONDS;
+constexpr auto kConnectTimeout = 300 * kj::MILLISECONDS;
 constexpr auto kDeliverTimeout = 1 * kj::SECONDS;
 constexpr auto kProposeTimeout = 3 * kj::SECONDS;
 /// Shorter, since a read may be asked again elsewhere.
--- a/src/tanagerstall/process/raft/tanagerstall_raft.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft.cpp
@@ -85,6 +85,7 @@
   }
   role_ = RaftRole::Follower;
   leader_ = aLeader;
+  hasHeardLeader_ = hasHeardLeader_ || aLeader != 0;
 }
 
 void
--- a/src/tanagerstall/process/raft/tanagerstall_raft.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft.hpp
@@ -147,6 +147,7 @@
   std::mt19937_64 random_;
   RaftRole role_ = RaftRole::Follower;
   MemberKey leader_ = 0;
+  bool hasHeardLeader_ = false;
   LogIndex commit_ = 0;
   LogIndex applied_ = 0;
   TimePoint electionAt_;
--- a/src/tanagerstall/process/raft/tanagerstall_raft_election.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_election.cpp
@@ -5,9 +5,11 @@
 void
 Raft::ResetElection(TimePoint aNow)
 {
-  std::uniform_int_distribution<Duration::rep> extra(
-    0, settings_.electionTimeout_.count());
-  electionAt_ = aNow + settings_.electionTimeout_ + Duration(extra(random_));
+  bool isFirst = !hasHeardLeader_ && settings_.firstElection_.count() > 0;
+  Duration least =
+    isFirst ? settings_.firstElection_ : settings_.electionTimeout_;
+  std::uniform_int_distribution<Duration::rep> extra(0, least.count());
+  electionAt_ = aNow + least + Duration(extra(random_));
 }
 
 bool
--- a/src/tanagerstall/process/raft/tanagerstall_raft_leader.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_leader.cpp
@@ -9,6 +9,7 @@
 {
   role_ = RaftRole::Leader;
   leader_ = self_;
+  hasHeardLeader_ = true;
   peers_.clear();
   waitingReads_.clear();
   for (const auto& member : log_.Members()) {
--- a/src/tanagerstall/process/raft/tanagerstall_raft_types.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_types.hpp
@@ -121,6 +121,9 @@
   Duration heartbeat_ = std::chrono::milliseconds(150);
   /// The shortest election timeout; the longest is twice as long.
   Duration electionTimeout_ = std::chrono::milliseconds(1000);
+  /// The same until this run has heard of a leader, so that members which
+  /// start together soon have one; 0 for no difference.
+  Duration firstElection_{ 0 };
   /// Bytes of commands in one message; one entry may be larger.
   std::size_t maxBatchBytes_ = 1U << 20U;
   std::size_t chunkBytes_ = 256U << 10U;
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -51,8 +51,9 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof(address);
-    ::bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
-    ::listen(listener_, 8);
+    BOOST_REQUIRE(
+      ::bind(listener_, reinterpret_cast<sockaddr*>(&address), length) == 0);
+    BOOST_REQUIRE(::listen(listener_, 8) == 0);
     ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
     port_ = ntohs(address.sin_port);
     thread_ = std::thread([this] { Accept(); });
