--- a/src/tanagerstall/connection/tanagerstall_control_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_control_client.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall/connection/tanagerstall_control_client.hpp"
 
 #include "tanagerstall/internal/tanagerstall_entry_wire.hpp"
+#include "tanagerstall/internal/tanagerstall_rpc_connection.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
 #include <capnp/rpc-twoparty.h>
@@ -19,18 +20,10 @@
 constexpr unsigned kMaxTries = 6;
 
 /// One open connection to a control server.
-struct Link
+struct Link : RpcConnection<wire::Control>
 {
-  explicit Link(kj::Own<kj::AsyncIoStream> aStream)
-    : stream_(kj::mv(aStream))
-    , client_(*stream_)
-    , control_(client_.bootstrap().castAs<wire::Control>())
-  {
-  }
+  using RpcConnection::RpcConnection;
 
-  kj::Own<kj::AsyncIoStream> stream_;
-  capnp::TwoPartyClient client_;
-  wire::Control::Client control_;
   /// The version of the entries that came over this connection.
   std::uint64_t entriesVersion_ = 0;
 };
@@ -122,17 +115,9 @@
 
   kj::Promise<std::shared_ptr<Link>> Open(const Address& aAddress)
   {
-    auto& network = loop_.Io().provider->getNetwork();
     return timer_.timeoutAfter(
       kConnectTimeout,
-      network.parseAddress(aAddress.ToString().c_str())
-        .then([](kj::Own<kj::NetworkAddress> aResolved) {
-          auto connecting = aResolved->connect();
-          return connecting.attach(kj::mv(aResolved));
-        })
-        .then([](kj::Own<kj::AsyncIoStream> aStream) {
-          return std::make_shared<Link>(kj::mv(aStream));
-        }));
+      OpenRpcConnection<Link>(loop_.Io(), aAddress.ToString()));
   }
 
   /// Drops the connection of an attempt that failed and moves on to the next
@@ -152,7 +137,7 @@
     return Connect().then(
       [this, aKind, aGroup, aBytes](std::shared_ptr<Link> aLink) {
         if (aKind == CallKind::Propose) {
-          auto request = aLink->control_.proposeRequest();
+          auto request = aLink->port_.proposeRequest();
           request.setGroup(ToWire(aGroup));
           request.setCommand(ToData(aBytes));
           return timer_.timeoutAfter(kCallTimeout, request.send())
@@ -160,7 +145,7 @@
               return ReadReply(aResponse.getReply());
             });
         }
-        auto request = aLink->control_.queryRequest();
+        auto request = aLink->port_.queryRequest();
         request.setGroup(ToWire(aGroup));
         request.setQuery(ToData(aBytes));
         return timer_.timeoutAfter(kCallTimeout, request.send())
@@ -230,7 +215,7 @@
   kj::Promise<void> WatchOnce()
   {
     return Connect().then([this](std::shared_ptr<Link> aLink) {
-      auto request = aLink->control_.watchRequest();
+      auto request = aLink->port_.watchRequest();
       EntryInfo self = hooks_.self_();
       WriteWire(request.initSelf(), self);
       request.setAfterRevision(self.revision_);
@@ -305,7 +290,7 @@
       return kj::READY_NOW;
     }
     return ConnectAnnounced(aIndex).then([this](std::shared_ptr<Link> aLink) {
-      auto request = aLink->control_.announceRequest();
+      auto request = aLink->port_.announceRequest();
       WriteWire(request.initSelf(), hooks_.self_());
       return timer_.timeoutAfter(kWatchTimeout, request.send())
         .then([aLink](auto /*aResponse*/) {});
--- a/src/tanagerstall/connection/tanagerstall_control_server.cpp
+++ b/src/tanagerstall/connection/tanagerstall_control_server.cpp
@@ -2,6 +2,8 @@
 
 #include "tanagerstall/internal/tanagerstall_entry_wire.hpp"
 
+#include "tanagerstall/internal/tanagerstall_rpc_connection.hpp"
+
 #include <algorithm>
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
@@ -277,10 +279,7 @@
     state->hooks_,
     [state] { return state->IsCurrent(); },
     [state] { return state->NextRevision(); }));
-  auto address = io.provider->getNetwork()
-                   .parseAddress(aAddress.ToString().c_str())
-                   .wait(io.waitScope);
-  state->receiver_ = address->listen();
+  state->receiver_ = ListenForRpc(io, aAddress);
   state->listening_ =
     state->server_->listen(*state->receiver_).eagerlyEvaluate(nullptr);
   return { aAddress.host_,
--- a/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall/connection/tanagerstall_fleet_client.hpp"
 
 #include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
+#include "tanagerstall/internal/tanagerstall_rpc_connection.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
 #include <algorithm>
@@ -23,19 +24,7 @@
 constexpr auto kPause = 60 * kj::MILLISECONDS;
 constexpr auto kRetryPause = 120 * kj::MILLISECONDS;
 
-struct Link
-{
-  explicit Link(kj::Own<kj::AsyncIoStream> aStream)
-    : stream_(kj::mv(aStream))
-    , client_(*stream_)
-    , port_(client_.bootstrap().castAs<wire::FleetPort>())
-  {
-  }
-
-  kj::Own<kj::AsyncIoStream> stream_;
-  capnp::TwoPartyClient client_;
-  wire::FleetPort::Client port_;
-};
+using Link = RpcConnection<wire::FleetPort>;
 
 using SharedLink = std::shared_ptr<Link>;
 
@@ -63,19 +52,11 @@
     if (auto it = links_.find(aAddress); it != links_.end()) {
       return it->second;
     }
-    auto opening =
-      loop_.Io()
-        .provider->getNetwork()
-        .parseAddress(aAddress.c_str())
-        .then([](kj::Own<kj::NetworkAddress> aTo) {
-          auto connecting = aTo->connect();
-          return connecting.attach(kj::mv(aTo));
-        })
-        .then([this, aAddress](kj::Own<kj::AsyncIoStream> aStream) {
-          auto link = std::make_shared<Link>(kj::mv(aStream));
-          links_[aAddress] = link;
-          return link;
-        });
+    auto opening = OpenRpcConnection<Link>(loop_.Io(), aAddress)
+                     .then([this, aAddress](SharedLink aLink) {
+                       links_[aAddress] = aLink;
+                       return aLink;
+                     });
     return timer_.timeoutAfter(kConnectTimeout, kj::mv(opening));
   }
 
--- a/src/tanagerstall/connection/tanagerstall_fleet_server.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_server.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall/connection/tanagerstall_fleet_server.hpp"
 
 #include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
+#include "tanagerstall/internal/tanagerstall_rpc_connection.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
 #include <algorithm>
@@ -109,10 +110,7 @@
   auto& io = state_->loop_.Io();
   state_->server_ =
     kj::heap<capnp::TwoPartyServer>(kj::heap<FleetCapability<State>>(*state_));
-  auto address = io.provider->getNetwork()
-                   .parseAddress(aAddress.ToString().c_str())
-                   .wait(io.waitScope);
-  state_->receiver_ = address->listen();
+  state_->receiver_ = ListenForRpc(io, aAddress);
   state_->tasks_.add(state_->server_->listen(*state_->receiver_));
 }
 
--- a/src/tanagerstall/connection/tanagerstall_member_link.cpp
+++ b/src/tanagerstall/connection/tanagerstall_member_link.cpp
@@ -1,5 +1,6 @@
 #include "tanagerstall/connection/tanagerstall_member_link.hpp"
 
+#include "tanagerstall/internal/tanagerstall_rpc_connection.hpp"
 #include "tanagerstall/internal/tanagerstall_wire.hpp"
 #include "tanagerstall/process/raft/tanagerstall_raft_codec.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
@@ -142,19 +143,7 @@
   const MemberHooks& hooks_;
 };
 
-struct Connection
-{
-  explicit Connection(kj::Own<kj::AsyncIoStream> aStream)
-    : stream_(kj::mv(aStream))
-    , client_(*stream_)
-    , port_(client_.bootstrap().castAs<wire::MemberPort>())
-  {
-  }
-
-  kj::Own<kj::AsyncIoStream> stream_;
-  capnp::TwoPartyClient client_;
-  wire::MemberPort::Client port_;
-};
+using Connection = RpcConnection<wire::MemberPort>;
 
 using SharedConnection = std::shared_ptr<Connection>;
 
@@ -193,16 +182,7 @@
     KJ_IF_MAYBE (connecting, peer.connecting_) {
       return connecting->addBranch();
     }
-    auto opening = loop_.Io()
-                     .provider->getNetwork()
-                     .parseAddress(aAddress.c_str())
-                     .then([](kj::Own<kj::NetworkAddress> aTo) {
-                       auto connecting = aTo->connect();
-                       return connecting.attach(kj::mv(aTo));
-                     })
-                     .then([](kj::Own<kj::AsyncIoStream> aStream) {
-                       return std::make_shared<Connection>(kj::mv(aStream));
-                     });
+    auto opening = OpenRpcConnection<Connection>(loop_.Io(), aAddress);
     auto fork = timer_.timeoutAfter(kConnectTimeout, kj::mv(opening)).fork();
     auto branch = fork.addBranch();
     tasks_.add(fork.addBranch().then(
@@ -295,10 +275,7 @@
   auto& io = state_->loop_.Io();
   state_->server_ =
     kj::heap<capnp::TwoPartyServer>(kj::heap<MemberCapability>(state_->hooks_));
-  auto address = io.provider->getNetwork()
-                   .parseAddress(aAddress.ToString().c_str())
-                   .wait(io.waitScope);
-  state_->receiver_ = address->listen();
+  state_->receiver_ = ListenForRpc(io, aAddress);
   state_->tasks_.add(state_->server_->listen(*state_->receiver_));
   return { aAddress.host_,
            static_cast<std::uint16_t>(state_->receiver_->getPort()) };
--- a/src/tanagerstall/connection/tanagerstall_peer_link.cpp
+++ b/src/tanagerstall/connection/tanagerstall_peer_link.cpp
@@ -2,6 +2,7 @@
 
 #include "tanagerstall/connection/tanagerstall_presence_codec.hpp"
 #include "tanagerstall/internal/control.capnp.h"
+#include "tanagerstall/internal/tanagerstall_rpc_connection.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
 #include <algorithm>
@@ -61,19 +62,7 @@
   const PeerLink::Hooks& hooks_;
 };
 
-struct Connection
-{
-  explicit Connection(kj::Own<kj::AsyncIoStream> aStream)
-    : stream_(kj::mv(aStream))
-    , client_(*stream_)
-    , peer_(client_.bootstrap().castAs<wire::Peer>())
-  {
-  }
-
-  kj::Own<kj::AsyncIoStream> stream_;
-  capnp::TwoPartyClient client_;
-  wire::Peer::Client peer_;
-};
+using Connection = RpcConnection<wire::Peer>;
 
 using ConnectionPointer = std::shared_ptr<Connection>;
 
@@ -100,24 +89,17 @@
     if (auto it = connections_.find(aPeer); it != connections_.end()) {
       return it->second;
     }
-    return loop_.Io()
-      .provider->getNetwork()
-      .parseAddress(aPeer.c_str())
-      .then([](kj::Own<kj::NetworkAddress> aAddress) {
-        auto connecting = aAddress->connect();
-        return connecting.attach(kj::mv(aAddress));
-      })
-      .then([this, aPeer](kj::Own<kj::AsyncIoStream> aStream) {
-        auto connection = std::make_shared<Connection>(kj::mv(aStream));
-        connections_[aPeer] = connection;
-        return connection;
+    return OpenRpcConnection<Connection>(loop_.Io(), aPeer)
+      .then([this, aPeer](ConnectionPointer aConnection) {
+        connections_[aPeer] = aConnection;
+        return aConnection;
       });
   }
 
   kj::Promise<PresenceReply> Call(const ConnectionPointer& aConnection,
                                   const PresencePull& aPull)
   {
-    auto request = aConnection->peer_.pullRequest();
+    auto request = aConnection->port_.pullRequest();
     WritePull(request.initPull(), aPull);
     hooks_.onSent_(BytesOf(request.asReader().totalSize()));
     return request.send().then([this, aConnection](auto aResponse) {
@@ -175,10 +157,7 @@
   auto& io = state_->loop_.Io();
   state_->server_ =
     kj::heap<capnp::TwoPartyServer>(kj::heap<PeerCapability>(state_->hooks_));
-  auto address = io.provider->getNetwork()
-                   .parseAddress(aAddress.ToString().c_str())
-                   .wait(io.waitScope);
-  state_->receiver_ = address->listen();
+  state_->receiver_ = ListenForRpc(io, aAddress);
   state_->tasks_.add(state_->AcceptForever());
   return { aAddress.host_,
            static_cast<std::uint16_t>(state_->receiver_->getPort()) };
--- /dev/null
+++ b/src/tanagerstall/internal/tanagerstall_rpc_connection.hpp
@@ -0,0 +1,57 @@
+#ifndef TANAGERSTALL_RPC_CONNECTION_HPP_INCLUDED
+#define TANAGERSTALL_RPC_CONNECTION_HPP_INCLUDED
+
+#include "tanagerstall/process/tanagerstall_settings.hpp"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <memory>
+#include <string>
+
+namespace tanagerstall {
+
+/// An open connection to a process of ours that serves an interface.
+template<class Interface>
+struct RpcConnection
+{
+  explicit RpcConnection(kj::Own<kj::AsyncIoStream> aStream)
+    : stream_(kj::mv(aStream))
+    , client_(*stream_)
+    , port_(client_.bootstrap().castAs<Interface>())
+  {
+  }
+
+  kj::Own<kj::AsyncIoStream> stream_;
+  capnp::TwoPartyClient client_;
+  typename Interface::Client port_;
+};
+
+/// Opens a connection to "IP:port"; the caller bounds the time.
+template<class Connection>
+kj::Promise<std::shared_ptr<Connection>>
+OpenRpcConnection(kj::AsyncIoContext& aIo, const std::string& aAddress)
+{
+  return aIo.provider->getNetwork()
+    .parseAddress(aAddress.c_str())
+    .then([](kj::Own<kj::NetworkAddress> aTo) {
+      auto connecting = aTo->connect();
+      return connecting.attach(kj::mv(aTo));
+    })
+    .then([](kj::Own<kj::AsyncIoStream> aStream) {
+      return std::make_shared<Connection>(kj::mv(aStream));
+    });
+}
+
+/// Listens at an address. Throws kj::Exception where it can't be used.
+inline kj::Own<kj::ConnectionReceiver>
+ListenForRpc(kj::AsyncIoContext& aIo, const Address& aAddress)
+{
+  auto address = aIo.provider->getNetwork()
+                   .parseAddress(aAddress.ToString().c_str())
+                   .wait(aIo.waitScope);
+  return address->listen();
+}
+
+} // namespace tanagerstall
+
+#endif
