The configuration test waits for a revision before it says that none follows

Cause: the check counted entries at revision 3 right after it was applied, while in force at the entries is what they reported last. Trial with one entry stopped for 1.5 s: the old check fails though no revision was made; the new one passes. Now the test waits until both entries are at 3, and after the refused folders checks the entries and control's own revision; it prints what was seen.

--- a/tests/processes/configuration_test.sh
+++ b/tests/processes/configuration_test.sh
@@ -90,6 +90,7 @@
 expect 0 "applied at revision 3" apply -f "$folder"
 expect 0 '"between_tokens_ms": 55' get service/assistant
 expect 0 "  - whole_ms: 120000" history service/assistant
+wait_until in_force 3 2
 
 # What schema 1 can't express is refused by field name.
 cp "$folder/orders-replicas.json" "$run/orders-replicas.json"
@@ -118,7 +119,9 @@
 expect 1 "nowhere.json: replicas/nowhere: name needs service/nowhere" \
   apply -f "$folder"
 rm "$folder/nowhere.json"
-in_force 3 2 || fail "a refused folder made a revision"
+in_force 3 2 || fail "a refused folder changed an entry: $(cat "$run/out")"
+[ "$(jq .revision "$run/out")" = 3 ] ||
+  fail "a refused folder made a revision: $(cat "$run/out")"
 
 # A service in use is not deleted; records go only when that is asked for.
 mv "$folder/orders.json" "$run/orders.json"
