What entries take for themselves counts against an organisation's limit

An entry whose answers come late or not at all goes on with a part of its share of the rate, while the leader grants the whole rate to the others and never hears of it; here two entries behind a lossy link beside a hot organisation. Now an entry tells what it took, the leader takes that from the bucket, and keeps back the part of an entry that it doesn't hear.

--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -61,6 +61,7 @@
     asks[next].setHeld(ask.held_);
     asks[next].setDue(ask.due_);
     asks[next].setNeed(ask.need_);
+    asks[next].setTaken(ask.taken_);
     ++next;
   }
   auto services = aTo.initServices(aFrom.services_.size());
@@ -89,7 +90,8 @@
   for (auto ask : aFrom.getAsks()) {
     report.asks_[ToString(ask.getName())] = { ask.getHeld(),
                                               ask.getDue(),
-                                              ask.getNeed() };
+                                              ask.getNeed(),
+                                              ask.getTaken() };
   }
   for (auto service : aFrom.getServices()) {
     report.services_[ToString(service.getName())] = { service.getRunning(),
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -54,6 +54,8 @@
   need @2 :Float64;
   # Of that, what requests wait for.
   due @3 :Float64;
+  # Cost that the entry took for itself since it was last answered.
+  taken @4 :Float64;
 }
 
 struct ServiceLoad {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -144,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81ee73827d40ac8a, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(81ee73827d40ac8a, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -875,6 +875,8 @@
 
   inline double getDue() const;
 
+  inline double getTaken() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -919,6 +921,9 @@
   inline double getDue();
   inline void setDue(double value);
 
+  inline double getTaken();
+  inline void setTaken(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2223,6 +2228,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline double CostAsk::Reader::getTaken() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double CostAsk::Builder::getTaken() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CostAsk::Builder::setTaken(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServiceLoad::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -172,6 +172,9 @@
                   std::to_string(aReport.entry_.incarnation_),
                 aReport.usage_);
     loads_[aReport.entry_.id_] = aReport.services_;
+    if (aReport.entry_.weight_ > 0) {
+      leases_.Hear(aReport.entry_.id_, clock_.Now());
+    }
   }
 
   /// What the other control processes are asked for: the replicas that
--- a/src/tanagerstall/request/tanagerstall_cost_limits.cpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.cpp
@@ -22,10 +22,14 @@
 /// An entry asks for more below this part of what it wants to hold.
 constexpr double kAskBelow = 0.4;
 /// The part of the limit that a new leader takes as unused.
-constexpr double kFirstLevel = 0.15;
+constexpr double kFirstLevel = 0.35;
 /// How long what an earlier leader granted counts.
 constexpr Duration kGrantsCount = std::chrono::seconds(10);
 constexpr Duration kHeldMemory = std::chrono::seconds(4);
+/// An entry reports more often than this.
+constexpr Duration kInTouch = std::chrono::milliseconds(1200);
+/// How long an entry out of touch is taken to be still at work.
+constexpr Duration kReservedFor = std::chrono::seconds(30);
 
 double
 Seconds(Duration aDuration)
@@ -51,8 +55,10 @@
     double share = kAlonePart / std::max(entries_, 1U);
     double grown = aAccount.held_ + aAccount.limit_.ratePerSecond_ * share *
                                       Seconds(aNow - from);
-    aAccount.held_ =
+    grown =
       std::min(grown, std::max(aAccount.held_, aAccount.limit_.burst_ * share));
+    aAccount.taken_ += grown - aAccount.held_;
+    aAccount.held_ = grown;
     aAccount.refilledAt_ = aNow;
   }
 }
@@ -121,9 +127,11 @@
         account.unansweredSince_ = aNow;
       }
       account.askedDue_ = std::max(0.0, account.waiting_ - account.held_);
+      account.toldTaken_ = account.taken_;
       asks[organisation] = { account.held_,
                              account.askedDue_,
-                             target - account.held_ };
+                             target - account.held_,
+                             account.taken_ };
     }
   }
   return asks;
@@ -137,6 +145,8 @@
   for (const auto& [organisation, grant] : aGrants) {
     Account& account = accounts_[organisation];
     account.held_ += grant;
+    account.taken_ = std::max(0.0, account.taken_ - account.toldTaken_);
+    account.toldTaken_ = 0.0;
     account.isAsking_ = false;
     account.isUnanswered_ = false;
     account.isExhausted_ = grant < account.askedDue_;
@@ -157,21 +167,50 @@
 CostLeases::StartLeading(TimePoint aNow)
 {
   leadsSince_ = aNow;
+  heard_.clear();
   for (auto& [organisation, bucket] : buckets_) {
     bucket.isFilled_ = false;
-    bucket.held_.clear();
+    bucket.shares_.clear();
   }
 }
 
+void
+CostLeases::Hear(const std::string& aEntry, TimePoint aNow)
+{
+  heard_[aEntry] = aNow;
+  std::erase_if(heard_, [&](const auto& aIt) {
+    return aNow - aIt.second > kReservedFor;
+  });
+}
+
+/// What entries out of touch may take for themselves between the last refill
+/// and now.
+double
+CostLeases::Reserve(Bucket& aBucket, TimePoint aNow) const
+{
+  double reserved = 0.0;
+  double rate = aBucket.limit_.ratePerSecond_ * kAlonePart /
+                static_cast<double>(std::max<std::size_t>(heard_.size(), 1));
+  for (const auto& [entry, heardAt] : heard_) {
+    TimePoint from = std::max(aBucket.at_, heardAt + kInTouch);
+    if (aNow > from) {
+      double part = rate * Seconds(aNow - from);
+      aBucket.shares_[entry].reserved_ += part;
+      reserved += part;
+    }
+  }
+  return reserved;
+}
+
 void
 CostLeases::Refill(Bucket& aBucket, TimePoint aNow) const
 {
   double held = 0.0;
-  std::erase_if(aBucket.held_, [&](const auto& aIt) {
-    return aNow - aIt.second.second > kHeldMemory;
+  std::erase_if(aBucket.shares_, [this](const auto& aIt) {
+    return !heard_.contains(aIt.first);
   });
-  for (const auto& [entry, said] : aBucket.held_) {
-    held += said.first;
+  for (const auto& [entry, share] : aBucket.shares_) {
+    held += aNow - share.saidAt_ > kHeldMemory ? 0.0 : share.held_;
   }
   double size = aBucket.limit_.burst_ + aBucket.slack_;
   if (!aBucket.isFilled_) {
@@ -180,7 +219,8 @@
     aBucket.level_ = size * std::min(1.0, kFirstLevel + led);
   } else {
     aBucket.level_ +=
-      aBucket.limit_.ratePerSecond_ * Seconds(aNow - aBucket.at_);
+      aBucket.limit_.ratePerSecond_ * Seconds(aNow - aBucket.at_) -
+      Reserve(aBucket, aNow);
   }
   aBucket.at_ = aNow;
   aBucket.level_ = std::min(aBucket.level_, std::max(0.0, size - held));
@@ -192,20 +232,27 @@
                   TimePoint aNow)
 {
   CostByName grants;
+  bool isKnown = heard_.contains(aEntry);
+  Hear(aEntry, aNow);
   for (const auto& [organisation, ask] : aAsks) {
     auto it = buckets_.find(organisation);
     if (it == buckets_.end()) {
       continue;
     }
     Bucket& bucket = it->second;
-    bucket.held_[aEntry] = { ask.held_, aNow };
     Refill(bucket, aNow);
-    double due = std::min(ask.due_, bucket.level_);
+    Share& share = bucket.shares_[aEntry];
+    if (isKnown) {
+      // What it took while nobody led is no part of this leader's bucket.
+      bucket.level_ -= std::max(0.0, ask.taken_ - share.reserved_);
+    }
+    share = { ask.held_, aNow, 0.0 };
+    double due = std::clamp(bucket.level_, 0.0, ask.due_);
     double ahead =
       std::min(ask.need_ - ask.due_, (bucket.level_ - due) * kLargestGrant);
     double grant = due + std::max(0.0, ahead);
     bucket.level_ -= grant;
-    bucket.held_[aEntry].first += grant;
+    share.held_ += grant;
     grants[organisation] = grant;
   }
   return grants;
--- a/src/tanagerstall/request/tanagerstall_cost_limits.hpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.hpp
@@ -25,6 +25,8 @@
   double due_ = 0.0;
   /// Cost that it would like to be granted, what is due included.
   double need_ = 0.0;
+  /// Cost that it took for itself since it was last answered.
+  double taken_ = 0.0;
 
   bool operator==(const CostAsk&) const = default;
 };
@@ -75,6 +77,10 @@
     TimePoint askedAt_;
     /// What requests waited for at the last ask.
     double askedDue_ = 0.0;
+    /// What the account grew by without a grant, and how much of that the last
+    /// ask told.
+    double taken_ = 0.0;
+    double toldTaken_ = 0.0;
     bool isAsking_ = false;
     /// Whether the last asks found no leader, and since when.
     bool isUnanswered_ = false;
@@ -102,12 +108,24 @@
   /// Begins anew as leader. What an earlier leader granted isn't known, but the
   /// longer ago that was, the less of it counts.
   void StartLeading(TimePoint aNow);
+  /// Notes that an entry is in touch. What one that isn't takes for itself is
+  /// kept back from the others.
+  void Hear(const std::string& aEntry, TimePoint aNow);
   /// What an entry gets of what it asks for.
   CostByName Grant(const std::string& aEntry,
                    const CostAsks& aAsks,
                    TimePoint aNow);
 
 private:
+  /// What is known of an entry's part of a limit.
+  struct Share
+  {
+    double held_ = 0.0;
+    TimePoint saidAt_;
+    /// Kept back for it while it was out of touch.
+    double reserved_ = 0.0;
+  };
+
   struct Bucket
   {
     CostLimit limit_;
@@ -115,13 +133,15 @@
     double level_ = 0.0;
     TimePoint at_;
     bool isFilled_ = false;
-    /// What entries hold, and when they said so.
-    std::map<std::string, std::pair<double, TimePoint>> held_;
+    std::map<std::string, Share> shares_;
   };
 
   void Refill(Bucket& aBucket, TimePoint aNow) const;
+  double Reserve(Bucket& aBucket, TimePoint aNow) const;
 
   TimePoint leadsSince_;
+  /// When each entry was last in touch with this leader.
+  std::map<std::string, TimePoint> heard_;
   std::map<std::string, Bucket> buckets_;
 };
 
--- a/tests/cost_limits_tests.cpp
+++ b/tests/cost_limits_tests.cpp
@@ -5,7 +5,6 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
-#include <deque>
 #include <memory>
 #include <random>
 #include <vector>
@@ -22,6 +21,8 @@
 constexpr Duration kAnswerTime = 60ms;
 constexpr Duration kLength = 40s;
 constexpr Duration kSecondLoss = 5s;
+/// Answers that are later than this don't come.
+constexpr Duration kCutOff = 1min;
 /// The parts of what is tolerated that control grants.
 constexpr double kOvershootUse = 0.35;
 constexpr double kSlackUse = 0.6;
@@ -42,6 +43,13 @@
   Duration silentUntil_;
   /// The least part of what is within the limit that has to be admitted.
   double leastAdmitted_;
+  /// When nothing is asked for.
+  Duration quietFrom_ = 1h;
+  Duration quietUntil_ = 1h;
+  /// Entries whose link to the leader is slow from the tenth second to the
+  /// eighteenth, and how much later answers come there.
+  std::size_t slowEntries_ = 0;
+  Duration slowBy_ = 0s;
 };
 
 std::ostream&
@@ -98,6 +106,78 @@
     11s,
     0.7 },
   { "many entries", 6, 60, { 400'000, 400'000 }, 3.3, 9'000, 1h, 1h, 0.6 },
+  { "six times the usual, a pause, and again",
+    8,
+    8,
+    { 400'000, 400'000 },
+    3.3,
+    9'000,
+    1h,
+    1h,
+    0.7,
+    10s,
+    16s },
+  { "a pause, again, and the leader lost twice",
+    10,
+    7,
+    { 339'000, 339'000 },
+    3.3,
+    9'000,
+    16500ms,
+    17s,
+    0.6,
+    10s,
+    16s },
+  { "two entries on a lossy link",
+    11,
+    7,
+    { 339'000, 339'000 },
+    3.3,
+    9'000,
+    1h,
+    1h,
+    0.7,
+    0s,
+    9s,
+    2,
+    600ms },
+  { "three entries cut off from the leader",
+    12,
+    7,
+    { 339'000, 339'000 },
+    3.3,
+    9'000,
+    1h,
+    1h,
+    0.7,
+    0s,
+    9s,
+    3,
+    1h },
+  { "three entries cut off, usual load",
+    13,
+    7,
+    { 339'000, 339'000 },
+    0.55,
+    9'000,
+    1h,
+    1h,
+    0.9,
+    1h,
+    1h,
+    3,
+    1h },
+  { "many entries, a pause, and again",
+    9,
+    60,
+    { 400'000, 400'000 },
+    3.3,
+    9'000,
+    1h,
+    1h,
+    0.5,
+    10s,
+    16s },
 };
 
 struct Admitted
@@ -154,6 +234,10 @@
 
   void Arrive()
   {
+    if (now_ >= kStart + case_.quietFrom_ &&
+        now_ < kStart + case_.quietUntil_) {
+      return;
+    }
     double seconds = std::chrono::duration<double>(kStep).count();
     double rate =
       case_.limit_.ratePerSecond_ * case_.load_ / case_.requestCost_;
@@ -187,19 +271,29 @@
     }
     wasSilent_ = IsLeaderSilent();
     for (std::size_t i = 0; i < entries_.size(); ++i) {
+      Duration delay = DelayOf(i);
       CostAsks asks = entries_[i]->Asks(now_);
-      if (!asks.empty() && !IsLeaderSilent()) {
-        answers_.push_back({ now_ + kAnswerTime,
+      if (!asks.empty() && !IsLeaderSilent() && delay < kCutOff) {
+        answers_.push_back({ now_ + kAnswerTime + delay,
                              i,
                              leases_.Grant(std::to_string(i), asks, now_) });
       }
     }
-    while (!answers_.empty() && answers_.front().at_ <= now_) {
-      const Answer& answer = answers_.front();
-      entries_[answer.entry_]->TakeGrants(
-        answer.grants_, static_cast<std::uint32_t>(entries_.size()));
-      answers_.pop_front();
-    }
+    std::erase_if(answers_, [this](const Answer& aIt) {
+      if (aIt.at_ > now_) {
+        return false;
+      }
+      entries_[aIt.entry_]->TakeGrants(
+        aIt.grants_, static_cast<std::uint32_t>(entries_.size()));
+      return true;
+    });
+  }
+
+  Duration DelayOf(std::size_t aEntry) const
+  {
+    bool isSlow = aEntry < case_.slowEntries_ && now_ >= kStart + 10s &&
+                  now_ < kStart + 18s;
+    return isSlow ? case_.slowBy_ : Duration::zero();
   }
 
   void Serve()
@@ -225,7 +319,7 @@
   std::vector<std::unique_ptr<CostLimits>> entries_;
   CostLeases leases_;
   std::vector<Waiting> waiting_;
-  std::deque<Answer> answers_;
+  std::vector<Answer> answers_;
 };
 
 /// The most that was admitted in any window.
@@ -255,7 +349,9 @@
   double allowed =
     (sample.limit_.ratePerSecond_ * 8 + sample.limit_.burst_) * 1.1 +
     kTolerated;
-  BOOST_TEST(MostInWindow(trial.admitted_, 8s) <= allowed);
+  double most = MostInWindow(trial.admitted_, 8s);
+  BOOST_TEST_MESSAGE(sample.name_ << ": " << most / allowed);
+  BOOST_TEST(most <= allowed);
 }
 
 BOOST_DATA_TEST_CASE(What_is_within_the_limit_is_admitted,
