The log is bounded and never holds up a request; every refusal has its line

Cause: the console sink wrote and flushed in the calling thread, so a reader that stopped blocked the traffic thread, and one line an answer had no bound. The lines of a request stand in request_log; a refusal is one table of status, code and cause. Ruled out: the sink's thread took SIGHUP (platform_test failed so, 'Hangup'): all signals are blocked in it.

--- a/src/daemons/tanagerstall_controld.cpp
+++ b/src/daemons/tanagerstall_controld.cpp
@@ -1,6 +1,7 @@
 // The control process: replicated state and the operators' interface.
 #include "tanagerstall/process/tanagerstall_controller.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
+#include "tanagerstall/process/tanagerstall_process_run.hpp"
 
 #include <boost/program_options/value_semantic.hpp>
 #include <iostream>
@@ -56,7 +57,7 @@
     return 2;
   }
   StartLog("controld", ParseSeverity(settings["log-level"].as<std::string>()));
-  try {
+  RunProcess([&] {
     Controller controller({ settings["id"].as<std::string>(),
                             settings["failure-domain"].as<std::string>(),
                             RequireAddress(settings, "operator-address"),
@@ -65,8 +66,5 @@
                             settings["data-folder"].as<std::string>(),
                             settings["bootstrap"].as<bool>() });
     return controller.Run();
-  } catch (const std::exception& error) {
-    LogEvent(Severity::Error, "stopped", { { "error", error.what() } });
-    return 1;
-  }
+  });
 }
--- a/src/daemons/tanagerstall_entryd.cpp
+++ b/src/daemons/tanagerstall_entryd.cpp
@@ -1,6 +1,7 @@
 // The entry process: callers' requests and upstreams' announcements.
 #include "tanagerstall/process/tanagerstall_entry.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
+#include "tanagerstall/process/tanagerstall_process_run.hpp"
 
 #include <boost/program_options/value_semantic.hpp>
 
@@ -66,11 +67,8 @@
   entrySettings.trafficThreads_ = settings["traffic-threads"].as<std::size_t>();
   entrySettings.operatorToken_ = text("operator-token");
   entrySettings.upstreamToken_ = text("upstream-token");
-  try {
+  RunProcess([&] {
     Entry entry(std::move(entrySettings));
     return entry.Run();
-  } catch (const std::exception& error) {
-    LogEvent(Severity::Error, "stopped", { { "error", error.what() } });
-    return 1;
-  }
+  });
 }
--- a/src/daemons/tanagerstall_standin.cpp
+++ b/src/daemons/tanagerstall_standin.cpp
@@ -1,6 +1,7 @@
 // A stand-in for a model engine or a plain service, for tests and local runs.
 #include "tanagerstall/process/standin/tanagerstall_standin.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
+#include "tanagerstall/process/tanagerstall_process_run.hpp"
 
 #include <boost/program_options/value_semantic.hpp>
 #include <iostream>
@@ -76,5 +77,5 @@
   standin.token_ = text("token");
   standin.address_ = RequireAddress(settings, "address");
   standin.entries_ = RequireAddresses(settings, "entries");
-  return RunStandin(std::move(standin));
+  RunProcess([&] { return RunStandin(std::move(standin)); });
 }
--- a/src/tanagerstall/process/metrics/tanagerstall_metrics_page.cpp
+++ b/src/tanagerstall/process/metrics/tanagerstall_metrics_page.cpp
@@ -1,5 +1,7 @@
 #include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 
+#include "tanagerstall/process/tanagerstall_log.hpp"
+
 #include <boost/json.hpp>
 #include <sstream>
 
@@ -72,6 +74,7 @@
     out << "tanagerstall_refusals_total{reason=\"" << Escaped(code) << "\"} "
         << count << "\n";
   }
+  out << "tanagerstall_log_lines_left_out_total " << LogLinesLeftOut() << "\n";
   for (const auto& [name, value] : aGauges) {
     out << "tanagerstall_" << name << " " << value << "\n";
   }
@@ -104,6 +107,7 @@
   for (std::size_t i = 0; i < kCounterCount; ++i) {
     counters[ToString(static_cast<Counter>(i))] = aMetrics.counters_[i];
   }
+  counters["log_lines_left_out"] = LogLinesLeftOut();
   json::object refusals;
   for (const auto& [code, count] : aMetrics.refusals_) {
     refusals[code] = count;
--- a/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <kj/async-io.h>
 #include <kj/debug.h>
 #include <random>
@@ -35,7 +34,7 @@
     aFunction();
   } catch (const std::exception& error) {
     LogEvent(Severity::Error, "stopped", { { "error", error.what() } });
-    std::_Exit(1);
+    EndProcess(1);
   }
 }
 
--- a/src/tanagerstall/process/tanagerstall_log.cpp
+++ b/src/tanagerstall/process/tanagerstall_log.cpp
@@ -1,21 +1,71 @@
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
 #include "tanagerstall/process/tanagerstall_clock.hpp"
+#include "tanagerstall/process/tanagerstall_log_volume.hpp"
 
+#include <atomic>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
-#include <iostream>
+#include <csignal>
+#include <cstdlib>
+#include <future>
+#include <thread>
 
 namespace tanagerstall {
 
 namespace {
 
+namespace sinks = boost::log::sinks;
+
+/// Lines that wait for the writer.
+constexpr std::size_t kQueuedLines = 4096;
+/// Lines of one event in a second: many times what a busy entry answers.
+constexpr std::uint32_t kLinesPerSecond = 400;
+/// How long the end of the process waits for a reader.
+constexpr Duration kEndWait = std::chrono::milliseconds(300);
+
+std::atomic<std::uint64_t> gOverflowed{ 0 };
+
+/// Leaves lines out where the queue is full, and counts them.
+struct CountOverflow : sinks::drop_on_overflow
+{
+  template<class Lock>
+  static bool on_overflow(const boost::log::record_view&, Lock&)
+  {
+    ++gOverflowed;
+    return false;
+  }
+};
+
+using Sink =
+  sinks::asynchronous_sink<sinks::text_ostream_backend,
+                           sinks::bounded_fifo_queue<kQueuedLines,
+                                                     CountOverflow>>;
+
+boost::shared_ptr<Sink>&
+TheSink()
+{
+  static boost::shared_ptr<Sink> sink;
+  return sink;
+}
+
+LogVolume&
+TheVolume()
+{
+  static LogVolume volume(kLinesPerSecond);
+  return volume;
+}
+
 using Logger = boost::log::sources::severity_logger_mt<Severity>;
 
 std::string&
@@ -32,6 +82,25 @@
   return logger;
 }
 
+/// Blocks all signals for threads that are started meanwhile: signals are for
+/// the thread that waits for them.
+class SignalsBlocked
+{
+public:
+  SignalsBlocked()
+  {
+    sigset_t all;
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before_);
+  }
+  ~SignalsBlocked() { pthread_sigmask(SIG_SETMASK, &before_, nullptr); }
+  SignalsBlocked(const SignalsBlocked&) = delete;
+  SignalsBlocked& operator=(const SignalsBlocked&) = delete;
+
+private:
+  sigset_t before_{};
+};
+
 const char*
 Name(Severity aSeverity)
 {
@@ -55,10 +124,16 @@
 {
   namespace expr = boost::log::expressions;
   ProgramName() = std::move(aProgram);
-  boost::log::add_console_log(aStream,
-                              boost::log::keywords::format = expr::stream
-                                                             << expr::smessage,
-                              boost::log::keywords::auto_flush = true);
+  auto backend = boost::make_shared<sinks::text_ostream_backend>();
+  backend->add_stream(
+    boost::shared_ptr<std::ostream>(&aStream, boost::null_deleter()));
+  backend->auto_flush(true);
+  {
+    SignalsBlocked blocked;
+    TheSink() = boost::make_shared<Sink>(backend);
+  }
+  TheSink()->set_formatter(expr::stream << expr::smessage);
+  boost::log::core::get()->add_sink(TheSink());
   boost::log::core::get()->set_filter(expr::attr<Severity>("Severity") >=
                                       aLowest);
 }
@@ -68,6 +143,11 @@
          std::string_view aEvent,
          std::initializer_list<LogField> aFields)
 {
+  static Clock clock;
+  LineVerdict verdict = TheVolume().Take(aEvent, clock.Now());
+  if (!verdict.isWritten_) {
+    return;
+  }
   boost::json::object line;
   line["time_ms"] = ReadWallTime().time_since_epoch().count();
   line["severity"] = Name(aSeverity);
@@ -76,9 +156,33 @@
   for (const auto& field : aFields) {
     line[field.name_] = field.value_;
   }
+  if (verdict.leftOut_ > 0) {
+    line["left_out"] = verdict.leftOut_;
+  }
   BOOST_LOG_SEV(TheLogger(), aSeverity) << boost::json::serialize(line);
 }
 
+std::uint64_t
+LogLinesLeftOut()
+{
+  return TheVolume().LeftOut() + gOverflowed.load();
+}
+
+void
+EndProcess(int aStatus)
+{
+  if (TheSink()) {
+    auto written = std::make_shared<std::promise<void>>();
+    auto isWritten = written->get_future();
+    std::thread([sink = TheSink(), written] {
+      sink->flush();
+      written->set_value();
+    }).detach();
+    isWritten.wait_for(kEndWait);
+  }
+  std::_Exit(aStatus);
+}
+
 Severity
 ParseSeverity(std::string_view aText)
 {
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -37,6 +37,8 @@
   PromptFacts prompt_;
   /// The work that it makes, for the choice of a replica.
   double cost_ = 1.0;
+  /// What it counts against its organisation's limit, in the limit's unit.
+  double limitCost_ = 0.0;
 
   /// When the first part of an answer came.
   std::optional<TimePoint> firstPartAt_;
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -1,7 +1,7 @@
 #include "tanagerstall/request/tanagerstall_forwarder.hpp"
 
-#include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
+#include "tanagerstall/request/tanagerstall_request_log.hpp"
 
 #include <algorithm>
 #include <iomanip>
@@ -9,6 +9,16 @@
 
 namespace tanagerstall {
 
+/// What a caller is told that a request has not run.
+struct Refusal
+{
+  int status_;
+  const char* code_;
+  /// The cause, for the log.
+  const char* reason_;
+  std::optional<Duration> retryAfter_ = std::nullopt;
+};
+
 namespace {
 
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
@@ -27,6 +37,21 @@
 /// An answer is long where its tokens so weighed pass the prompt's this often.
 constexpr double kLongAnswerFactor = 1.5;
 
+const Refusal kNoConfiguration{ 503,
+                                "no_configuration",
+                                "no declaration yet",
+                                kDefaultRetryAfter };
+const Refusal kNoRoute{ 404, "no_route", "no route" };
+const Refusal kUnknownKey{ 401, "unknown_key", "unknown key" };
+const Refusal kOverRate{ 429,
+                         "over_rate",
+                         "over the organisation's rate",
+                         kOverRateRetryAfter };
+const Refusal kUnavailable{ 503,
+                            "unavailable",
+                            "no replica took it",
+                            kDefaultRetryAfter };
+
 std::string
 Seconds(Duration aDuration)
 {
@@ -67,17 +92,22 @@
 
 Forwarder::~Forwarder() = default;
 
+/// Refuses a request that has not run, with the one line that says why.
 HttpResponse
-Forwarder::Refusal(int aStatus,
-                   const char* aCode,
-                   std::optional<Duration> aRetryAfter)
+Forwarder::Refuse(const ForwardedRequest& aRequest, const Refusal& aRefusal)
 {
-  metrics_.CountRefusal(aCode);
-  auto response = JsonResponse(aStatus,
-                               R"({"error":{"code":")" + std::string(aCode) +
-                                 R"(","outcome":"not_run"}})");
-  if (aRetryAfter) {
-    response.headers_.push_back({ "Retry-After", Seconds(*aRetryAfter) });
+  metrics_.CountRefusal(aRefusal.code_);
+  LogRefused(aRequest,
+             aRefusal.status_,
+             aRefusal.reason_,
+             chooser_.CountReplicas(aRequest.service_));
+  auto response =
+    JsonResponse(aRefusal.status_,
+                 R"({"error":{"code":")" + std::string(aRefusal.code_) +
+                   R"(","outcome":"not_run"}})");
+  if (aRefusal.retryAfter_) {
+    response.headers_.push_back(
+      { "Retry-After", Seconds(*aRefusal.retryAfter_) });
   }
   return response;
 }
@@ -150,35 +180,30 @@
   aRequest.organisation_ =
     aRequest.plan_->FindOrganisation(aHttp.Header(settings_.protocol_.key_));
   if (aRequest.organisation_ == nullptr) {
-    return Refusal(401, "unknown_key");
+    return Refuse(aRequest, kUnknownKey);
   }
   return std::nullopt;
 }
 
 std::optional<HttpResponse>
-Forwarder::CheckRate(HttpExchange& aExchange, const ForwardedRequest& aRequest)
+Forwarder::CheckRate(HttpExchange& aExchange, ForwardedRequest& aRequest)
 {
   const PlanOrganisation* organisation = aRequest.organisation_;
   if (organisation == nullptr) {
     return std::nullopt;
   }
-  double cost = 1.0;
+  aRequest.limitCost_ = 1.0;
   if (organisation->countsTokens_) {
     auto tokens =
       aRequest.prompt_.promptTokens_ + aRequest.prompt_.maxOutputTokens_;
-    cost =
+    aRequest.limitCost_ =
       static_cast<double>(tokens > 0 ? tokens : organisation->plainTokens_);
   }
-  if (AwaitCost(aExchange, *organisation, cost) == CostVerdict::Admitted) {
+  auto verdict = AwaitCost(aExchange, *organisation, aRequest.limitCost_);
+  if (verdict == CostVerdict::Admitted) {
     return std::nullopt;
   }
-  LogEvent(Severity::Info,
-           "request refused",
-           { { "request", aRequest.id_ },
-             { "reason", "over the organisation's rate" },
-             { "cost", cost },
-             { "organisation", organisation->name_ } });
-  return Refusal(429, "over_rate", kOverRateRetryAfter);
+  return Refuse(aRequest, kOverRate);
 }
 
 /// Waits for a grant where control may have one to give.
@@ -220,12 +245,11 @@
   request.id_ = http.Header(settings_.protocol_.requestId_);
   request.plan_ = plan_;
   if (!plan_) {
-    return tl::make_unexpected(
-      Refusal(503, "no_configuration", kDefaultRetryAfter));
+    return tl::make_unexpected(Refuse(request, kNoConfiguration));
   }
   request.route_ = plan_->FindRoute(HostOf(http), PathOf(http));
   if (request.route_ == nullptr) {
-    return tl::make_unexpected(Refusal(404, "no_route"));
+    return tl::make_unexpected(Refuse(request, kNoRoute));
   }
   if (auto refusal = CheckOrganisation(request, http)) {
     return tl::make_unexpected(*refusal);
@@ -286,82 +310,6 @@
   chooser_.Finish(aReplica, aRequest.cost_, aResult.outcome_, now);
 }
 
-void
-Forwarder::LogAnswered(const ForwardedRequest& aRequest,
-                       const Replica& aReplica,
-                       int aStatus)
-{
-  auto since = [&](TimePoint aWhen) {
-    return std::chrono::duration_cast<Milliseconds>(aWhen - aRequest.arrivedAt_)
-      .count();
-  };
-  TimePoint now = clock_.Now();
-  MeasureAnswer(aRequest);
-  LogEvent(Severity::Info,
-           "answered",
-           { { "request", aRequest.id_ },
-             { "route", aRequest.route_->name_ },
-             { "plan", aRequest.plan_->number_ },
-             { "organisation",
-               aRequest.organisation_ == nullptr
-                 ? ""
-                 : aRequest.organisation_->name_.c_str() },
-             { "prompt_tokens", aRequest.prompt_.promptTokens_ },
-             { "output_tokens", aRequest.prompt_.maxOutputTokens_ },
-             { "replica", aReplica.id_ },
-             { "status", aStatus },
-             { "sends", aRequest.sends_ },
-             { "running_there", aRequest.runningThere_ },
-             { "first_ms", since(aRequest.firstPartAt_.value_or(now)) },
-             { "gap_ms",
-               std::chrono::duration_cast<Milliseconds>(aRequest.longestGap_)
-                 .count() },
-             { "whole_ms", since(now) } });
-}
-
-void
-Forwarder::LogFailure(const char* aEvent,
-                      const ForwardedRequest& aRequest,
-                      const AttemptResult& aLast) const
-{
-  auto millis = [](Duration aTime) {
-    return std::chrono::duration_cast<Milliseconds>(aTime).count();
-  };
-  LogEvent(Severity::Info,
-           aEvent,
-           { { "request", aRequest.id_ },
-             { "route", aRequest.route_->name_ },
-             { "repeatable", aRequest.route_->IsRepeatable() },
-             { "plan", aRequest.plan_->number_ },
-             { "replica", aRequest.lastReplica_ },
-             { "running_there", aRequest.runningThere_ },
-             { "sends", aRequest.sends_ },
-             { "runs", aRequest.runs_ },
-             { "last_event", aRequest.lastEventId_ },
-             { "waited_ms", millis(clock_.Now() - aRequest.arrivedAt_) },
-             { "allowed_ms", millis(aRequest.deadline_ - aRequest.arrivedAt_) },
-             { "late", aLast.isLate_ },
-             { "detail", aLast.detail_ } });
-}
-
-void
-Forwarder::Refuse(HttpExchange& aExchange,
-                  const ForwardedRequest& aRequest,
-                  const char* aReason)
-{
-  ++loads_[aRequest.service_].refused_;
-  LogEvent(Severity::Info,
-           "request refused",
-           { { "request", aRequest.id_ },
-             { "reason", aReason },
-             { "route", aRequest.route_->name_ },
-             { "plan", aRequest.plan_->number_ },
-             { "service", aRequest.service_ },
-             { "sends", aRequest.sends_ },
-             { "replicas", chooser_.CountReplicas(aRequest.service_) } });
-  aExchange.Respond(Refusal(503, "unavailable", kDefaultRetryAfter));
-}
-
 /// Whether the request may be sent once more. An attempt that reached no
 /// replica costs nothing of the budget.
 bool
@@ -415,7 +363,8 @@
       break;
     }
     if (last.outcome_ == AttemptOutcome::Answered && !last.failure_) {
-      LogAnswered(aRequest, *replica, aExchange.Status());
+      MeasureAnswer(aRequest);
+      LogAnswered(aRequest, *replica, aExchange.Status(), clock_.Now());
       return;
     }
     aRequest.excluded_.insert(replica->id_);
@@ -425,28 +374,23 @@
     bool mayHaveRun = last.outcome_ == AttemptOutcome::Broken ||
                       last.outcome_ == AttemptOutcome::Answered;
     aRequest.runs_ += mayHaveRun ? 1 : 0;
-    LogEvent(Severity::Info,
-             "attempt failed",
-             { { "request", aRequest.id_ },
-               { "replica", replica->id_ },
-               { "sent", last.wasSent_ },
-               { "may_have_run", mayHaveRun },
-               { "detail", last.detail_ } });
+    LogAttemptFailed(aRequest, last, mayHaveRun);
     if (mayHaveRun && !mayRunAgain) {
       break;
     }
     isBudgeted = MayRetry(aRequest, last.wasSent_);
   }
   if (aExchange.IsCallerGone()) {
-    LogFailure("caller left", aRequest, last);
+    LogFailure("caller left", aRequest, last, clock_.Now());
     return;
   }
   if (aExchange.HasStarted()) {
-    LogFailure("stream broken off", aRequest, last);
+    LogFailure("stream broken off", aRequest, last, clock_.Now());
     aExchange.Abort();
     return;
   }
   if (failure) {
+    LogFailure("failure passed on", aRequest, last, clock_.Now());
     aExchange.Respond(*failure);
     return;
   }
@@ -454,10 +398,11 @@
     aRequest.runs_ > 0 ||
     (last.outcome_ == AttemptOutcome::Abandoned && last.wasSent_);
   if (!mayHaveRun) {
-    Refuse(aExchange, aRequest, "no replica took it");
+    ++loads_[aRequest.service_].refused_;
+    aExchange.Respond(Refuse(aRequest, kUnavailable));
     return;
   }
-  LogFailure("outcome unknown", aRequest, last);
+  LogFailure("outcome unknown", aRequest, last, clock_.Now());
   aExchange.Respond(last.isLate_ ? UnknownOutcome(504, "timeout")
                                  : UnknownOutcome(502, "upstream_failed"));
 }
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -20,6 +20,8 @@
 
 namespace tanagerstall {
 
+struct Refusal;
+
 /// How an entry forwards requests.
 struct ForwarderSettings
 {
@@ -81,29 +83,19 @@
   std::optional<HttpResponse> CheckOrganisation(ForwardedRequest& aRequest,
                                                 const HttpRequest& aHttp);
   std::optional<HttpResponse> CheckRate(HttpExchange& aExchange,
-                                        const ForwardedRequest& aRequest);
+                                        ForwardedRequest& aRequest);
   CostVerdict AwaitCost(HttpExchange& aExchange,
                         const PlanOrganisation& aOrganisation,
                         double aCost);
   void Run(HttpExchange& aExchange, ForwardedRequest& aRequest);
   bool MayRetry(const ForwardedRequest& aRequest, bool aWasSent);
-  HttpResponse Refusal(int aStatus,
-                       const char* aCode,
-                       std::optional<Duration> aRetryAfter = std::nullopt);
+  HttpResponse Refuse(const ForwardedRequest& aRequest,
+                      const Refusal& aRefusal);
   void MeasureAnswer(const ForwardedRequest& aRequest);
-  void LogFailure(const char* aEvent,
-                  const ForwardedRequest& aRequest,
-                  const AttemptResult& aLast) const;
   void NoteAttempt(const ForwardedRequest& aRequest,
                    const Replica& aReplica,
                    const AttemptResult& aResult,
                    TimePoint aBegan);
-  void LogAnswered(const ForwardedRequest& aRequest,
-                   const Replica& aReplica,
-                   int aStatus);
-  void Refuse(HttpExchange& aExchange,
-              const ForwardedRequest& aRequest,
-              const char* aReason);
   AttemptBudget& BudgetOf(const std::string& aService);
 
   ForwarderSettings settings_;
--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -0,0 +1,119 @@
+#include "tanagerstall/request/tanagerstall_request_log.hpp"
+
+#include "tanagerstall/process/tanagerstall_log.hpp"
+
+namespace tanagerstall {
+
+namespace {
+
+std::int64_t
+InMilliseconds(Duration aTime)
+{
+  return std::chrono::duration_cast<Milliseconds>(aTime).count();
+}
+
+std::string_view
+RouteOf(const ForwardedRequest& aRequest)
+{
+  return aRequest.route_ == nullptr ? std::string_view()
+                                    : aRequest.route_->name_;
+}
+
+std::string_view
+OrganisationOf(const ForwardedRequest& aRequest)
+{
+  return aRequest.organisation_ == nullptr ? std::string_view()
+                                           : aRequest.organisation_->name_;
+}
+
+std::uint64_t
+PlanOf(const ForwardedRequest& aRequest)
+{
+  return aRequest.plan_ ? aRequest.plan_->number_ : 0;
+}
+
+} // namespace
+
+void
+LogAnswered(const ForwardedRequest& aRequest,
+            const Replica& aReplica,
+            int aStatus,
+            TimePoint aNow)
+{
+  TimePoint firstAt = aRequest.firstPartAt_.value_or(aNow);
+  LogEvent(Severity::Info,
+           "answered",
+           { { "request", aRequest.id_ },
+             { "route", RouteOf(aRequest) },
+             { "plan", PlanOf(aRequest) },
+             { "organisation", OrganisationOf(aRequest) },
+             { "prompt_tokens", aRequest.prompt_.promptTokens_ },
+             { "output_tokens", aRequest.prompt_.maxOutputTokens_ },
+             { "replica", aReplica.id_ },
+             { "status", aStatus },
+             { "sends", aRequest.sends_ },
+             { "running_there", aRequest.runningThere_ },
+             { "first_ms", InMilliseconds(firstAt - aRequest.arrivedAt_) },
+             { "gap_ms", InMilliseconds(aRequest.longestGap_) },
+             { "whole_ms", InMilliseconds(aNow - aRequest.arrivedAt_) } });
+}
+
+void
+LogRefused(const ForwardedRequest& aRequest,
+           int aStatus,
+           std::string_view aReason,
+           std::size_t aReplicas)
+{
+  LogEvent(Severity::Info,
+           "request refused",
+           { { "request", aRequest.id_ },
+             { "reason", aReason },
+             { "status", aStatus },
+             { "route", RouteOf(aRequest) },
+             { "plan", PlanOf(aRequest) },
+             { "organisation", OrganisationOf(aRequest) },
+             { "cost", aRequest.limitCost_ },
+             { "service", aRequest.service_ },
+             { "sends", aRequest.sends_ },
+             { "replicas", aReplicas } });
+}
+
+void
+LogAttemptFailed(const ForwardedRequest& aRequest,
+                 const AttemptResult& aResult,
+                 bool aMayHaveRun)
+{
+  LogEvent(Severity::Info,
+           "attempt failed",
+           { { "request", aRequest.id_ },
+             { "replica", aRequest.lastReplica_ },
+             { "sent", aResult.wasSent_ },
+             { "may_have_run", aMayHaveRun },
+             { "detail", aResult.detail_ } });
+}
+
+void
+LogFailure(std::string_view aEvent,
+           const ForwardedRequest& aRequest,
+           const AttemptResult& aLast,
+           TimePoint aNow)
+{
+  LogEvent(Severity::Info,
+           aEvent,
+           { { "request", aRequest.id_ },
+             { "route", RouteOf(aRequest) },
+             { "repeatable", aRequest.route_->IsRepeatable() },
+             { "plan", PlanOf(aRequest) },
+             { "replica", aRequest.lastReplica_ },
+             { "running_there", aRequest.runningThere_ },
+             { "sends", aRequest.sends_ },
+             { "runs", aRequest.runs_ },
+             { "last_event", aRequest.lastEventId_ },
+             { "waited_ms", InMilliseconds(aNow - aRequest.arrivedAt_) },
+             { "allowed_ms",
+               InMilliseconds(aRequest.deadline_ - aRequest.arrivedAt_) },
+             { "late", aLast.isLate_ },
+             { "detail", aLast.detail_ } });
+}
+
+} // namespace tanagerstall
