Need begins with what was found and falls by a part of itself

A reclaimable replica costs 0.18 of another: keeping what was found until traffic has shown the need costs little. Two tests, which fail on the code before.

--- a/src/tanagerstall/process/tanagerstall_replica_placement.cpp
+++ b/src/tanagerstall/process/tanagerstall_replica_placement.cpp
@@ -11,13 +11,13 @@
 constexpr double kRunningPerReplica = 14.0;
 /// The part of the replicas found at the start that is taken as needed, until
 /// traffic has shown what is.
-constexpr double kFoundPart = 0.67;
+constexpr double kFoundPart = 1.0;
 constexpr double kLeastNeeded = 2.0;
 /// The part of the need that is covered on demand when a failure domain is
 /// lost: what is slow for a while costs less than full cover at full price.
 constexpr double kCoveredPart = 0.65;
-/// Replicas of need that may be given up a second.
-constexpr double kNeedFallsPerSecond = 0.12;
+/// The part of the need that may be given up in a second.
+constexpr double kNeedFallsPerSecond = 0.01;
 /// Fewer replicas have to be enough for this long before some go.
 constexpr Duration kShrinkAfter = std::chrono::seconds(3);
 /// An order is given again where its replicas don't come.
@@ -76,7 +76,7 @@
   } else if (aInput.running_ > 0) {
     double elapsed =
       std::chrono::duration<double>(aNow - aService.neededAt_).count();
-    aService.needed_ -= kNeedFallsPerSecond * elapsed;
+    aService.needed_ *= std::exp(-kNeedFallsPerSecond * elapsed);
   }
   aService.neededAt_ = aNow;
   aService.needed_ = std::max(
--- a/tests/replica_choice_tests.cpp
+++ b/tests/replica_choice_tests.cpp
@@ -235,6 +235,37 @@
   BOOST_TEST(trial.Count(false) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(What_was_found_is_kept_until_traffic_shows_the_need)
+{
+  PlacementTrial trial;
+  std::uint32_t found = trial.Count(false);
+  trial.Pass(20s);
+  // With any one failure domain lost.
+  BOOST_TEST(trial.Count(true) - trial.input_.domains_["a"].reclaimable_ >=
+             found);
+}
+
+namespace {
+
+const std::vector<std::uint32_t> kDemands{ 140, 560, 2240 };
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(The_need_of_any_size_falls_by_the_same_part,
+                     data::make(kDemands))
+{
+  PlacementTrial trial;
+  trial.input_.running_ = sample;
+  trial.Pass(1s);
+  std::uint32_t before = trial.placement_.Needed("model");
+  // No traffic tells nothing of the need.
+  trial.input_.running_ = 1;
+  trial.Pass(50s);
+  std::uint32_t after = trial.placement_.Needed("model");
+  BOOST_TEST(after < 0.7 * before);
+  BOOST_TEST(after > 0.5 * before);
+}
+
 BOOST_AUTO_TEST_CASE(A_lost_failure_domain_is_covered_on_demand)
 {
   PlacementTrial trial;
