--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -54,7 +54,10 @@
 {
   replicas_ = std::move(aReplicas);
   present_.clear();
+  forLongAnswers_.clear();
+  forOthers_.clear();
   for (const auto& [service, replicas] : *replicas_) {
+    SplitOff(replicas);
     for (const auto& replica : replicas) {
       present_.insert(replica.id_);
     }
@@ -64,6 +67,27 @@
   });
 }
 
+/// Keeps a part of a service's replicas in this region for long answers.
+void
+ReplicaChooser::SplitOff(const std::vector<Replica>& aReplicas)
+{
+  std::vector<std::pair<std::uint64_t, const std::string*>> near;
+  for (const auto& replica : aReplicas) {
+    if (IsInRegion(replica)) {
+      near.emplace_back(RankOf(0, replica.id_), &replica.id_);
+    }
+  }
+  if (near.size() < kLeastToSplit) {
+    return;
+  }
+  std::sort(near.begin(), near.end());
+  auto kept = static_cast<std::size_t>(std::max(
+    1L, std::lround(static_cast<double>(near.size()) * kLongAnswerPart)));
+  for (std::size_t i = 0; i < near.size(); ++i) {
+    (i < kept ? forLongAnswers_ : forOthers_).insert(*near[i].second);
+  }
+}
+
 bool
 ReplicaChooser::IsPresent(const std::string& aId) const
 {
@@ -179,29 +203,19 @@
   return KeptApart(sound.empty() ? avoided : sound, aRequest.isLongAnswer_);
 }
 
-/// Splits off the replicas for long answers, of this region if it has any.
+/// Of this region's replicas, those for the request's kind; all, wherever they
+/// are, if none of them is among `aFrom`.
 std::vector<const Replica*>
 ReplicaChooser::KeptApart(const std::vector<const Replica*>& aFrom,
-                          bool aForLongAnswers)
+                          bool aForLongAnswers) const
 {
-  std::vector<const Replica*> near;
-  std::copy_if(aFrom.begin(),
-               aFrom.end(),
-               std::back_inserter(near),
-               [this](const auto* aIt) { return IsInRegion(*aIt); });
-  if (near.size() < kLeastToSplit) {
-    return aFrom;
-  }
-  std::sort(
-    near.begin(), near.end(), [](const auto* aLeft, const auto* aRight) {
-      return RankOf(0, aLeft->id_) < RankOf(0, aRight->id_);
+  const auto& kept = aForLongAnswers ? forLongAnswers_ : forOthers_;
+  std::vector<const Replica*> own;
+  std::copy_if(
+    aFrom.begin(), aFrom.end(), std::back_inserter(own), [&](const auto* aIt) {
+      return kept.contains(aIt->id_);
     });
-  auto kept = static_cast<std::ptrdiff_t>(
-    std::lround(static_cast<double>(near.size()) * kLongAnswerPart));
-  auto border = near.begin() + std::max<std::ptrdiff_t>(kept, 1);
-  std::vector<const Replica*> longAnswers(near.begin(), border);
-  std::vector<const Replica*> others(border, near.end());
-  return aForLongAnswers ? longAnswers : others;
+  return own.empty() ? aFrom : own;
 }
 
 const Replica*
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
@@ -102,9 +102,10 @@
   const Replica* Pick(const std::vector<const Replica*>& aFrom,
                       const ChoiceRequest& aRequest,
                       TimePoint aNow);
+  void SplitOff(const std::vector<Replica>& aReplicas);
   std::vector<const Replica*> KeptApart(
     const std::vector<const Replica*>& aFrom,
-    bool aForLongAnswers);
+    bool aForLongAnswers) const;
   std::vector<const Replica*> Candidates(const ChoiceRequest& aRequest,
                                          TimePoint aNow);
 
@@ -112,6 +113,9 @@
   std::mt19937_64 random_;
   std::shared_ptr<const ReplicasByService> replicas_;
   std::set<std::string> present_;
+  /// Replicas of this region that are kept for long answers, and the others.
+  std::set<std::string> forLongAnswers_;
+  std::set<std::string> forOthers_;
   std::map<std::string, Standing> standings_;
   /// The smoothed wait for first parts of each service, in milliseconds.
   std::map<std::string, double> firstParts_;
