tanagerctl explain; one command line for all daemons; one Idempotency-Key

explain ID reads logs of several processes and prints the lines that name the id, what was lost, learned or believed shortly before, and the cause in words.

--- a/src/daemons/tanagerctl.cpp
+++ b/src/daemons/tanagerctl.cpp
@@ -1,6 +1,7 @@
 // The operators' command line.
 #include "tanagerstall/connection/tanagerstall_http_client.hpp"
 #include "tanagerstall/connection/tanagerstall_traffic_threads.hpp"
+#include "tanagerstall/process/commands/tanagerstall_log_story.hpp"
 #include "tanagerstall/process/commands/tanagerstall_operator_command.hpp"
 
 #include <boost/program_options/parsers.hpp>
@@ -30,7 +31,8 @@
   for (const auto& family : { RecordCommands(),
                               RequestCommands(),
                               HistogramCommands(),
-                              MemberCommands() }) {
+                              MemberCommands(),
+                              LogCommands() }) {
     commands.insert(commands.end(), family.begin(), family.end());
   }
   return commands;
@@ -40,7 +42,8 @@
 PrintUsage(std::ostream& aOut)
 {
   aOut << "tanagerctl COMMAND --control IP:port [options]\n"
-       << "histogram asks entries and takes --entries instead\n\n";
+       << "histogram asks entries and takes --entries instead; explain reads "
+          "logs and asks nobody\n\n";
   for (const auto& command : AllCommands()) {
     aOut << "  tanagerctl " << command.usage_ << "\n";
   }
@@ -107,10 +110,14 @@
 RunCommand(const OperatorCommand& aCommand, int aCount, char** aArguments)
 {
   po::options_description options("tanagerctl " + aCommand.usage_);
-  options.add_options()("help", "print this text")(
-    aCommand.addressOption_.c_str(),
-    po::value<std::string>()->required(),
-    "IP:port of the processes to call, separated by commas");
+  options.add_options()("help", "print this text");
+  bool callsProcesses = !aCommand.addressOption_.empty();
+  if (callsProcesses) {
+    options.add_options()(
+      aCommand.addressOption_.c_str(),
+      po::value<std::string>()->required(),
+      "IP:port of the processes to call, separated by commas");
+  }
   if (aCommand.addOptions_) {
     aCommand.addOptions_(options);
   }
@@ -121,8 +128,11 @@
   }
   context.settings_ =
     ReadSettingsOrExit(aCount - first, aArguments + first, options);
-  auto control =
-    RequireAddresses(context.settings_, aCommand.addressOption_.c_str());
+  std::vector<Address> control;
+  if (callsProcesses) {
+    control =
+      RequireAddresses(context.settings_, aCommand.addressOption_.c_str());
+  }
   std::deque<Address> order(control.begin(), control.end());
   context.call_ = [&order](const HttpRequest& aRequest) {
     return CallControl(order, aRequest);
--- a/src/daemons/tanagerstall_controld.cpp
+++ b/src/daemons/tanagerstall_controld.cpp
@@ -14,9 +14,8 @@
 po::options_description
 Options()
 {
-  po::options_description options("tanagerstall-controld");
+  po::options_description options = DaemonOptions("tanagerstall-controld");
   auto add = options.add_options();
-  add("help", "print this text");
   add("id", po::value<std::string>()->required(), "name of this member");
   add("failure-domain",
       po::value<std::string>()->default_value("default"),
@@ -57,14 +56,16 @@
     return 2;
   }
   StartLog("controld", ParseSeverity(settings["log-level"].as<std::string>()));
+  ControllerSettings controller{ settings["id"].as<std::string>(),
+                                 settings["failure-domain"].as<std::string>(),
+                                 RequireAddress(settings, "operator-address"),
+                                 RequireAddress(settings, "rpc-address"),
+                                 RequireAddress(settings, "member-address"),
+                                 settings["data-folder"].as<std::string>(),
+                                 settings["bootstrap"].as<bool>() };
+  EndIfOnlyChecked(settings);
   RunProcess([&] {
-    Controller controller({ settings["id"].as<std::string>(),
-                            settings["failure-domain"].as<std::string>(),
-                            RequireAddress(settings, "operator-address"),
-                            RequireAddress(settings, "rpc-address"),
-                            RequireAddress(settings, "member-address"),
-                            settings["data-folder"].as<std::string>(),
-                            settings["bootstrap"].as<bool>() });
-    return controller.Run();
+    Controller process(std::move(controller));
+    return process.Run();
   });
 }
--- a/src/daemons/tanagerstall_entryd.cpp
+++ b/src/daemons/tanagerstall_entryd.cpp
@@ -13,9 +13,8 @@
 po::options_description
 Options()
 {
-  po::options_description options("tanagerstall-entryd");
+  po::options_description options = DaemonOptions("tanagerstall-entryd");
   auto add = options.add_options();
-  add("help", "print this text");
   add("id", po::value<std::string>()->required(), "name of this entry");
   add("region",
       po::value<std::string>()->default_value("default"),
@@ -67,6 +66,7 @@
   entrySettings.trafficThreads_ = settings["traffic-threads"].as<std::size_t>();
   entrySettings.operatorToken_ = text("operator-token");
   entrySettings.upstreamToken_ = text("upstream-token");
+  EndIfOnlyChecked(settings);
   RunProcess([&] {
     Entry entry(std::move(entrySettings));
     return entry.Run();
--- a/src/daemons/tanagerstall_standin.cpp
+++ b/src/daemons/tanagerstall_standin.cpp
@@ -14,9 +14,8 @@
 po::options_description
 Options()
 {
-  po::options_description options("tanagerstall-standin");
+  po::options_description options = DaemonOptions("tanagerstall-standin");
   auto add = options.add_options();
-  add("help", "print this text");
   add("service", po::value<std::string>()->required(), "service it is part of");
   add(
     "kind", po::value<std::string>()->default_value("plain"), "model or plain");
@@ -77,5 +76,6 @@
   standin.token_ = text("token");
   standin.address_ = RequireAddress(settings, "address");
   standin.entries_ = RequireAddresses(settings, "entries");
+  EndIfOnlyChecked(settings);
   RunProcess([&] { return RunStandin(std::move(standin)); });
 }
--- a/src/tanagerstall/connection/tanagerstall_connection_pool.hpp
+++ b/src/tanagerstall/connection/tanagerstall_connection_pool.hpp
@@ -41,7 +41,6 @@
   /// that have been idle for too long.
   void Trim(const std::function<bool(const std::string& aReplica)>& aIsWanted);
 
-
 private:
   struct Idle
   {
--- a/src/tanagerstall/connection/tanagerstall_http_message.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_message.cpp
@@ -30,6 +30,15 @@
   return {};
 }
 
+std::size_t
+CountHeaders(const std::vector<HttpHeader>& aHeaders, std::string_view aName)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aHeaders.begin(), aHeaders.end(), [&](const HttpHeader& aIt) {
+      return EqualsIgnoringCase(aIt.name_, aName);
+    }));
+}
+
 std::string_view
 PathOf(const HttpRequest& aRequest)
 {
--- a/src/tanagerstall/connection/tanagerstall_http_message.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_message.hpp
@@ -17,6 +17,10 @@
 std::string_view
 FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName);
 
+/// How often a field is given.
+std::size_t
+CountHeaders(const std::vector<HttpHeader>& aHeaders, std::string_view aName);
+
 /// Whether two ASCII texts are equal but for case.
 bool
 EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight);
--- /dev/null
+++ b/src/tanagerstall/process/commands/tanagerstall_log_story.cpp
@@ -0,0 +1,265 @@
+#include "tanagerstall/process/commands/tanagerstall_log_story.hpp"
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <set>
+
+namespace tanagerstall {
+
+namespace json = boost::json;
+
+namespace {
+
+/// How long before the first line what happened around it may matter.
+constexpr std::chrono::milliseconds kBefore{ 5000 };
+
+/// Events that change what a process believes or can reach.
+const std::set<std::string, std::less<>> kBeliefs{
+  "declaration in force", "control lost", "control regained",
+  "settings read",        "stopping",     "started"
+};
+/// The same where they concern every process.
+const std::set<std::string, std::less<>> kShared{ "leads",
+                                                  "no longer leads",
+                                                  "members change" };
+const std::set<std::string, std::less<>> kReplicaEvents{ "replica announced",
+                                                         "replica left" };
+
+std::string
+TextOf(const json::object& aFields, std::string_view aName)
+{
+  const auto* value = aFields.if_contains(aName);
+  if (value == nullptr) {
+    return "";
+  }
+  return value->is_string() ? std::string(value->as_string())
+                            : json::serialize(*value);
+}
+
+bool
+Names(const LogLine& aLine, const std::string& aId)
+{
+  return std::any_of(
+    aLine.fields_.begin(), aLine.fields_.end(), [&](const auto& aIt) {
+      return aIt.value().is_string() && aIt.value().as_string() == aId;
+    });
+}
+
+bool
+MayMatter(const LogLine& aLine, const std::string& aId)
+{
+  return kBeliefs.contains(aLine.event_) || kShared.contains(aLine.event_) ||
+         kReplicaEvents.contains(aLine.event_) || Names(aLine, aId);
+}
+
+using Describe = std::string (*)(const json::object&);
+
+struct Ending
+{
+  const char* event_;
+  Describe describe_;
+};
+
+std::string
+ReasonOrTime(const json::object& aFields)
+{
+  return TextOf(aFields, "late") == "true" ? "its time ran out"
+                                           : TextOf(aFields, "detail");
+}
+
+const std::vector<Ending> kEndings{
+  { "answered",
+    [](const json::object& aIt) {
+      return "answered with status " + TextOf(aIt, "status") + " by replica " +
+             TextOf(aIt, "replica") + " after " + TextOf(aIt, "whole_ms") +
+             " ms";
+    } },
+  { "request refused",
+    [](const json::object& aIt) {
+      return "refused with status " + TextOf(aIt, "status") +
+             ", not run: " + TextOf(aIt, "reason");
+    } },
+  { "outcome unknown",
+    [](const json::object& aIt) {
+      return "it may have run at replica " + TextOf(aIt, "replica") +
+             ", but no answer came: " + ReasonOrTime(aIt);
+    } },
+  { "stream broken off",
+    [](const json::object& aIt) {
+      return "its stream was broken off after event \"" +
+             TextOf(aIt, "last_event") + "\" of replica " +
+             TextOf(aIt, "replica") + ": " + ReasonOrTime(aIt);
+    } },
+  { "failure passed on",
+    [](const json::object& aIt) {
+      return "replica " + TextOf(aIt, "replica") +
+             " answered with a failure, and no other replica did better";
+    } },
+  { "caller left",
+    [](const json::object& aIt) {
+      return "the caller left after " + TextOf(aIt, "waited_ms") + " ms of " +
+             TextOf(aIt, "allowed_ms");
+    } },
+};
+
+std::string
+CauseOf(const std::vector<LogLine>& aOwn, const std::string& aId)
+{
+  std::string cause;
+  for (const auto& line : aOwn) {
+    for (const auto& ending : kEndings) {
+      if (line.event_ == ending.event_ &&
+          TextOf(line.fields_, "request") == aId) {
+        cause = ending.describe_(line.fields_);
+      }
+    }
+  }
+  return cause;
+}
+
+void
+SortByTime(std::vector<LogLine>& aLines)
+{
+  std::stable_sort(
+    aLines.begin(), aLines.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.time_ < aRight.time_;
+    });
+}
+
+void
+Print(const std::vector<LogLine>& aLines, std::chrono::milliseconds aStart)
+{
+  for (const auto& line : aLines) {
+    std::cout << "  " << (line.time_ - aStart).count() << " ms  "
+              << line.source_ << "  " << line.event_ << " ";
+    for (const auto& field : line.fields_) {
+      std::cout << " " << field.key() << "=" << json::serialize(field.value());
+    }
+    std::cout << "\n";
+  }
+}
+
+int
+Explain(const CommandContext& aContext)
+{
+  if (aContext.words_.empty()) {
+    std::cerr << "error: explain needs the id of a request, a replica or a "
+                 "process\n";
+    return ExitUsage;
+  }
+  const std::string& id = aContext.words_.front();
+  std::vector<LogLine> lines;
+  for (std::size_t i = 1; i < aContext.words_.size(); ++i) {
+    std::filesystem::path path = aContext.words_[i];
+    std::ifstream log(path);
+    if (!log) {
+      std::cerr << "error: can't read " << path.string() << "\n";
+      return ExitUsage;
+    }
+    ReadLog(log, path.stem().string(), id, lines);
+  }
+  if (aContext.words_.size() == 1) {
+    ReadLog(std::cin, "standard input", id, lines);
+  }
+  LogStory story = TellStory(std::move(lines), id);
+  if (story.own_.empty()) {
+    std::cerr << "no line names " << id
+              << ": no process read it, or its lines were left out (see "
+                 "\"left_out\" in the logs)\n";
+    return ExitRefused;
+  }
+  auto start = story.own_.front().time_;
+  std::cout << id << ", from " << start.count() << " ms:\n";
+  Print(story.own_, start);
+  if (!story.around_.empty()) {
+    std::cout << "before it:\n";
+    Print(story.around_, start);
+  }
+  if (!story.cause_.empty()) {
+    std::cout << "cause: " << story.cause_ << "\n";
+  }
+  return ExitDone;
+}
+
+} // namespace
+
+void
+ReadLog(std::istream& aLog,
+        const std::string& aSource,
+        const std::string& aId,
+        std::vector<LogLine>& aLines)
+{
+  std::string text;
+  while (std::getline(aLog, text)) {
+    auto begin = text.find('{');
+    if (begin == std::string::npos) {
+      continue;
+    }
+    json::error_code error;
+    auto value = json::parse(std::string_view(text).substr(begin), error);
+    if (error || !value.is_object()) {
+      continue;
+    }
+    LogLine line;
+    line.source_ = aSource;
+    line.fields_ = std::move(value.as_object());
+    line.event_ = TextOf(line.fields_, "event");
+    if (const auto* time = line.fields_.if_contains("time_ms");
+        time != nullptr && time->is_int64()) {
+      line.time_ = std::chrono::milliseconds(time->as_int64());
+    }
+    for (const auto* name : { "time_ms", "severity", "program", "event" }) {
+      line.fields_.erase(name);
+    }
+    if (MayMatter(line, aId)) {
+      aLines.push_back(std::move(line));
+    }
+  }
+}
+
+LogStory
+TellStory(std::vector<LogLine> aLines, const std::string& aId)
+{
+  LogStory story;
+  SortByTime(aLines);
+  std::set<std::string> sources;
+  std::set<std::string> replicas;
+  for (const auto& line : aLines) {
+    if (Names(line, aId)) {
+      story.own_.push_back(line);
+      sources.insert(line.source_);
+      replicas.insert(TextOf(line.fields_, "replica"));
+    }
+  }
+  if (story.own_.empty()) {
+    return story;
+  }
+  replicas.erase("");
+  auto from = story.own_.front().time_ - kBefore;
+  auto until = story.own_.back().time_;
+  for (const auto& line : aLines) {
+    bool isNear = line.time_ >= from && line.time_ <= until;
+    bool concerns =
+      kShared.contains(line.event_) ||
+      (kBeliefs.contains(line.event_) && sources.contains(line.source_)) ||
+      (kReplicaEvents.contains(line.event_) &&
+       replicas.contains(TextOf(line.fields_, "replica")));
+    if (isNear && concerns && !Names(line, aId)) {
+      story.around_.push_back(line);
+    }
+  }
+  story.cause_ = CauseOf(story.own_, aId);
+  return story;
+}
+
+std::vector<OperatorCommand>
+LogCommands()
+{
+  return { { "explain", "explain ID [FILE...]", nullptr, Explain, "" } };
+}
+
+} // namespace tanagerstall
--- a/src/tanagerstall/process/commands/tanagerstall_operator_command.hpp
+++ b/src/tanagerstall/process/commands/tanagerstall_operator_command.hpp
@@ -51,7 +51,7 @@
   /// Adds the options that only this command takes; may be empty.
   std::function<void(boost::program_options::options_description&)> addOptions_;
   std::function<int(const CommandContext&)> run_;
-  /// The option that names the processes to call.
+  /// The option that names the processes to call; empty for none.
   std::string addressOption_ = "control";
 };
 
--- a/src/tanagerstall/process/tanagerstall_duty_holder.cpp
+++ b/src/tanagerstall/process/tanagerstall_duty_holder.cpp
@@ -127,19 +127,18 @@
   auto answer = hooks_.cloud_.orderReplicas_(
     aFiber, token, aOrder, [this] { return MayAct(); });
   const auto& domain = aInput.domains_.at(aOrder.failureDomain_);
-  LogEvent(
-    Severity::Info,
-    "replicas ordered",
-    { { "service", aOrder.service_ },
-      { "failure_domain", aOrder.failureDomain_ },
-      { "reclaimable", aOrder.isReclaimable_ },
-      { "count", aOrder.count_ },
-      { "ready",
-        aOrder.isReclaimable_ ? domain.reclaimable_ : domain.onDemand_ },
-      { "needed", placement_.Needed(aOrder.service_) },
-      { "running", aInput.running_ },
-      { "fence", token.fence_ },
-      { "answer", answer ? static_cast<int>(*answer) : -1 } });
+  LogEvent(Severity::Info,
+           "replicas ordered",
+           { { "service", aOrder.service_ },
+             { "failure_domain", aOrder.failureDomain_ },
+             { "reclaimable", aOrder.isReclaimable_ },
+             { "count", aOrder.count_ },
+             { "ready",
+               aOrder.isReclaimable_ ? domain.reclaimable_ : domain.onDemand_ },
+             { "needed", placement_.Needed(aOrder.service_) },
+             { "running", aInput.running_ },
+             { "fence", token.fence_ },
+             { "answer", answer ? static_cast<int>(*answer) : -1 } });
   placement_.OnAnswer(
     aOrder, answer.value_or(CloudAnswer::TryLater), clock_.Now());
 }
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -460,7 +460,8 @@
     [state] { state->loop_.Stop(); },
     [state] { state->loop_.Post([state] { state->Reload(true); }); });
   state->tasks_.add(state->TickForever());
-  state->threads_.Spawn([state](Fiber& aFiber) { state->duties_.Serve(aFiber); });
+  state->threads_.Spawn(
+    [state](Fiber& aFiber) { state->duties_.Serve(aFiber); });
   state->loop_.Run();
   state->threads_.Stop();
   LogEvent(Severity::Info, "stopped", { { "id", state->settings_.id_ } });
--- a/src/tanagerstall/process/tanagerstall_log.cpp
+++ b/src/tanagerstall/process/tanagerstall_log.cpp
@@ -4,17 +4,17 @@
 #include "tanagerstall/process/tanagerstall_log_volume.hpp"
 
 #include <atomic>
+#include <boost/core/null_deleter.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/sources/severity_logger.hpp>
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -47,10 +47,9 @@
   }
 };
 
-using Sink =
-  sinks::asynchronous_sink<sinks::text_ostream_backend,
-                           sinks::bounded_fifo_queue<kQueuedLines,
-                                                     CountOverflow>>;
+using Sink = sinks::asynchronous_sink<
+  sinks::text_ostream_backend,
+  sinks::bounded_fifo_queue<kQueuedLines, CountOverflow>>;
 
 boost::shared_ptr<Sink>&
 TheSink()
--- a/src/tanagerstall/process/tanagerstall_settings.cpp
+++ b/src/tanagerstall/process/tanagerstall_settings.cpp
@@ -85,7 +85,7 @@
                                                               aOptions);
                                     }),
               settings);
-    if (settings.count("help") == 0) {
+    if (settings.count("help") + settings.count("version") == 0) {
       po::notify(settings);
     }
   } catch (const po::error& error) {
@@ -94,6 +94,25 @@
   return settings;
 }
 
+po::options_description
+DaemonOptions(const char* aCaption)
+{
+  po::options_description options(aCaption);
+  options.add_options()("help", "print this text")("version",
+                                                   "print the version")(
+    "check-settings", "read the settings, say whether they are valid, and end");
+  return options;
+}
+
+void
+EndIfOnlyChecked(const po::variables_map& aSettings)
+{
+  if (aSettings.count("check-settings") != 0) {
+    std::cout << "the settings are valid\n" << std::flush;
+    std::_Exit(0);
+  }
+}
+
 po::variables_map
 ReadSettingsOrExit(int aCount,
                    const char* const* aArguments,
@@ -108,6 +127,10 @@
     std::cout << aOptions;
     std::exit(0);
   }
+  if (settings->count("version") != 0) {
+    std::cout << "tanagerstall " << TANAGERSTALL_VERSION << "\n";
+    std::exit(0);
+  }
   return *settings;
 }
 
--- a/src/tanagerstall/process/tanagerstall_settings.hpp
+++ b/src/tanagerstall/process/tanagerstall_settings.hpp
@@ -37,13 +37,23 @@
              const char* const* aArguments,
              const boost::program_options::options_description& aOptions);
 
-/// Reads the arguments of a daemon. Prints help or the error and ends the
-/// process where there is nothing to run: status 0 after help, 2 on an error.
+/// The options that every daemon has: --help, --version, --check-settings.
+boost::program_options::options_description
+DaemonOptions(const char* aCaption);
+
+/// Reads the arguments of a daemon. Prints help, the version or the error and
+/// ends the process where there is nothing to run: status 2 on an error, else
+/// 0.
 boost::program_options::variables_map
 ReadSettingsOrExit(int aCount,
                    const char* const* aArguments,
                    const boost::program_options::options_description& aOptions);
 
+/// Ends the process with status 0 where the settings, which have been found
+/// valid, were only to be checked.
+void
+EndIfOnlyChecked(const boost::program_options::variables_map& aSettings);
+
 /// The address that a setting of a daemon holds. Prints the error and ends the
 /// process with status 2 where it is none.
 Address
--- a/src/tanagerstall/request/tanagerstall_cost_limits.cpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.cpp
@@ -222,9 +222,8 @@
     share = { ask.held_, aNow, 0.0 };
   }
   heard_[aEntry] = aNow;
-  std::erase_if(heard_, [&](const auto& aIt) {
-    return aNow - aIt.second > kReservedFor;
-  });
+  std::erase_if(
+    heard_, [&](const auto& aIt) { return aNow - aIt.second > kReservedFor; });
 }
 
 /// What entries out of touch may take for themselves between the last refill
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -211,10 +211,10 @@
 {
   const auto& kept = aForLongAnswers ? forLongAnswers_ : forOthers_;
   std::vector<const Replica*> own;
-  std::copy_if(
-    aFrom.begin(), aFrom.end(), std::back_inserter(own), [&](const auto* aIt) {
-      return kept.contains(aIt->id_);
-    });
+  std::copy_if(aFrom.begin(),
+               aFrom.end(),
+               std::back_inserter(own),
+               [&](const auto* aIt) { return kept.contains(aIt->id_); });
   return own.empty() ? aFrom : own;
 }
 
--- a/src/tanagerstall/request/tanagerstall_service_call.cpp
+++ b/src/tanagerstall/request/tanagerstall_service_call.cpp
@@ -20,6 +20,7 @@
 constexpr std::string_view kServicesPrefix = "/v1/services/";
 constexpr std::string_view kBearerPrefix = "Bearer ";
 constexpr std::string_view kTimeoutHeader = "Tanagerstall-Timeout-Ms";
+constexpr std::string_view kKeyHeader = "Idempotency-Key";
 constexpr std::size_t kMaxTokenBytes = 512;
 constexpr std::size_t kMaxKeyBytes = 256;
 constexpr std::uint64_t kBytesPerToken = 4;
@@ -60,7 +61,7 @@
 IsForwarded(std::string_view aName)
 {
   constexpr std::string_view kForwarded[] = {
-    "Content-Type", "Accept", "Accept-Language", "Idempotency-Key"
+    "Content-Type", "Accept", "Accept-Language", kKeyHeader
   };
   for (auto name : kForwarded) {
     if (EqualsIgnoringCase(aName, name)) {
@@ -156,7 +157,10 @@
   ServiceCall call;
   call.service_ = **service;
   call.rule_ = call.service_.RuleFor(aRequest.method_, path);
-  call.idempotencyKey_ = std::string(aRequest.Header("Idempotency-Key"));
+  if (CountHeaders(aRequest.headers_, kKeyHeader) > 1) {
+    return Refuse(400, "key_twice", "a request has one Idempotency-Key");
+  }
+  call.idempotencyKey_ = std::string(aRequest.Header(kKeyHeader));
   call.prefersAsync_ = aRequest.Header("Prefer").starts_with("respond-async") &&
                        !call.idempotencyKey_.empty();
   if (call.idempotencyKey_.size() > kMaxKeyBytes) {
--- /dev/null
+++ b/tests/log_story_tests.cpp
@@ -0,0 +1,82 @@
+// From the id of a request to its cause, with nothing but logs.
+#define BOOST_TEST_MODULE log_story
+#include "tanagerstall/process/commands/tanagerstall_log_story.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <sstream>
+
+using namespace tanagerstall;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+const std::string kId = "7b41";
+
+struct StoryCase
+{
+  const char* name_;
+  /// The log of an entry and of a control process.
+  const char* entry_;
+  const char* control_;
+  std::size_t own_;
+  std::size_t around_;
+  const char* cause_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const StoryCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<StoryCase> kStoryCases{
+  { "a refused request",
+    R"({"time_ms":5000,"event":"control lost","address":"10.0.0.1:1"}
+{"time_ms":9000,"event":"request refused","request":"7b41","status":429,"reason":"over the organisation's rate"}
+{"time_ms":9000,"event":"request refused","request":"other","status":404,"reason":"no route"})",
+    R"({"time_ms":8000,"event":"leads","term":4})",
+    1,
+    2,
+    "refused with status 429, not run: over the organisation's rate" },
+  { "a stream that was cut off",
+    R"({"time_ms":9000,"event":"attempt failed","request":"7b41","replica":"r1","detail":"connection lost"}
+{"time_ms":9001,"event":"stream broken off","request":"7b41","replica":"r1","last_event":"11","late":false,"detail":"connection lost"})",
+    R"({"time_ms":8500,"event":"replica left","replica":"r1"}
+{"time_ms":8600,"event":"replica left","replica":"r2"})",
+    2,
+    1,
+    "its stream was broken off after event \"11\" of replica r1: connection "
+    "lost" },
+  { "an unknown outcome",
+    R"({"time_ms":9000,"event":"outcome unknown","request":"7b41","replica":"r1","late":true,"detail":""})",
+    R"({"time_ms":1000,"event":"leads","term":4})",
+    1,
+    0,
+    "it may have run at replica r1, but no answer came: its time ran out" },
+  { "a request that no process read",
+    R"({"time_ms":9000,"event":"answered","request":"other"}
+no line of ours
+{"time_ms":)",
+    "",
+    0,
+    0,
+    "" },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(The_story_of_an_id_names_its_cause,
+                     data::make(kStoryCases))
+{
+  std::vector<LogLine> lines;
+  std::istringstream control(sample.control_);
+  ReadLog(control, "control-1", kId, lines);
+  std::istringstream entry(sample.entry_);
+  ReadLog(entry, "entry-1", kId, lines);
+  LogStory story = TellStory(std::move(lines), kId);
+  BOOST_TEST(story.own_.size() == sample.own_);
+  BOOST_TEST(story.around_.size() == sample.around_);
+  BOOST_TEST(story.cause_ == sample.cause_);
+}
--- a/tests/log_tests.cpp
+++ b/tests/log_tests.cpp
@@ -42,7 +42,9 @@
 
 const std::vector<VolumeCase> kVolumeCases{
   { "within the bound",
-    { { "a", 0ms, kWritten }, { "a", 1ms, kWritten }, { "a", 2ms, kWritten } } },
+    { { "a", 0ms, kWritten },
+      { "a", 1ms, kWritten },
+      { "a", 2ms, kWritten } } },
   { "beyond it, told by the next line written",
     { { "a", 0ms, kWritten },
       { "a", 1ms, kWritten },
