--- a/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
@@ -4,11 +4,9 @@
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
 #include <algorithm>
-#include <array>
 #include <kj/async-io.h>
 #include <kj/debug.h>
 #include <random>
-#include <thread>
 
 namespace tanagerstall {
 
@@ -22,7 +20,6 @@
 constexpr Duration kLeaderless = std::chrono::seconds(3);
 /// How long a call looks for the leader.
 constexpr Duration kLeaderSearch = std::chrono::milliseconds(2500);
-constexpr std::array<const char*, 2> kGroupNames{ "configuration", "ledger" };
 
 /// Runs what may touch the disk. A member whose disk failed, or that stopped
 /// halfway through a flush, must not go on.
@@ -38,40 +35,6 @@
   }
 }
 
-/// Waits until the folder takes a write: a member that ended because its disk
-/// was full would only end again.
-LogDisk
-OpenWritableDisk(const std::filesystem::path& aFolder)
-{
-  constexpr const char* kProbe = "probe";
-  constexpr int kTries = 100;
-  constexpr Duration kPause = std::chrono::milliseconds(200);
-  LogDisk disk = OpenLogDisk(aFolder);
-  for (int i = 0; i < kTries; ++i) {
-    try {
-      ReplaceFile(disk, kProbe, ViewOf("writable"));
-      return disk;
-    } catch (const DiskError& error) {
-      LogEvent(Severity::Warning,
-               "disk takes no writes",
-               { { "error", error.what() } });
-      std::this_thread::sleep_for(kPause);
-    }
-  }
-  return disk;
-}
-
-bool
-HasFiles(const LogDisk& aDisk)
-{
-  for (const std::string name : kGroupNames) {
-    if (aDisk.read_(name + ".log") || aDisk.read_(name + ".snapshot")) {
-      return true;
-    }
-  }
-  return aDisk.read_("identity").has_value();
-}
-
 } // namespace
 
 struct RaftMember::State : private kj::TaskSet::ErrorHandler
@@ -81,90 +44,10 @@
     , timer_(aLoop.Io().provider->getTimer())
     , clock_(std::move(aClock))
     , settings_(std::move(aSettings))
-    , disk_(OpenWritableDisk(settings_.dataFolder_))
+    , folder_(OpenMemberFolder(settings_))
     , link_(loop_, MakeHooks())
     , tasks_(*this)
   {
-    if (!settings_.founders_.empty()) {
-      PrepareFounder();
-    } else if (settings_.isBootstrap_ && HasFiles(disk_)) {
-      throw DiskError("the data folder is in use: a new cluster needs an "
-                      "empty folder; start without --bootstrap to go on with "
-                      "what the folder holds");
-    }
-    auto identity = ReadIdentity(disk_);
-    isFresh_ = !identity;
-    identity_ = identity ? *identity : MakeIdentity(settings_.name_);
-    if (isFresh_ && settings_.isBootstrap_ && !settings_.founders_.empty()) {
-      identity_.member_.key_ = FounderKey(settings_.memberAddress_);
-    }
-    if (identity_.member_.name_ != settings_.name_) {
-      throw DiskError("the data folder is of the member " +
-                      identity_.member_.name_);
-    }
-    CheckFiles();
-  }
-
-  /// A founder that stopped before it wrote its identity has told nobody
-  /// anything, and begins anew; one with an identity goes on.
-  void PrepareFounder()
-  {
-    bool isFounder =
-      std::find(settings_.founders_.begin(),
-                settings_.founders_.end(),
-                settings_.memberAddress_) != settings_.founders_.end();
-    bool isKnown = disk_.read_("identity").has_value();
-    settings_.isBootstrap_ = settings_.isBootstrap_ && isFounder && !isKnown;
-    if (isKnown) {
-      return;
-    }
-    for (const std::string name : kGroupNames) {
-      for (const auto& file : { name + ".log", name + ".snapshot" }) {
-        if (disk_.read_(file)) {
-          disk_.remove_(file);
-        }
-      }
-    }
-    disk_.syncFolder_();
-  }
-
-  Membership FirstMembers() const
-  {
-    if (settings_.founders_.empty()) {
-      return { identity_.member_ };
-    }
-    Membership members;
-    for (const auto& founder : settings_.founders_) {
-      Member member;
-      member.key_ = FounderKey(founder);
-      member.name_ = founder.ToString();
-      member.memberAddress_ = founder.ToString();
-      members.push_back(member);
-    }
-    return members;
-  }
-
-  std::string NewClusterName() const
-  {
-    if (settings_.founders_.empty()) {
-      return MakeClusterName();
-    }
-    std::string all;
-    for (const auto& founder : settings_.founders_) {
-      all += founder.ToString() + ",";
-    }
-    return "cluster-" + std::to_string(Checksum(ViewOf(all)));
-  }
-
-  /// A folder that lost a part of its files must not vote.
-  void CheckFiles()
-  {
-    if (isFresh_ && HasFiles(disk_)) {
-      throw DiskError("the identity file is missing; replace this member");
-    }
-    if (!isFresh_ && !disk_.read_(std::string(kGroupNames[0]) + ".log")) {
-      throw DiskError("the log is missing; replace this member");
-    }
   }
 
   void taskFailed(kj::Exception&& aError) override
@@ -176,7 +59,7 @@
 
   MemberHooks MakeHooks()
   {
-    return { [this]() -> const MemberIdentity& { return identity_; },
+    return { [this]() -> const MemberIdentity& { return folder_.identity_; },
              [this](GroupName aGroup,
                     const std::string& aCluster,
                     const std::string& aSender,
@@ -194,7 +77,7 @@
   void Listen(const Address& aControlAddress)
   {
     Address wanted = settings_.memberAddress_;
-    auto past = ParseAddress(identity_.member_.memberAddress_);
+    auto past = ParseAddress(folder_.identity_.member_.memberAddress_);
     if (wanted.port_ == 0 && past && past->host_ == wanted.host_) {
       wanted = *past;
     }
@@ -206,27 +89,28 @@
       }
       wanted = link_.Listen(settings_.memberAddress_);
     }
-    identity_.member_.memberAddress_ = wanted.ToString();
-    identity_.member_.controlAddress_ = aControlAddress.ToString();
+    folder_.identity_.member_.memberAddress_ = wanted.ToString();
+    folder_.identity_.member_.controlAddress_ = aControlAddress.ToString();
   }
 
   void Open(const std::vector<StateMachine>& aMachines)
   {
-    if (settings_.isBootstrap_) {
-      identity_.cluster_ = NewClusterName();
+    if (folder_.isBootstrap_) {
+      folder_.identity_.cluster_ = NewClusterName(settings_);
     }
     for (std::size_t i = 0; i < aMachines.size(); ++i) {
       const std::string name = kGroupNames.at(i);
-      if (!isFresh_ && !disk_.read_(name + ".log")) {
+      if (!folder_.isFresh_ && !folder_.disk_.read_(name + ".log")) {
         throw DiskError(name + ".log is missing; replace this member");
       }
-      LogStorage storage(disk_, name);
-      if (settings_.isBootstrap_) {
-        RaftGroup::Bootstrap(storage, FirstMembers(), aMachines.at(i));
+      LogStorage storage(folder_.disk_, name);
+      if (folder_.isBootstrap_) {
+        RaftGroup::Bootstrap(
+          storage, FirstMembers(settings_, folder_.identity_), aMachines.at(i));
       }
       auto group = static_cast<GroupName>(i);
       groups_.at(i) = std::make_unique<RaftGroup>(
-        identity_.member_.key_,
+        folder_.identity_.member_.key_,
         settings_.raft_,
         std::move(storage),
         aMachines.at(i),
@@ -238,12 +122,12 @@
     }
     openGroups_ = aMachines.size();
     // Last, so that a folder with an identity holds the groups' files.
-    WriteIdentity(disk_, identity_);
+    WriteIdentity(folder_.disk_, folder_.identity_);
     LogEvent(Severity::Info,
-             identity_.cluster_.empty() ? "waiting to be added"
-                                        : "member started",
-             { { "cluster", identity_.cluster_ },
-               { "members", identity_.member_.memberAddress_ } });
+             folder_.identity_.cluster_.empty() ? "waiting to be added"
+                                                : "member started",
+             { { "cluster", folder_.identity_.cluster_ },
+               { "members", folder_.identity_.member_.memberAddress_ } });
   }
 
   /// Calls can arrive while the ports are open and the groups are not.
@@ -308,7 +192,7 @@
     const Membership& members = core.Log().Members();
     bool isMember =
       std::any_of(members.begin(), members.end(), [this](const Member& aIt) {
-        return aIt.key_ == identity_.member_.key_;
+        return aIt.key_ == folder_.identity_.member_.key_;
       });
     if (core.Leader() != 0) {
       leaderSeenAt_ = aNow;
@@ -336,7 +220,7 @@
 
   void AskContact(const std::string& aAddress)
   {
-    if (aAddress == identity_.member_.memberAddress_) {
+    if (aAddress == folder_.identity_.member_.memberAddress_) {
       return;
     }
     link_.Identify(
@@ -345,12 +229,12 @@
         if (!aIdentity || aIdentity->cluster_.empty()) {
           return;
         }
-        if (identity_.cluster_.empty()) {
-          identity_.cluster_ = aIdentity->cluster_;
-          OrExit([this] { WriteIdentity(disk_, identity_); });
+        if (folder_.identity_.cluster_.empty()) {
+          folder_.identity_.cluster_ = aIdentity->cluster_;
+          OrExit([this] { WriteIdentity(folder_.disk_, folder_.identity_); });
         }
         RepairGoal goal;
-        goal.add_ = identity_.member_;
+        goal.add_ = folder_.identity_.member_;
         link_.Call(aAddress,
                    MemberCall::Advance,
                    GroupName::Configuration,
@@ -366,7 +250,7 @@
       return;
     }
     auto leader = ParseAddress(aResult.error().detail_);
-    auto self = ParseAddress(identity_.member_.memberAddress_);
+    auto self = ParseAddress(folder_.identity_.member_.memberAddress_);
     if (aResult.error().fault_ == GroupFault::NotLeader && leader && self) {
       // All members listen on the same port.
       leaderHint_ = Address{ leader->host_, self->port_ }.ToString();
@@ -404,14 +288,14 @@
                const RaftMessage& aMessage)
   {
     KJ_REQUIRE(IsOpen(), "the member has not started yet");
-    KJ_REQUIRE(aMessage.to_ == identity_.member_.key_,
+    KJ_REQUIRE(aMessage.to_ == folder_.identity_.member_.key_,
                "the message is to another member");
-    if (identity_.cluster_.empty()) {
-      identity_.cluster_ = aCluster;
-      OrExit([this] { WriteIdentity(disk_, identity_); });
+    if (folder_.identity_.cluster_.empty()) {
+      folder_.identity_.cluster_ = aCluster;
+      OrExit([this] { WriteIdentity(folder_.disk_, folder_.identity_); });
       LogEvent(Severity::Info, "added", { { "cluster", aCluster } });
     }
-    KJ_REQUIRE(aCluster == identity_.cluster_,
+    KJ_REQUIRE(aCluster == folder_.identity_.cluster_,
                "the message is from another cluster");
     addresses_[aMessage.from_] = aSender;
     GroupOf(aGroup).Receive(aMessage, clock_.Now());
@@ -496,7 +380,7 @@
       }));
     };
     auto leader = IsOpen() ? GroupOf(aGroup).Leader() : std::nullopt;
-    if (!leader || leader->key_ == identity_.member_.key_) {
+    if (!leader || leader->key_ == folder_.identity_.member_.key_) {
       CallHere(aCall, aGroup, aBytes, retry);
     } else {
       link_.Call(AddressOf(aGroup, leader->key_), aCall, aGroup, aBytes, retry);
@@ -507,9 +391,7 @@
   kj::Timer& timer_;
   Clock clock_;
   MemberSettings settings_;
-  LogDisk disk_;
-  MemberIdentity identity_;
-  bool isFresh_ = false;
+  MemberFolder folder_;
   std::map<MemberKey, std::string> addresses_;
   std::array<std::unique_ptr<RaftGroup>, 2> groups_;
   std::size_t openGroups_ = 0;
@@ -537,7 +419,7 @@
 std::optional<Address>
 RaftMember::PastControlAddress() const
 {
-  auto past = ParseAddress(state_->identity_.member_.controlAddress_);
+  auto past = ParseAddress(state_->folder_.identity_.member_.controlAddress_);
   return past ? std::optional(*past) : std::nullopt;
 }
 
@@ -608,7 +490,7 @@
 const MemberIdentity&
 RaftMember::Identity() const
 {
-  return state_->identity_;
+  return state_->folder_.identity_;
 }
 
 } // namespace tanagerstall
--- a/src/tanagerstall/process/raft/tanagerstall_raft_member.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_member.hpp
@@ -2,35 +2,11 @@
 #define TANAGERSTALL_RAFT_MEMBER_HPP_INCLUDED
 
 #include "tanagerstall/connection/tanagerstall_member_link.hpp"
+#include "tanagerstall/process/raft/tanagerstall_member_folder.hpp"
 #include "tanagerstall/process/raft/tanagerstall_raft_repair.hpp"
 
-#include <filesystem>
-
 namespace tanagerstall {
 
-struct MemberSettings
-{
-  std::string name_;
-  std::filesystem::path dataFolder_;
-  /// Where other members reach this one; port 0 for the port it had before,
-  /// or one that the system chooses.
-  Address memberAddress_;
-  /// Whether to start a new cluster; refused in a folder in use, unless
-  /// founders are named.
-  bool isBootstrap_ = false;
-  /// The member addresses of a new cluster's first voters. All of them are
-  /// started with the same list, so that they agree on who they are without a
-  /// word; empty for a cluster that begins with one.
-  std::vector<Address> founders_;
-  /// Where a member that is in no cluster asks to be added; empty for one that
-  /// waits for an operator.
-  std::vector<Address> contacts_;
-  /// Times and sizes of the log.
-  RaftSettings raft_;
-  /// Voters that the leader keeps by itself; 0 leaves that to an operator.
-  std::size_t wantedVoters_ = 0;
-};
-
 /// This process as a member of a cluster: both groups, their storage and the
 /// link to the other members, on the control thread. A DiskError after the
 /// start ends the process.
