--- a/tests/processes/request_faults_test.sh
+++ b/tests/processes/request_faults_test.sh
@@ -54,6 +54,7 @@
 }
 fail() {
   echo "FAILED: $*"
+  tail -n 15 "$run"/*.log
   exit 1
 }
 expect() { ends_with "$1" "$2" || fail "$3: $(cat "$1")"; }
