One class for logged tasks, one pair of functions for lengths of time

Eight states each held the same error handler around a KJ task set: LoggedTasks now. Five files turned a length of time into seconds or milliseconds by functions of their own: InSeconds and InMilliseconds beside the clock. operations_page_test looks for events where they are named now; it finds the same 34.

--- a/src/tanagerstall/connection/tanagerstall_control_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_control_client.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall/connection/tanagerstall_control_client.hpp"
 
 #include "tanagerstall/internal/tanagerstall_entry_wire.hpp"
+#include "tanagerstall/internal/tanagerstall_logged_tasks.hpp"
 #include "tanagerstall/internal/tanagerstall_rpc_connection.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
@@ -73,7 +74,7 @@
 
 } // namespace
 
-struct ControlClient::State : private kj::TaskSet::ErrorHandler
+struct ControlClient::State
 {
   enum class CallKind
   {
@@ -86,17 +87,10 @@
     , timer_(aLoop.Io().provider->getTimer())
     , addresses_(std::move(aAddresses))
     , hooks_(std::move(aHooks))
-    , tasks_(*this)
+    , tasks_(Severity::Error, "control task failed")
   {
   }
 
-  void taskFailed(kj::Exception&& aError) override
-  {
-    LogEvent(Severity::Error,
-             "control task failed",
-             { { "error", aError.getDescription().cStr() } });
-  }
-
   /// Gives the open connection or makes one to the next address.
   kj::Promise<std::shared_ptr<Link>> Connect()
   {
@@ -179,7 +173,7 @@
 
   void Call(CallKind aKind, GroupName aGroup, Bytes aBytes, GroupCallback aDone)
   {
-    tasks_.add(CallUntilAnswered(aKind, aGroup, std::move(aBytes), kMaxTries)
+    tasks_.Add(CallUntilAnswered(aKind, aGroup, std::move(aBytes), kMaxTries)
                  .then([done = std::move(aDone)](GroupResult aResult) {
                    done(std::move(aResult));
                  }));
@@ -316,7 +310,7 @@
   /// Connections to the members that are not watched, by address.
   std::map<std::size_t, std::shared_ptr<Link>> announced_;
   kj::Own<kj::PromiseFulfiller<void>> refresh_;
-  kj::TaskSet tasks_;
+  LoggedTasks tasks_;
 };
 
 ControlClient::ControlClient(ControlLoop& aLoop,
@@ -333,10 +327,10 @@
 ControlClient::Start()
 {
   State* state = state_.get();
-  state->tasks_.add(
+  state->tasks_.Add(
     state->FetchConfirmed().then([state] { return state->WatchForever(); }));
   for (std::size_t i = 0; i < state->addresses_.size(); ++i) {
-    state->tasks_.add(state->AnnounceForever(i));
+    state->tasks_.Add(state->AnnounceForever(i));
   }
 }
 
--- a/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall/connection/tanagerstall_fleet_client.hpp"
 
 #include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
+#include "tanagerstall/internal/tanagerstall_logged_tasks.hpp"
 #include "tanagerstall/internal/tanagerstall_rpc_connection.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
@@ -30,23 +31,16 @@
 
 } // namespace
 
-struct FleetClient::State : private kj::TaskSet::ErrorHandler
+struct FleetClient::State
 {
   State(ControlLoop& aLoop, Hooks aHooks)
     : loop_(aLoop)
     , timer_(aLoop.Io().provider->getTimer())
     , hooks_(std::move(aHooks))
-    , tasks_(*this)
+    , tasks_(Severity::Warning, "control connection failed")
   {
   }
 
-  void taskFailed(kj::Exception&& aError) override
-  {
-    LogEvent(Severity::Warning,
-             "control connection failed",
-             { { "error", aError.getDescription().cStr() } });
-  }
-
   kj::Promise<SharedLink> Connect(const std::string& aAddress)
   {
     if (auto it = links_.find(aAddress); it != links_.end()) {
@@ -131,7 +125,7 @@
   void Follow(const std::string& aAddress)
   {
     if (!aAddress.empty() && followed_.insert(aAddress).second) {
-      tasks_.add(
+      tasks_.Add(
         kj::evalLater([this, aAddress] { return AskForever(aAddress); }));
     }
   }
@@ -146,7 +140,7 @@
   std::set<std::string> followed_;
   std::set<std::string> unreachable_;
   std::map<std::string, SharedLink> links_;
-  kj::TaskSet tasks_;
+  LoggedTasks tasks_;
 };
 
 FleetClient::FleetClient(ControlLoop& aLoop, Hooks aHooks)
@@ -171,7 +165,7 @@
 {
   State* state = state_.get();
   if (auto it = state->links_.find(state->leader_); it != state->links_.end()) {
-    state->tasks_.add(
+    state->tasks_.Add(
       state->Ask(it->second, it->first, std::chrono::milliseconds(0)));
   }
 }
@@ -181,7 +175,7 @@
 {
   State* state = state_.get();
   for (const auto& [address, link] : state->links_) {
-    state->tasks_.add(state->Ask(link, address, std::chrono::milliseconds(0)));
+    state->tasks_.Add(state->Ask(link, address, std::chrono::milliseconds(0)));
   }
 }
 
--- a/src/tanagerstall/connection/tanagerstall_fleet_server.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_server.cpp
@@ -1,8 +1,8 @@
 #include "tanagerstall/connection/tanagerstall_fleet_server.hpp"
 
 #include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
+#include "tanagerstall/internal/tanagerstall_logged_tasks.hpp"
 #include "tanagerstall/internal/tanagerstall_rpc_connection.hpp"
-#include "tanagerstall/process/tanagerstall_log.hpp"
 
 #include <algorithm>
 #include <capnp/rpc-twoparty.h>
@@ -27,23 +27,16 @@
 
 } // namespace
 
-struct FleetServer::State : private kj::TaskSet::ErrorHandler
+struct FleetServer::State
 {
   State(ControlLoop& aLoop, Hooks aHooks)
     : loop_(aLoop)
     , timer_(aLoop.Io().provider->getTimer())
     , hooks_(std::move(aHooks))
-    , tasks_(*this)
+    , tasks_(Severity::Warning, "entry connection failed")
   {
   }
 
-  void taskFailed(kj::Exception&& aError) override
-  {
-    LogEvent(Severity::Warning,
-             "entry connection failed",
-             { { "error", aError.getDescription().cStr() } });
-  }
-
   /// Ends at news for the entry, or after the time that it is ready to wait.
   kj::Promise<void> AwaitNews(const EntryReport& aReport)
   {
@@ -65,7 +58,7 @@
   WaitingList waiting_;
   kj::Own<capnp::TwoPartyServer> server_;
   kj::Own<kj::ConnectionReceiver> receiver_;
-  kj::TaskSet tasks_;
+  LoggedTasks tasks_;
 };
 
 namespace {
@@ -111,7 +104,7 @@
   state_->server_ =
     kj::heap<capnp::TwoPartyServer>(kj::heap<FleetCapability<State>>(*state_));
   state_->receiver_ = ListenForRpc(io, aAddress);
-  state_->tasks_.add(state_->server_->listen(*state_->receiver_));
+  state_->tasks_.Add(state_->server_->listen(*state_->receiver_));
 }
 
 void
--- a/src/tanagerstall/connection/tanagerstall_member_link.cpp
+++ b/src/tanagerstall/connection/tanagerstall_member_link.cpp
@@ -1,5 +1,6 @@
 #include "tanagerstall/connection/tanagerstall_member_link.hpp"
 
+#include "tanagerstall/internal/tanagerstall_logged_tasks.hpp"
 #include "tanagerstall/internal/tanagerstall_rpc_connection.hpp"
 #include "tanagerstall/internal/tanagerstall_wire.hpp"
 #include "tanagerstall/process/raft/tanagerstall_raft_codec.hpp"
@@ -156,23 +157,16 @@
 
 } // namespace
 
-struct MemberLink::State : private kj::TaskSet::ErrorHandler
+struct MemberLink::State
 {
   State(ControlLoop& aLoop, MemberHooks aHooks)
     : loop_(aLoop)
     , timer_(aLoop.Io().provider->getTimer())
     , hooks_(std::move(aHooks))
-    , tasks_(*this)
+    , tasks_(Severity::Warning, "member task failed")
   {
   }
 
-  void taskFailed(kj::Exception&& aError) override
-  {
-    LogEvent(Severity::Warning,
-             "member task failed",
-             { { "error", aError.getDescription().cStr() } });
-  }
-
   kj::Promise<SharedConnection> Connect(const std::string& aAddress)
   {
     Peer& peer = peers_[aAddress];
@@ -185,7 +179,7 @@
     auto opening = OpenRpcConnection<Connection>(loop_.Io(), aAddress);
     auto fork = timer_.timeoutAfter(kConnectTimeout, kj::mv(opening)).fork();
     auto branch = fork.addBranch();
-    tasks_.add(fork.addBranch().then(
+    tasks_.Add(fork.addBranch().then(
       [this, aAddress](SharedConnection aConnection) {
         peers_[aAddress].connection_ = aConnection;
         peers_[aAddress].connecting_ = nullptr;
@@ -259,7 +253,7 @@
   std::map<std::string, Peer> peers_;
   kj::Own<capnp::TwoPartyServer> server_;
   kj::Own<kj::ConnectionReceiver> receiver_;
-  kj::TaskSet tasks_;
+  LoggedTasks tasks_;
 };
 
 MemberLink::MemberLink(ControlLoop& aLoop, MemberHooks aHooks)
@@ -276,7 +270,7 @@
   state_->server_ =
     kj::heap<capnp::TwoPartyServer>(kj::heap<MemberCapability>(state_->hooks_));
   state_->receiver_ = ListenForRpc(io, aAddress);
-  state_->tasks_.add(state_->server_->listen(*state_->receiver_));
+  state_->tasks_.Add(state_->server_->listen(*state_->receiver_));
   return { aAddress.host_,
            static_cast<std::uint16_t>(state_->receiver_->getPort()) };
 }
@@ -292,7 +286,7 @@
     return;
   }
   ++peer.outstanding_;
-  state->tasks_.add(
+  state->tasks_.Add(
     state->Connect(aAddress)
       .then([=](SharedConnection aConnection) {
         return state->Deliver(aConnection, aAddress, aGroup, aMessage);
@@ -315,7 +309,7 @@
                  GroupCallback aDone)
 {
   State* state = state_.get();
-  state->tasks_.add(
+  state->tasks_.Add(
     state->Connect(aAddress)
       .then(
         [=](SharedConnection aConnection) {
@@ -344,7 +338,7 @@
                                  ReadMember(aResponse.getMember()) };
         });
     });
-  state->tasks_.add(asking.then(
+  state->tasks_.Add(asking.then(
     [aDone](MemberIdentity aIdentity) { aDone(std::move(aIdentity)); },
     [state, aAddress, aDone](kj::Exception&& aError) {
       state->peers_[aAddress].connection_.reset();
--- a/src/tanagerstall/connection/tanagerstall_peer_link.cpp
+++ b/src/tanagerstall/connection/tanagerstall_peer_link.cpp
@@ -2,8 +2,8 @@
 
 #include "tanagerstall/connection/tanagerstall_presence_codec.hpp"
 #include "tanagerstall/internal/control.capnp.h"
+#include "tanagerstall/internal/tanagerstall_logged_tasks.hpp"
 #include "tanagerstall/internal/tanagerstall_rpc_connection.hpp"
-#include "tanagerstall/process/tanagerstall_log.hpp"
 
 #include <algorithm>
 #include <capnp/rpc-twoparty.h>
@@ -68,22 +68,15 @@
 
 } // namespace
 
-struct PeerLink::State : private kj::TaskSet::ErrorHandler
+struct PeerLink::State
 {
   State(ControlLoop& aLoop, Hooks aHooks)
     : loop_(aLoop)
     , hooks_(std::move(aHooks))
-    , tasks_(*this)
+    , tasks_(Severity::Warning, "peer task failed")
   {
   }
 
-  void taskFailed(kj::Exception&& aError) override
-  {
-    LogEvent(Severity::Warning,
-             "peer task failed",
-             { { "error", aError.getDescription().cStr() } });
-  }
-
   kj::Promise<ConnectionPointer> Connect(const std::string& aPeer)
   {
     if (auto it = connections_.find(aPeer); it != connections_.end()) {
@@ -141,7 +134,7 @@
   std::map<std::string, ConnectionPointer> connections_;
   kj::Own<capnp::TwoPartyServer> server_;
   kj::Own<kj::ConnectionReceiver> receiver_;
-  kj::TaskSet tasks_;
+  LoggedTasks tasks_;
 };
 
 PeerLink::PeerLink(ControlLoop& aLoop, Hooks aHooks)
@@ -158,7 +151,7 @@
   state_->server_ =
     kj::heap<capnp::TwoPartyServer>(kj::heap<PeerCapability>(state_->hooks_));
   state_->receiver_ = ListenForRpc(io, aAddress);
-  state_->tasks_.add(state_->AcceptForever());
+  state_->tasks_.Add(state_->AcceptForever());
   return { aAddress.host_,
            static_cast<std::uint16_t>(state_->receiver_->getPort()) };
 }
@@ -166,7 +159,7 @@
 void
 PeerLink::Pull(const Address& aPeer, const PresencePull& aPull, PullDone aDone)
 {
-  state_->tasks_.add(state_->Pull(aPeer.ToString(), aPull, aDone));
+  state_->tasks_.Add(state_->Pull(aPeer.ToString(), aPull, aDone));
 }
 
 void
--- a/src/tanagerstall/process/commands/tanagerstall_histogram_commands.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_histogram_commands.cpp
@@ -63,12 +63,6 @@
   }
 }
 
-double
-Milliseconds(Duration aTime)
-{
-  return std::chrono::duration<double, std::milli>(aTime).count();
-}
-
 void
 PrintBars(const LatencyHistogram& aHistogram)
 {
@@ -81,7 +75,7 @@
     }
     auto width = std::max<std::uint64_t>(1, count * kBarWidth / most);
     Duration bound = std::min(BucketBound(i), aHistogram.max_);
-    std::cout << "  <= " << std::setw(9) << Milliseconds(bound) << " ms "
+    std::cout << "  <= " << std::setw(9) << InMilliseconds(bound) << " ms "
               << std::setw(8) << count << " " << std::string(width, '#')
               << "\n";
   }
@@ -97,9 +91,9 @@
     for (auto [name, share] :
          { std::pair("p50", 0.5), { "p95", 0.95 }, { "p99", 0.99 } }) {
       std::cout << ", " << name << " "
-                << Milliseconds(histogram.Quantile(share)) << " ms";
+                << InMilliseconds(histogram.Quantile(share)) << " ms";
     }
-    std::cout << ", longest " << Milliseconds(histogram.max_) << " ms\n";
+    std::cout << ", longest " << InMilliseconds(histogram.max_) << " ms\n";
     PrintBars(histogram);
   }
   for (const auto& [code, count] : aMerged.refusals_) {
--- a/src/tanagerstall/process/experiment/tanagerstall_log_benchmark.cpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_log_benchmark.cpp
@@ -25,12 +25,6 @@
 constexpr unsigned kMembers = 3;
 constexpr std::size_t kNoSnapshots = 1U << 30U;
 
-double
-Milliseconds(Duration aFrom)
-{
-  return std::chrono::duration<double, std::milli>(aFrom).count();
-}
-
 /// A change of one of `aRecords` records.
 Bytes
 MakeChange(unsigned aNumber, unsigned aRecords)
@@ -195,7 +189,7 @@
     for (unsigned i = 0; i < aClients; ++i) {
       auto done = [&latencies, &clock, called](const GroupResult& aIt) {
         if (aIt) {
-          latencies.push_back(Milliseconds(clock.Now() - called));
+          latencies.push_back(InMilliseconds(clock.Now() - called));
         }
       };
       cluster.Leader().Propose(MakeAccept(next++), done);
@@ -203,7 +197,7 @@
     }
     cluster.Drain();
   }
-  double seconds = Milliseconds(clock.Now() - begin) / 1000;
+  double seconds = InMilliseconds(clock.Now() - begin) / 1000;
   std::sort(latencies.begin(), latencies.end());
   auto quantile = [&](double aPart) {
     return latencies[static_cast<std::size_t>(
@@ -237,7 +231,7 @@
   Clock clock;
   TimePoint begin = clock.Now();
   Cluster cluster(aFolder, 1, settings, true);
-  double taken = Milliseconds(clock.Now() - begin);
+  double taken = InMilliseconds(clock.Now() - begin);
   return { { "measure", "recovery" },
            { "changes", aChanges },
            { "with_snapshot", aSnapshotEntries != kNoSnapshots },
--- a/src/tanagerstall/process/metrics/tanagerstall_metrics_page.cpp
+++ b/src/tanagerstall/process/metrics/tanagerstall_metrics_page.cpp
@@ -11,18 +11,6 @@
 
 namespace {
 
-double
-Seconds(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
-double
-Milliseconds(Duration aTime)
-{
-  return std::chrono::duration<double, std::milli>(aTime).count();
-}
-
 /// A label's value with the characters escaped that the text format reserves.
 std::string
 Escaped(const std::string& aText)
@@ -50,12 +38,13 @@
   std::uint64_t total = 0;
   for (std::size_t i = 0; i + 1 < kLatencyBuckets; ++i) {
     total += aHistogram.buckets_[i];
-    aOut << name << "_bucket{" << labels << ",le=\"" << Seconds(BucketBound(i))
-         << "\"} " << total << "\n";
+    aOut << name << "_bucket{" << labels << ",le=\""
+         << InSeconds(BucketBound(i)) << "\"} " << total << "\n";
   }
   aOut << name << "_bucket{" << labels << ",le=\"+Inf\"} " << aHistogram.count_
        << "\n"
-       << name << "_sum{" << labels << "} " << Seconds(aHistogram.sum_) << "\n"
+       << name << "_sum{" << labels << "} " << InSeconds(aHistogram.sum_)
+       << "\n"
        << name << "_count{" << labels << "} " << aHistogram.count_ << "\n";
 }
 
@@ -91,8 +80,8 @@
            { "class", ToString(workClass) },
            { "measure", ToString(measure) },
            { "count", aHistogram.count_ },
-           { "sum_ms", Milliseconds(aHistogram.sum_) },
-           { "max_ms", Milliseconds(aHistogram.max_) },
+           { "sum_ms", InMilliseconds(aHistogram.sum_) },
+           { "max_ms", InMilliseconds(aHistogram.max_) },
            { "buckets", buckets } };
 }
 
--- a/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
@@ -1,5 +1,6 @@
 #include "tanagerstall/process/raft/tanagerstall_raft_member.hpp"
 
+#include "tanagerstall/internal/tanagerstall_logged_tasks.hpp"
 #include "tanagerstall/process/raft/tanagerstall_cluster_keeper.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
@@ -37,7 +38,7 @@
 
 } // namespace
 
-struct RaftMember::State : private kj::TaskSet::ErrorHandler
+struct RaftMember::State
 {
   State(ControlLoop& aLoop, Clock aClock, MemberSettings aSettings)
     : loop_(aLoop)
@@ -46,17 +47,10 @@
     , settings_(std::move(aSettings))
     , folder_(OpenMemberFolder(settings_))
     , link_(loop_, MakeHooks())
-    , tasks_(*this)
+    , tasks_(Severity::Error, "member task failed")
   {
   }
 
-  void taskFailed(kj::Exception&& aError) override
-  {
-    LogEvent(Severity::Error,
-             "member task failed",
-             { { "error", aError.getDescription().cStr() } });
-  }
-
   MemberHooks MakeHooks()
   {
     return { [this]() -> const MemberIdentity& { return folder_.identity_; },
@@ -276,7 +270,7 @@
     if (std::exchange(isDue, true)) {
       return;
     }
-    tasks_.add(kj::evalLast([this, aGroup, &isDue] {
+    tasks_.Add(kj::evalLast([this, aGroup, &isDue] {
       isDue = false;
       OrExit([&] { GroupOf(aGroup).Flush(); });
     }));
@@ -375,7 +369,7 @@
         aDone(std::move(aResult));
         return;
       }
-      tasks_.add(timer_.afterDelay(kRetryPause).then([=, this] {
+      tasks_.Add(timer_.afterDelay(kRetryPause).then([=, this] {
         CallLeader(aCall, aGroup, aBytes, aDone, aUntil);
       }));
     };
@@ -403,7 +397,7 @@
   std::array<bool, 2> isFlushDue_{};
   std::array<bool, 2> wasLeader_{};
   MemberLink link_;
-  kj::TaskSet tasks_;
+  LoggedTasks tasks_;
 };
 
 RaftMember::RaftMember(ControlLoop& aLoop,
@@ -429,8 +423,8 @@
 {
   state_->Listen(aControlAddress);
   state_->Open(aMachines);
-  state_->tasks_.add(state_->TickForever());
-  state_->tasks_.add(state_->SeekForever());
+  state_->tasks_.Add(state_->TickForever());
+  state_->tasks_.Add(state_->SeekForever());
 }
 
 void
--- a/src/tanagerstall/process/tanagerstall_clock.hpp
+++ b/src/tanagerstall/process/tanagerstall_clock.hpp
@@ -10,6 +10,19 @@
 using Duration = std::chrono::steady_clock::duration;
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
+/// A length of time as a number, for rates and for what people read.
+inline double
+InSeconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+inline double
+InMilliseconds(Duration aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
 /// The runtime's source of time. Copies share one source.
 class Clock
 {
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -3,6 +3,7 @@
 #include "tanagerstall/connection/tanagerstall_fleet_client.hpp"
 #include "tanagerstall/connection/tanagerstall_fleet_server.hpp"
 #include "tanagerstall/connection/tanagerstall_on_loop.hpp"
+#include "tanagerstall/internal/tanagerstall_logged_tasks.hpp"
 #include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
 #include "tanagerstall/process/tanagerstall_duty_holder.hpp"
@@ -41,7 +42,7 @@
 
 } // namespace
 
-struct FleetControl::State : private kj::TaskSet::ErrorHandler
+struct FleetControl::State
 {
   State(FleetControl& aSelf,
         FleetControlSettings aSettings,
@@ -86,18 +87,11 @@
     , metrics_(threads_,
                HttpLimits(),
                [this](HttpExchange& aExchange) { ServeMetrics(aExchange); })
-    , tasks_(*this)
+    , tasks_(Severity::Error, "control task failed")
   {
     isBuilt_ = true;
   }
 
-  void taskFailed(kj::Exception&& aError) override
-  {
-    LogEvent(Severity::Error,
-             "control task failed",
-             { { "error", aError.getDescription().cStr() } });
-  }
-
   /// Runs on the control thread.
   Gauges ReadGauges()
   {
@@ -149,8 +143,7 @@
     for (const auto& organisation : plan_->organisations_) {
       double rate = organisation.ratePerSecond_;
       double burst = organisation.burst_;
-      double window =
-        std::chrono::duration<double>(settings_.costWindow_).count();
+      double window = InSeconds(settings_.costWindow_);
       double overshoot = settings_.costOvershoot_ * (rate * window + burst);
       leases_.SetLimit(organisation.name_,
                        { rate, burst },
@@ -341,7 +334,7 @@
   HttpServer directory_;
   Metrics counters_;
   HttpServer metrics_;
-  kj::TaskSet tasks_;
+  LoggedTasks tasks_;
 };
 
 FleetControl::FleetControl(FleetControlSettings aSettings,
@@ -459,7 +452,7 @@
   state->signal_.Start(
     [state] { state->loop_.Stop(); },
     [state] { state->loop_.Post([state] { state->Reload(true); }); });
-  state->tasks_.add(state->TickForever());
+  state->tasks_.Add(state->TickForever());
   state->threads_.Spawn(
     [state](Fiber& aFiber) { state->duties_.Serve(aFiber); });
   state->loop_.Run();
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall/process/tanagerstall_fleet_entry.hpp"
 
 #include "tanagerstall/connection/tanagerstall_fleet_client.hpp"
+#include "tanagerstall/internal/tanagerstall_logged_tasks.hpp"
 #include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 #include "tanagerstall/process/tanagerstall_drain.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
@@ -28,7 +29,7 @@
 
 } // namespace
 
-struct FleetEntry::State : private kj::TaskSet::ErrorHandler
+struct FleetEntry::State
 {
   State(FleetEntrySettings aSettings, FleetEntryHooks aHooks)
     : settings_(std::move(aSettings))
@@ -60,7 +61,7 @@
     , metrics_(threads_,
                HttpLimits(),
                [this](HttpExchange& aExchange) { ServeMetrics(aExchange); })
-    , tasks_(*this)
+    , tasks_(Severity::Error, "entry task failed")
   {
     self_.id_ = settings_.id_;
     self_.callerAddress_ = settings_.callerAddress_.ToString();
@@ -70,13 +71,6 @@
     self_.weight_ = 0;
   }
 
-  void taskFailed(kj::Exception&& aError) override
-  {
-    LogEvent(Severity::Error,
-             "entry task failed",
-             { { "error", aError.getDescription().cStr() } });
-  }
-
   void ServeMetrics(HttpExchange& aExchange)
   {
     Gauges gauges{ { "ready", IsReady() ? 1.0 : 0.0 },
@@ -254,7 +248,7 @@
   HttpServer callers_;
   HttpServer readiness_;
   HttpServer metrics_;
-  kj::TaskSet tasks_;
+  LoggedTasks tasks_;
 };
 
 FleetEntry::FleetEntry(FleetEntrySettings aSettings, FleetEntryHooks aHooks)
@@ -288,7 +282,7 @@
   state->signal_.Start(
     [state] { state->loop_.Post([state] { state->Stop(); }); },
     [state] { state->loop_.Post([state] { state->Reload(true); }); });
-  state->tasks_.add(state->TickForever());
+  state->tasks_.Add(state->TickForever());
   state->threads_.Spawn(
     [state](Fiber& aFiber) { state->ReportForever(aFiber); });
   state->loop_.Run();
--- a/src/tanagerstall/process/tanagerstall_replica_placement.cpp
+++ b/src/tanagerstall/process/tanagerstall_replica_placement.cpp
@@ -74,8 +74,7 @@
     aService.needed_ = std::max(kLeastNeeded, found * kFoundPart);
     aService.isStarted_ = true;
   } else if (aInput.running_ > 0) {
-    double elapsed =
-      std::chrono::duration<double>(aNow - aService.neededAt_).count();
+    double elapsed = InSeconds(aNow - aService.neededAt_);
     aService.needed_ *= std::exp(-kNeedFallsPerSecond * elapsed);
   }
   aService.neededAt_ = aNow;
--- a/src/tanagerstall/request/tanagerstall_cost_limits.cpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.cpp
@@ -36,12 +36,6 @@
 /// How long an entry out of touch is taken to be still at work.
 constexpr Duration kReservedFor = std::chrono::seconds(30);
 
-double
-Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 } // namespace
 
 double
@@ -59,7 +53,7 @@
   if (isAlone && aNow > from) {
     double share = kAlonePart / std::max(entries_, 1U);
     double grown = aAccount.held_ + aAccount.limit_.ratePerSecond_ * share *
-                                      Seconds(aNow - from);
+                                      InSeconds(aNow - from);
     grown =
       std::min(grown, std::max(aAccount.held_, aAccount.limit_.burst_ * share));
     aAccount.taken_ += grown - aAccount.held_;
@@ -111,7 +105,7 @@
   std::scoped_lock lock(mutex_);
   double perSecond = kAsksPerSecond / std::max(entries_, 1U);
   asksLeft_ =
-    std::min(kAskBurst, asksLeft_ + perSecond * Seconds(aNow - asksAt_));
+    std::min(kAskBurst, asksLeft_ + perSecond * InSeconds(aNow - asksAt_));
   asksAt_ = aNow;
   if (asksLeft_ < 1.0) {
     return false;
@@ -130,7 +124,7 @@
     if (elapsed >= kDemandPeriod) {
       double rate =
         account.recent_ /
-        Seconds(std::min<Duration>(elapsed, std::chrono::seconds(5)));
+        InSeconds(std::min<Duration>(elapsed, std::chrono::seconds(5)));
       account.rate_ += kDemandSmoothing * (rate - account.rate_);
       account.recent_ = 0.0;
       account.recentSince_ = aNow;
@@ -237,7 +231,7 @@
   for (const auto& [entry, heardAt] : heard_) {
     TimePoint from = std::max(aBucket.at_, heardAt + kInTouch);
     if (aNow > from) {
-      double part = rate * Seconds(aNow - from);
+      double part = rate * InSeconds(aNow - from);
       aBucket.shares_[entry].reserved_ += part;
       reserved += part;
     }
@@ -258,11 +252,11 @@
   double size = aBucket.limit_.burst_ + aBucket.slack_;
   if (!aBucket.isFilled_) {
     aBucket.isFilled_ = true;
-    double led = Seconds(aNow - leadsSince_) / Seconds(kGrantsCount);
+    double led = InSeconds(aNow - leadsSince_) / InSeconds(kGrantsCount);
     aBucket.level_ = size * std::min(1.0, kFirstLevel + led);
   } else {
     aBucket.level_ +=
-      aBucket.limit_.ratePerSecond_ * Seconds(aNow - aBucket.at_) -
+      aBucket.limit_.ratePerSecond_ * InSeconds(aNow - aBucket.at_) -
       Reserve(aBucket, aNow);
   }
   aBucket.at_ = aNow;
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -56,8 +56,7 @@
 Seconds(Duration aDuration)
 {
   std::ostringstream text;
-  text << std::fixed << std::setprecision(3)
-       << std::chrono::duration<double>(aDuration).count();
+  text << std::fixed << std::setprecision(3) << InSeconds(aDuration);
   return text.str();
 }
 
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -153,7 +153,7 @@
   if (it == standings_.end() || it->second.bornMs_ != aReplica.bornMs_) {
     return;
   }
-  double wait = std::chrono::duration<double, std::milli>(aWait).count();
+  double wait = InMilliseconds(aWait);
   double& all = firstParts_.try_emplace(aReplica.service_, wait).first->second;
   all += kAllSmoothing * (wait - all);
   Standing& standing = it->second;
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 std::int64_t
-InMilliseconds(Duration aTime)
+WholeMilliseconds(Duration aTime)
 {
   return std::chrono::duration_cast<Milliseconds>(aTime).count();
 }
@@ -53,9 +53,9 @@
              { "status", aStatus },
              { "sends", aRequest.sends_ },
              { "running_there", aRequest.runningThere_ },
-             { "first_ms", InMilliseconds(firstAt - aRequest.arrivedAt_) },
-             { "gap_ms", InMilliseconds(aRequest.longestGap_) },
-             { "whole_ms", InMilliseconds(aNow - aRequest.arrivedAt_) } });
+             { "first_ms", WholeMilliseconds(firstAt - aRequest.arrivedAt_) },
+             { "gap_ms", WholeMilliseconds(aRequest.longestGap_) },
+             { "whole_ms", WholeMilliseconds(aNow - aRequest.arrivedAt_) } });
 }
 
 void
@@ -109,9 +109,9 @@
              { "sends", aRequest.sends_ },
              { "runs", aRequest.runs_ },
              { "last_event", aRequest.lastEventId_ },
-             { "waited_ms", InMilliseconds(aNow - aRequest.arrivedAt_) },
+             { "waited_ms", WholeMilliseconds(aNow - aRequest.arrivedAt_) },
              { "allowed_ms",
-               InMilliseconds(aRequest.deadline_ - aRequest.arrivedAt_) },
+               WholeMilliseconds(aRequest.deadline_ - aRequest.arrivedAt_) },
              { "late", aLast.isLate_ },
              { "detail", aLast.detail_ } });
 }
--- a/tests/processes/operations_page_test.sh
+++ b/tests/processes/operations_page_test.sh
@@ -9,6 +9,6 @@
   src/tanagerstall/process/tanagerstall_{process_run,duty_holder}.cpp \
   src/tanagerstall/connection/tanagerstall_{fleet,http}_*.cpp \
   src/tanagerstall/process/raft/tanagerstall_raft_member.cpp |
-  tr '\n' ' ' | grep -oE 'Log(Event|Failure)\( *(Severity::[A-Za-z]+, *)?"[^"]+"' |
+  tr '\n' ' ' | grep -oE '(Log(Event|Failure)|tasks_)\( *(Severity::[A-Za-z]+, *)?"[^"]+"' |
   sed -E 's/.*"([^"]+)"/\1/' | sort -u)
 [ "$missing" = 0 ] && echo "passed"
