A stopped control process ends whole

Cause: FleetServer was gone when the loop cancelled calls in progress, whose clean-up took them out of its list of waiting questions. Found by the fault soak at its first run (all five control processes ended with signal 11 when asked to stop); the stack shows the list's remove() below the loop's destructor. Ruled out: the preloaded object of the soak; platform_test without it shows the same, which is the test (status 139 before, 0 after).

--- a/src/tanagerstall/connection/tanagerstall_fleet_server.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_server.cpp
@@ -46,16 +46,18 @@
     auto pair = kj::newPromiseAndFulfiller<void>();
     auto waiting =
       std::make_shared<Waiting>(Waiting{ aReport, kj::mv(pair.fulfiller) });
-    waiting_.push_back(waiting);
+    waiting_->push_back(waiting);
     auto wait = std::min(aReport.wait_, kMaxWait).count() * kj::MILLISECONDS;
+    // A call in progress may outlive this server: its connection ends with the
+    // loop.
     return pair.promise.exclusiveJoin(timer_.afterDelay(wait))
-      .attach(kj::defer([this, waiting] { waiting_.remove(waiting); }));
+      .attach(kj::defer([list = waiting_, waiting] { list->remove(waiting); }));
   }
 
   ControlLoop& loop_;
   kj::Timer& timer_;
   Hooks hooks_;
-  WaitingList waiting_;
+  std::shared_ptr<WaitingList> waiting_ = std::make_shared<WaitingList>();
   kj::Own<capnp::TwoPartyServer> server_;
   kj::Own<kj::ConnectionReceiver> receiver_;
   LoggedTasks tasks_;
@@ -110,7 +112,7 @@
 void
 FleetServer::Notify()
 {
-  for (const auto& waiting : state_->waiting_) {
+  for (const auto& waiting : *state_->waiting_) {
     if (state_->hooks_.hasNews_(waiting->report_)) {
       waiting->fulfiller_->fulfill();
     }
--- a/tests/processes/platform_test.sh
+++ b/tests/processes/platform_test.sh
@@ -122,4 +122,10 @@
 ! is_ready >/dev/null || { echo "a stopping entry is ready"; exit 1; }
 wait "$(pid_of entry-1)"
 grep -q '"event":"stopped"' "$run/entry-1.log"
+
+# A control process stops whole while others wait for its news.
+kill -TERM "$(pid_of control-$third)"
+status=0
+wait "$(pid_of control-$third)" || status=$?
+[ "$status" = 0 ] || { echo "a stopped control process ended with $status"; exit 1; }
 echo "passed"
