--- /dev/null
+++ b/tests/processes/soak_test.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# A short run of the fault soak with each seed of tests/soak/seeds.txt.
+# Promises with a bound in time are left to longer runs by hand.
+set -euo pipefail
+run=$(mktemp -d)
+trap 'rm -rf "$run"' EXIT
+export TANAGERSTALL_SOAK_FOLDER=$run/files
+while read -r seed rounds cause; do
+  [ "$seed" != '#' ] || continue
+  if ! tools/scripts/soak.sh --seed "$seed" --rounds "$rounds" --without-times \
+    >"$run/log"; then
+    echo "FAILED: seed $seed ($cause)"
+    grep '"event":"finding"' "$run/log" || tail -n 20 "$run/log"
+    exit 1
+  fi
+done <tests/soak/seeds.txt
+echo "passed"
--- /dev/null
+++ b/tests/soak/tanagerstall_soak.cpp
@@ -0,0 +1,190 @@
+// Runs the platform's programs as processes, lets faults happen to them, and
+// checks what callers, replicas, operators and the cloud see.
+#include "tanagerstall/process/tanagerstall_log.hpp"
+#include "tanagerstall/process/tanagerstall_settings.hpp"
+#include "tanagerstall_soak_callers.hpp"
+#include "tanagerstall_soak_faults.hpp"
+#include "tanagerstall_soak_world.hpp"
+
+#include <algorithm>
+#include <boost/program_options/value_semantic.hpp>
+#include <filesystem>
+#include <future>
+#include <iostream>
+
+using namespace tanagerstall;
+using namespace tanagerstall::soak;
+
+namespace {
+
+constexpr Duration kPoll = std::chrono::milliseconds(200);
+/// Requests have to be served again this long after the last repair.
+constexpr Duration kRecovery = std::chrono::seconds(15);
+/// Without checks of time, a run gives up on service after this.
+constexpr Duration kRecoveryAtMost = std::chrono::seconds(60);
+constexpr Duration kCalm = std::chrono::seconds(4);
+/// Times with a bound hold for processes that were left alone for so long.
+constexpr Duration kContactWindow = std::chrono::seconds(5);
+/// The part of the requests that has to be served in calm.
+constexpr double kServedPart = 0.25;
+
+/// Waits until every kind of request is served.
+void
+AwaitService(Fiber& aFiber, World& aWorld, const char* aAfter)
+{
+  auto begin = aWorld.clock_.Now();
+  auto limit = aWorld.options_.checksTimes_ ? kRecovery : kRecoveryAtMost;
+  while (!IsServed(aFiber, aWorld)) {
+    if (aWorld.clock_.Now() > begin + limit) {
+      aWorld.Found(
+        { "RECOVER", std::string("no service in time after ") + aAfter });
+      return;
+    }
+    aFiber.Sleep(kPoll);
+  }
+  LogEvent(Severity::Info,
+           "served again",
+           { { "after", aAfter },
+             { "seconds", InSeconds(aWorld.clock_.Now() - begin) } });
+}
+
+void
+CheckCalm(World& aWorld)
+{
+  const CalmCounts& calm = aWorld.calm_;
+  double part = calm.sent_ == 0 ? 0.0 : 1.0 * calm.served_ / calm.sent_;
+  LogEvent(Severity::Info,
+           "served in calm",
+           { { "sent", calm.sent_ }, { "served", calm.served_ } });
+  if (part < kServedPart) {
+    aWorld.Found({ "RECOVER",
+                   std::to_string(calm.served_) + " of " +
+                     std::to_string(calm.sent_) + " served in calm" });
+  }
+}
+
+void
+PlayRound(Fiber& aFiber, World& aWorld)
+{
+  PlayStorm(aFiber, aWorld);
+  AwaitService(aFiber, aWorld, "faults");
+  aFiber.Sleep(kContactWindow);
+  aWorld.calm_ = {};
+  PlayPlannedWork(aFiber, aWorld);
+  aFiber.Sleep(kCalm);
+  CheckCalm(aWorld);
+}
+
+void
+Play(Fiber& aFiber, World& aWorld)
+{
+  if (!StartCloud(aWorld) || !aWorld.Start()) {
+    aWorld.Found({ "SOAK", "can't start" });
+    return;
+  }
+  aFiber.Spawn([&aWorld](Fiber& aIt) { WatchProcesses(aIt, aWorld); });
+  StartOperators(aWorld);
+  AwaitService(aFiber, aWorld, "the start");
+  StartCallers(aWorld);
+  for (int i = 0; i < aWorld.options_.rounds_; ++i) {
+    PlayRound(aFiber, aWorld);
+  }
+  ReadBack(aFiber, aWorld, aWorld.clock_.Now() + kRecoveryAtMost);
+  aWorld.isOver_ = true;
+  // Callers end what they have begun.
+  aFiber.Sleep(kContactWindow);
+  aWorld.StopProcesses(aFiber);
+}
+
+/// The number of findings.
+std::size_t
+RunSeed(SoakOptions aOptions)
+{
+  std::filesystem::remove_all(aOptions.folder_);
+  LogEvent(Severity::Info, "seed", { { "seed", aOptions.seed_ } });
+  auto world = std::make_unique<World>(std::move(aOptions));
+  std::promise<void> over;
+  world->threads_.Spawn([&](Fiber& aFiber) {
+    Play(aFiber, *world);
+    over.set_value();
+  });
+  over.get_future().wait();
+  world->threads_.Stop();
+  return world->findings_.size();
+}
+
+boost::program_options::options_description
+Options()
+{
+  using boost::program_options::value;
+  auto options = DaemonOptions("tanagerstall-soak");
+  auto add = options.add_options();
+  add("seed", value<std::uint64_t>()->default_value(1), "first seed");
+  add("seeds", value<int>()->default_value(1), "number of seeds");
+  add("rounds", value<int>()->default_value(3), "rounds of faults a seed");
+  add("control", value<int>()->default_value(5), "control processes");
+  add("entries", value<int>()->default_value(4), "entries");
+  add("replicas", value<int>()->default_value(3), "replicas a service");
+  add("callers", value<int>()->default_value(12), "callers at once");
+  add("faults",
+      value<std::string>()->default_value(""),
+      "names of the faults, separated by commas; all by default");
+  add("without-times", "check no promise that has a time bound");
+  add("programs", value<std::string>()->required(), "folder of the programs");
+  add("preload", value<std::string>()->required(), "the preloaded object");
+  add("folder", value<std::string>()->required(), "folder for a seed's files");
+  return options;
+}
+
+/// Names of faults; ends the process if one is unknown.
+std::vector<std::string_view>
+RequireFaults(const std::string& aList)
+{
+  std::vector<std::string_view> faults;
+  auto known = FaultNames();
+  for (const auto& name : SplitList(aList)) {
+    auto it = std::find(known.begin(), known.end(), name);
+    if (it == known.end()) {
+      std::cerr << "there is no fault " << name << "; known are:";
+      for (auto other : known) {
+        std::cerr << ' ' << other;
+      }
+      std::cerr << '\n';
+      EndProcess(2);
+    }
+    faults.push_back(*it);
+  }
+  return faults;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  auto settings = ReadSettingsOrExit(aCount, aArguments, Options());
+  SoakOptions options;
+  options.seed_ = settings["seed"].as<std::uint64_t>();
+  options.rounds_ = settings["rounds"].as<int>();
+  options.control_ = settings["control"].as<int>();
+  options.entries_ = settings["entries"].as<int>();
+  options.replicas_ = settings["replicas"].as<int>();
+  options.callers_ = settings["callers"].as<int>();
+  options.checksTimes_ = settings.count("without-times") == 0;
+  options.faults_ = RequireFaults(settings["faults"].as<std::string>());
+  options.programs_ =
+    std::filesystem::absolute(settings["programs"].as<std::string>()).string();
+  options.preload_ =
+    std::filesystem::absolute(settings["preload"].as<std::string>()).string();
+  std::string folder =
+    std::filesystem::absolute(settings["folder"].as<std::string>()).string();
+  StartLog("soak", Severity::Info, std::cout);
+  std::size_t findings = 0;
+  for (int i = 0; i < settings["seeds"].as<int>(); ++i) {
+    options.folder_ = folder + "/seed-" + std::to_string(options.seed_);
+    findings += RunSeed(options);
+    ++options.seed_;
+  }
+  LogEvent(Severity::Info, "over", { { "findings", findings } });
+  EndProcess(findings == 0 ? 0 : 1);
+}
--- /dev/null
+++ b/tests/soak/tanagerstall_soak_callers.hpp
@@ -0,0 +1,33 @@
+#ifndef TANAGERSTALL_SOAK_CALLERS_HPP_INCLUDED
+#define TANAGERSTALL_SOAK_CALLERS_HPP_INCLUDED
+
+#include "tanagerstall_soak_world.hpp"
+
+namespace tanagerstall::soak {
+
+/// Starts callers that ask the directory, keep connections until the entry
+/// closes them, and send requests of every kind until the run is over.
+void
+StartCallers(World& aWorld);
+
+/// Starts operators that change and read the configuration, and a caller that
+/// looks at every entry for the newest change.
+void
+StartOperators(World& aWorld);
+
+/// Starts the cloud that takes orders and reports. False if it can't listen.
+bool
+StartCloud(World& aWorld);
+
+/// Reads the configuration at every control process; what was acknowledged
+/// has to be there by `aUntil`.
+void
+ReadBack(Fiber& aFiber, World& aWorld, TimePoint aUntil);
+
+/// Whether one request of each kind is served right now.
+bool
+IsServed(Fiber& aFiber, World& aWorld);
+
+} // namespace tanagerstall::soak
+
+#endif
--- /dev/null
+++ b/tests/soak/tanagerstall_soak_network.cpp
@@ -0,0 +1,263 @@
+#include "tanagerstall_soak_network.hpp"
+
+#include "tanagerstall/internal/tanagerstall_fiber_context.hpp"
+#include "tanagerstall/internal/tanagerstall_traffic_state.hpp"
+#include "tanagerstall/process/tanagerstall_log.hpp"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <list>
+
+namespace tanagerstall::soak {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kBufferBytes = 16UL * 1024;
+constexpr Duration kHeldPoll = std::chrono::milliseconds(10);
+
+/// One connection through the proxy.
+struct Session
+{
+  explicit Session(boost::asio::io_context& aIo)
+    : caller_(aIo)
+    , server_(aIo)
+  {
+  }
+
+  void Reset()
+  {
+    for (tcp::socket* socket : { &caller_, &server_ }) {
+      error_code ignored;
+      socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+  }
+
+  tcp::socket caller_;
+  tcp::socket server_;
+  bool isSilent_ = false;
+};
+
+struct Link
+{
+  LinkFaults faults_;
+  std::list<std::weak_ptr<Session>> sessions_;
+};
+
+std::string
+HostText(std::uint8_t aSubnet, Host aThird, Host aFourth)
+{
+  return "127." + std::to_string(aSubnet) + "." + std::to_string(aThird) + "." +
+         std::to_string(aFourth);
+}
+
+tcp::endpoint
+EndpointOf(const Address& aAddress)
+{
+  return { boost::asio::ip::make_address(aAddress.host_), aAddress.port_ };
+}
+
+/// Carries bytes one way until either side ends or is reset.
+void
+Pump(Fiber& aFiber,
+     const std::shared_ptr<Session>& aSession,
+     const Link& aLink,
+     bool aIsRequest)
+{
+  auto& yield = aFiber.GetContext().yield_;
+  tcp::socket& from = aIsRequest ? aSession->caller_ : aSession->server_;
+  tcp::socket& to = aIsRequest ? aSession->server_ : aSession->caller_;
+  const bool& isHeld =
+    aIsRequest ? aLink.faults_.isRequestHeld_ : aLink.faults_.isAnswerHeld_;
+  std::array<char, kBufferBytes> buffer{};
+  while (true) {
+    error_code error;
+    auto count =
+      from.async_read_some(boost::asio::buffer(buffer), yield[error]);
+    while (isHeld) {
+      aFiber.Sleep(kHeldPoll);
+    }
+    if (aLink.faults_.delay_ > Duration::zero()) {
+      aFiber.Sleep(aLink.faults_.delay_);
+    }
+    if (error == boost::asio::error::eof) {
+      to.shutdown(tcp::socket::shutdown_send, error);
+      return;
+    }
+    if (!error && !aSession->isSilent_) {
+      boost::asio::async_write(
+        to, boost::asio::buffer(buffer.data(), count), yield[error]);
+    }
+    if (error) {
+      aSession->Reset();
+      return;
+    }
+  }
+}
+
+} // namespace
+
+struct Network::State
+{
+  explicit State(boost::asio::io_context& aIo)
+    : io_(aIo)
+  {
+  }
+
+  void Carry(Fiber& aFiber,
+             const std::shared_ptr<Session>& aSession,
+             Link& aLink,
+             const Address& aServer)
+  {
+    error_code error;
+    aSession->server_.async_connect(EndpointOf(aServer),
+                                    aFiber.GetContext().yield_[error]);
+    if (error || aLink.faults_.isRefusing_) {
+      aSession->Reset();
+      return;
+    }
+    error_code ignored;
+    aSession->caller_.set_option(tcp::no_delay(true), ignored);
+    aSession->server_.set_option(tcp::no_delay(true), ignored);
+    aLink.sessions_.remove_if([](const auto& aIt) { return aIt.expired(); });
+    aLink.sessions_.push_back(aSession);
+    aFiber.Spawn([&aLink, aSession](Fiber& aOther) {
+      Pump(aOther, aSession, aLink, false);
+    });
+    Pump(aFiber, aSession, aLink, true);
+  }
+
+  void Accept(Fiber& aFiber,
+              tcp::acceptor& aAcceptor,
+              Link& aLink,
+              const Address& aServer)
+  {
+    while (true) {
+      auto session = std::make_shared<Session>(io_);
+      error_code error;
+      aAcceptor.async_accept(session->caller_,
+                             aFiber.GetContext().yield_[error]);
+      if (error) {
+        return;
+      }
+      aFiber.Spawn([this, session, &aLink, aServer](Fiber& aOther) {
+        Carry(aOther, session, aLink, aServer);
+      });
+    }
+  }
+
+  boost::asio::io_context& io_;
+  std::map<LinkEnds, Link> links_;
+  std::list<tcp::acceptor> acceptors_;
+};
+
+Network::Network(TrafficThreads& aThreads, std::uint8_t aSubnet)
+  : state_(std::make_shared<State>(*aThreads.GetState().loops_.front()))
+  , subnet_(aSubnet)
+{
+}
+
+Network::~Network() = default;
+
+Address
+Network::Own(Host aHost, std::uint16_t aPort) const
+{
+  return { HostText(subnet_, 0, aHost), aPort };
+}
+
+Address
+Network::Through(LinkEnds aLink, std::uint16_t aPort) const
+{
+  return { HostText(subnet_, aLink.from_, aLink.to_), aPort };
+}
+
+Address
+Network::Through(Host aFrom, const Address& aOwn) const
+{
+  auto bytes = boost::asio::ip::make_address_v4(aOwn.host_).to_bytes();
+  return Through({ aFrom, bytes[3] }, aOwn.port_);
+}
+
+bool
+Network::Open(LinkEnds aLink, std::uint16_t aPort)
+{
+  auto& acceptor = state_->acceptors_.emplace_back(state_->io_);
+  auto endpoint = EndpointOf(Through(aLink, aPort));
+  error_code error;
+  acceptor.open(endpoint.protocol(), error);
+  acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  acceptor.bind(endpoint, error);
+  if (!error) {
+    acceptor.listen(tcp::acceptor::max_listen_connections, error);
+  }
+  if (error) {
+    LogEvent(Severity::Error,
+             "proxy can't listen",
+             { { "address", Through(aLink, aPort).ToString() },
+               { "error", error.message() } });
+    return false;
+  }
+  Link& link = state_->links_[aLink];
+  SpawnFiber(
+    state_->io_,
+    [state = state_, &acceptor, &link, server = Own(aLink.to_, aPort)](
+      Fiber& aFiber) { state->Accept(aFiber, acceptor, link, server); });
+  return true;
+}
+
+LinkFaults&
+Network::Faults(LinkEnds aLink)
+{
+  return state_->links_[aLink].faults_;
+}
+
+void
+Network::CutOneWay(LinkEnds aLink)
+{
+  Faults(aLink).isRequestHeld_ = true;
+  Faults({ aLink.to_, aLink.from_ }).isAnswerHeld_ = true;
+}
+
+void
+Network::Reset(LinkEnds aLink)
+{
+  for (const auto& weak : state_->links_[aLink].sessions_) {
+    if (auto session = weak.lock()) {
+      session->Reset();
+    }
+  }
+}
+
+void
+Network::Silence(LinkEnds aLink)
+{
+  for (const auto& weak : state_->links_[aLink].sessions_) {
+    if (auto session = weak.lock()) {
+      session->isSilent_ = true;
+    }
+  }
+}
+
+void
+Network::Heal()
+{
+  for (auto& [ends, link] : state_->links_) {
+    link.faults_ = {};
+  }
+}
+
+std::vector<LinkEnds>
+Network::Links() const
+{
+  std::vector<LinkEnds> links;
+  for (const auto& [ends, link] : state_->links_) {
+    links.push_back(ends);
+  }
+  return links;
+}
+
+} // namespace tanagerstall::soak
--- /dev/null
+++ b/tests/soak/tanagerstall_soak_replica.hpp
@@ -0,0 +1,104 @@
+#ifndef TANAGERSTALL_SOAK_REPLICA_HPP_INCLUDED
+#define TANAGERSTALL_SOAK_REPLICA_HPP_INCLUDED
+
+#include "tanagerstall/connection/tanagerstall_http_server.hpp"
+#include "tanagerstall/process/presence/tanagerstall_replica.hpp"
+#include "tanagerstall_soak_judge.hpp"
+#include "tanagerstall_soak_network.hpp"
+#include "tanagerstall_soak_random.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tanagerstall::soak {
+
+/// What goes wrong with a replica's answers.
+enum class ReplicaFault
+{
+  None,
+  /// Resets before it has begun to work.
+  ResetBefore,
+  /// Resets when it has begun.
+  ResetAfter,
+  /// Ends in the middle of its answer.
+  Half,
+  /// Never answers.
+  Silent,
+  /// Says that it did not run the request.
+  Full,
+  /// Fails with a seal.
+  Failed
+};
+
+constexpr std::uint16_t kReplicaPort = 8080;
+
+struct ReplicaPlan
+{
+  std::string name_;
+  std::string service_;
+  std::string failureDomain_;
+  Host host_ = 0;
+  /// Instances that take announcements.
+  std::vector<Host> control_;
+};
+
+/// A replica of a service: announces itself, works on requests, and can crash,
+/// drain or break its answers.
+class SoakReplica
+{
+public:
+  /// Called when it begins to work on a request.
+  using BeganHook = std::function<void(const SoakReplica&, const HttpRequest&)>;
+
+  SoakReplica(ReplicaPlan aPlan,
+              TrafficThreads& aThreads,
+              Network& aNetwork,
+              CallerProtocol aProtocol,
+              std::uint64_t aSeed,
+              BeganHook aBegan);
+
+  /// Listens and announces itself for good. False if it can't.
+  bool Start(TrafficThreads& aThreads);
+  /// Ends at once; connections break. It stays away until Restart().
+  void Crash();
+  /// Begins a new incarnation, under a new id or the one it had.
+  void Restart(bool aUnderSameId);
+  /// Says that it drains from now on.
+  void Drain();
+  /// Says that it is gone.
+  void Leave(Fiber& aFiber);
+  /// A part of the answers goes wrong from now on.
+  void SetFault(ReplicaFault aFault, double aPart);
+
+  const ReplicaPlan& Plan() const { return plan_; }
+  /// When a control process acknowledged that it drains.
+  std::optional<TimePoint> DrainingSince() const { return drainingSince_; }
+
+private:
+  void Handle(HttpExchange& aExchange);
+  void Work(HttpExchange& aExchange, ReplicaFault aFault);
+  void Stream(HttpExchange& aExchange, bool aIsHalf);
+  bool IsDead(unsigned aIncarnation) const;
+  void AnnounceForever(Fiber& aFiber);
+  void Announce(Fiber& aFiber);
+
+  ReplicaPlan plan_;
+  Network& network_;
+  CallerProtocol protocol_;
+  Random random_;
+  BeganHook began_;
+  Clock clock_;
+  Replica said_;
+  unsigned incarnation_ = 0;
+  bool isUp_ = true;
+  ReplicaFault fault_ = ReplicaFault::None;
+  double faultyPart_ = 0.0;
+  std::optional<TimePoint> drainingSince_;
+  HttpServer server_;
+};
+
+} // namespace tanagerstall::soak
+
+#endif
--- /dev/null
+++ b/tests/soak/tanagerstall_soak_world.hpp
@@ -0,0 +1,129 @@
+#ifndef TANAGERSTALL_SOAK_WORLD_HPP_INCLUDED
+#define TANAGERSTALL_SOAK_WORLD_HPP_INCLUDED
+
+#include "tanagerstall_soak_judge.hpp"
+#include "tanagerstall_soak_network.hpp"
+#include "tanagerstall_soak_process.hpp"
+#include "tanagerstall_soak_random.hpp"
+#include "tanagerstall_soak_replica.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tanagerstall::soak {
+
+/// The instance from which callers and operators connect.
+constexpr Host kOutsideHost = 200;
+/// The instance that stands for the cloud.
+constexpr Host kCloudHost = 99;
+constexpr std::uint16_t kCloudPort = 8225;
+
+struct SoakOptions
+{
+  std::uint64_t seed_ = 1;
+  int rounds_ = 3;
+  int control_ = 5;
+  int entries_ = 4;
+  int replicas_ = 3;
+  int callers_ = 12;
+  /// Whether promises with a time bound are checked.
+  bool checksTimes_ = true;
+  /// Which faults may happen; all if empty.
+  std::vector<std::string_view> faults_;
+  std::string programs_;
+  std::string preload_;
+  std::string folder_;
+};
+
+/// A program with its settings and its data.
+struct Node
+{
+  std::unique_ptr<Process> process_;
+  /// Empty for an entry.
+  std::string dataFolder_;
+  std::string failureDomain_;
+  /// Whether it was asked to stop and isn't started again by itself.
+  bool isHeldDown_ = false;
+  /// Whether its end at this moment isn't its own doing.
+  bool isDisturbed_ = false;
+};
+
+/// Callers' tries in the calm part of a round.
+struct CalmCounts
+{
+  unsigned sent_ = 0;
+  unsigned served_ = 0;
+  std::map<int, unsigned> byStatus_;
+};
+
+/// All that a run consists of. Touched by fibers of one thread.
+struct World
+{
+  explicit World(SoakOptions aOptions);
+
+  /// Writes settings, listens, starts all processes. False if it can't.
+  bool Start();
+  /// Asks all processes to stop and waits for them.
+  void StopProcesses(Fiber& aFiber);
+
+  /// Writes a node's settings file.
+  void WriteSettings(const Node& aNode, bool aIsFirstStart) const;
+  Node& NodeAt(Host aHost);
+  std::vector<Host> ControlHosts() const;
+  std::vector<Host> EntryHosts() const;
+  void Found(const Finding& aFinding);
+  /// Whether nothing was disturbed for at least `aFor`.
+  bool IsCalmFor(Duration aFor) const;
+
+  SoakOptions options_;
+  Clock clock_;
+  Random random_;
+  TrafficThreads threads_;
+  Network network_;
+  RequestJudge requests_;
+  DutyJudge duties_;
+  ConfigurationJudge configuration_;
+  std::vector<Node> control_;
+  std::vector<Node> entries_;
+  std::vector<std::unique_ptr<SoakReplica>> replicas_;
+  std::unique_ptr<HttpServer> cloud_;
+  std::vector<Finding> findings_;
+  /// When a control process last lost its disk.
+  std::optional<TimePoint> diskLostAt_;
+  CalmCounts calm_;
+  /// Since when nothing is disturbed; nothing during faults.
+  std::optional<TimePoint> calmSince_;
+  /// Planned stops are under way, and nothing else.
+  bool isStopping_ = false;
+  bool isOver_ = false;
+
+private:
+  bool OpenLinks();
+};
+
+/// The service and kind that callers use, by path.
+struct SoakRoute
+{
+  const char* path_;
+  const char* service_;
+  RequestKind kind_;
+  bool isResumable_;
+};
+
+constexpr SoakRoute kSoakRoutes[] = {
+  { "/lookup/", "plain", RequestKind::Idempotent, false },
+  { "/capture/", "plain", RequestKind::NonIdempotent, false },
+  { "/chat/stream/", "model", RequestKind::Stream, true },
+  { "/draft/stream/", "model", RequestKind::Stream, false }
+};
+
+constexpr const char* kSoakHost = "soak.example";
+constexpr const char* kOrganisation = "press";
+constexpr const char* kOrganisationKey = "press-key";
+
+} // namespace tanagerstall::soak
+
+#endif
