--- /dev/null
+++ b/src/tanagerstall/connection/tanagerstall_http_exchange.cpp
@@ -0,0 +1,183 @@
+#include "tanagerstall/connection/tanagerstall_http_exchange.hpp"
+
+#include "tanagerstall/internal/tanagerstall_http_server_state.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace tanagerstall {
+
+namespace http = beast::http;
+
+void
+HttpExchange::State::WatchCaller()
+{
+  isWatching_ = true;
+  stream_.socket().async_wait(
+    tcp::socket::wait_read,
+    [self = shared_from_this()](const beast::error_code& aError) {
+      self->isWatching_ = false;
+      if (!aError && self->isInExchange_) {
+        self->CheckForEnd();
+      }
+    });
+}
+
+void
+HttpExchange::State::CheckForEnd()
+{
+  char byte = 0;
+  beast::error_code error;
+  auto count = stream_.socket().receive(
+    asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  if (!error && count > 0) {
+    return;
+  }
+  isCallerGone_ = true;
+  if (onCallerGone_) {
+    std::exchange(onCallerGone_, nullptr)();
+  }
+}
+
+void
+HttpExchange::State::StopWatching()
+{
+  if (isWatching_) {
+    beast::error_code ignored;
+    stream_.socket().cancel(ignored);
+  }
+}
+
+HttpExchange::HttpExchange(State& aState)
+  : state_(aState)
+{
+}
+
+const HttpRequest&
+HttpExchange::Request() const
+{
+  return state_.request_;
+}
+
+Fiber&
+HttpExchange::GetFiber()
+{
+  return *state_.fiber_;
+}
+
+namespace {
+
+template<class Message>
+void
+SetHead(Message& aMessage, const HttpResponse& aResponse, bool aKeepAlive)
+{
+  aMessage.version(11);
+  aMessage.result(static_cast<unsigned>(aResponse.status_));
+  for (const auto& header : aResponse.headers_) {
+    aMessage.insert(header.name_, header.value_);
+  }
+  aMessage.keep_alive(aKeepAlive);
+}
+
+} // namespace
+
+void
+HttpExchange::Respond(const HttpResponse& aResponse)
+{
+  state_.status_ = aResponse.status_;
+  state_.keepsAlive_ = state_.keepsAlive_ && state_.server_->keepsAlive_;
+  http::response<http::string_body> message;
+  SetHead(message, aResponse, state_.keepsAlive_);
+  message.body() = aResponse.body_;
+  message.prepare_payload();
+  beast::error_code error;
+  state_.stream_.expires_after(state_.server_->limits_.writeTimeout_);
+  http::async_write(state_.stream_, message, state_.Yield()[error]);
+  if (error) {
+    Abort();
+  }
+}
+
+void
+HttpExchange::StartStream(const HttpResponse& aHead)
+{
+  state_.status_ = aHead.status_;
+  state_.keepsAlive_ = state_.keepsAlive_ && state_.server_->keepsAlive_;
+  http::response<http::empty_body> message;
+  SetHead(message, aHead, state_.keepsAlive_);
+  message.chunked(true);
+  http::response_serializer<http::empty_body> serializer(message);
+  beast::error_code error;
+  state_.stream_.expires_after(state_.server_->limits_.writeTimeout_);
+  http::async_write_header(state_.stream_, serializer, state_.Yield()[error]);
+  if (error) {
+    Abort();
+  }
+}
+
+bool
+HttpExchange::WritePart(std::string_view aPart)
+{
+  if (state_.isCallerGone_ || aPart.empty()) {
+    return !state_.isCallerGone_;
+  }
+  beast::error_code error;
+  state_.stream_.expires_after(state_.server_->limits_.writeTimeout_);
+  asio::async_write(state_.stream_,
+                    http::make_chunk(asio::buffer(aPart)),
+                    state_.Yield()[error]);
+  if (error) {
+    Abort();
+  }
+  return !error;
+}
+
+void
+HttpExchange::EndStream()
+{
+  if (state_.isCallerGone_) {
+    return;
+  }
+  beast::error_code error;
+  state_.stream_.expires_after(state_.server_->limits_.writeTimeout_);
+  asio::async_write(
+    state_.stream_, http::make_chunk_last(), state_.Yield()[error]);
+  if (error) {
+    Abort();
+  }
+}
+
+void
+HttpExchange::Abort()
+{
+  state_.isCallerGone_ = true;
+  state_.keepsAlive_ = false;
+  state_.stream_.close();
+}
+
+int
+HttpExchange::Status() const
+{
+  return state_.status_;
+}
+
+bool
+HttpExchange::IsCallerGone() const
+{
+  return state_.isCallerGone_;
+}
+
+void
+HttpExchange::OnCallerGone(std::function<void()> aHook)
+{
+  state_.onCallerGone_ = std::move(aHook);
+  if (state_.isCallerGone_ && state_.onCallerGone_) {
+    std::exchange(state_.onCallerGone_, nullptr)();
+  }
+}
+
+} // namespace tanagerstall
--- a/src/tanagerstall/connection/tanagerstall_http_server.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_server.hpp
@@ -1,8 +1,7 @@
 #ifndef TANAGERSTALL_HTTP_SERVER_HPP_INCLUDED
 #define TANAGERSTALL_HTTP_SERVER_HPP_INCLUDED
 
-#include "tanagerstall/connection/tanagerstall_fiber.hpp"
-#include "tanagerstall/connection/tanagerstall_http_message.hpp"
+#include "tanagerstall/connection/tanagerstall_http_exchange.hpp"
 #include "tanagerstall/connection/tanagerstall_traffic_threads.hpp"
 #include "tanagerstall/process/tanagerstall_clock.hpp"
 #include "tanagerstall/process/tanagerstall_settings.hpp"
@@ -10,45 +9,10 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <string_view>
 #include <tl/expected.hpp>
 
 namespace tanagerstall {
 
-/// One request and the response to it, on its own fiber.
-class HttpExchange
-{
-public:
-  struct State;
-
-  explicit HttpExchange(State& aState);
-
-  const HttpRequest& Request() const;
-  Fiber& GetFiber();
-
-  /// Sends a whole response. At most one of Respond and StartStream.
-  void Respond(const HttpResponse& aResponse);
-  /// Sends a head; parts follow. `aHead.body_` is not sent.
-  void StartStream(const HttpResponse& aHead);
-  /// Sends one part; false once the caller is gone.
-  bool WritePart(std::string_view aPart);
-  /// Ends a stream as whole.
-  void EndStream();
-  /// Ends the connection in the middle, which the caller sees as an error.
-  void Abort();
-
-  bool HasStarted() const { return Status() != 0; }
-  /// The status of the response; 0 before it has started.
-  int Status() const;
-  bool IsCallerGone() const;
-  /// Calls `aHook` on this thread as soon as the caller closes the
-  /// connection. An empty hook takes an earlier one back.
-  void OnCallerGone(std::function<void()> aHook);
-
-private:
-  State& state_;
-};
-
 struct HttpLimits
 {
   std::uint32_t maxHeadBytes_ = 16 * 1024;
--- /dev/null
+++ b/src/tanagerstall/internal/tanagerstall_http_server_state.hpp
@@ -0,0 +1,79 @@
+#ifndef TANAGERSTALL_HTTP_SERVER_STATE_HPP_INCLUDED
+#define TANAGERSTALL_HTTP_SERVER_STATE_HPP_INCLUDED
+
+#include "tanagerstall/connection/tanagerstall_http_server.hpp"
+#include "tanagerstall/internal/tanagerstall_fiber_context.hpp"
+#include "tanagerstall/internal/tanagerstall_traffic_state.hpp"
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <map>
+#include <mutex>
+
+namespace tanagerstall {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+
+struct HttpServer::State
+{
+  State(TrafficThreads& aThreads, HttpLimits aLimits, Handler aHandler)
+    : threads_(aThreads)
+    , limits_(aLimits)
+    , handler_(std::move(aHandler))
+    , acceptor_(*aThreads.GetState().loops_.front())
+  {
+  }
+
+  TrafficThreads& threads_;
+  HttpLimits limits_;
+  Handler handler_;
+  tcp::acceptor acceptor_;
+  std::atomic<bool> isAccepting_{ true };
+  std::atomic<bool> keepsAlive_{ true };
+  std::atomic<std::size_t> connections_{ 0 };
+  std::atomic<std::size_t> exchanges_{ 0 };
+  std::mutex idleMutex_;
+  /// Connections that wait for a request.
+  std::map<const void*, std::weak_ptr<HttpExchange::State>> idle_;
+};
+
+/// The life of one accepted connection; its exchanges follow one another.
+struct HttpExchange::State : std::enable_shared_from_this<HttpExchange::State>
+{
+  State(tcp::socket aSocket, std::shared_ptr<HttpServer::State> aServer)
+    : stream_(std::move(aSocket))
+    , server_(std::move(aServer))
+  {
+  }
+
+  asio::yield_context& Yield() { return fiber_->GetContext().yield_; }
+
+  /// Sees the caller's closing while nothing is being read. Bytes that
+  /// arrive instead belong to the next request and stay in the socket.
+  void WatchCaller();
+  void StopWatching();
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<HttpServer::State> server_;
+  beast::flat_buffer buffer_;
+  Fiber* fiber_ = nullptr;
+  HttpRequest request_;
+  std::function<void()> onCallerGone_;
+  bool isWatching_ = false;
+  bool isInExchange_ = false;
+  bool isIdle_ = false;
+  bool isCallerGone_ = false;
+  int status_ = 0;
+  bool keepsAlive_ = true;
+
+private:
+  void CheckForEnd();
+};
+
+} // namespace tanagerstall
+
+#endif
