Requests that never end shut nobody out

Where an HttpServer has no room, the connection that has taken longest over its request, and at least a second, makes room (408 where a head had begun).

--- a/src/tanagerstall/connection/tanagerstall_http_server.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_server.cpp
@@ -64,7 +64,7 @@
 SetIdle(HttpExchange::State& aState, bool aIsIdle)
 {
   aState.isIdle_ = aIsIdle;
-  std::scoped_lock lock(aState.server_->idleMutex_);
+  std::scoped_lock lock(aState.server_->waitingMutex_);
   if (aIsIdle) {
     aState.server_->idle_[&aState] = aState.weak_from_this();
   } else {
@@ -72,6 +72,60 @@
   }
 }
 
+/// Lets the read in progress fail, and all later ones; a read that is cancelled
+/// in the moment in which it succeeds would be followed by another.
+void
+StopReading(HttpExchange::State& aState)
+{
+  beast::error_code ignored;
+  aState.stream_.socket().shutdown(tcp::socket::shutdown_receive, ignored);
+}
+
+/// Notes whether a request of the connection isn't whole yet. The time counts
+/// from the first such note.
+void
+SetUnfinished(HttpExchange::State& aState, bool aIsUnfinished)
+{
+  if (aState.unfinished_.has_value() == aIsUnfinished) {
+    return;
+  }
+  std::scoped_lock lock(aState.server_->waitingMutex_);
+  auto& unfinished = aState.server_->unfinished_;
+  if (aIsUnfinished) {
+    aState.unfinished_ = unfinished.insert(
+      unfinished.end(),
+      { aState.weak_from_this(), aState.server_->clock_.Now() });
+  } else {
+    unfinished.erase(*aState.unfinished_);
+    aState.unfinished_.reset();
+  }
+}
+
+/// Ends the connection that has taken longest over a request. False if none
+/// has taken long.
+bool
+DropOldestUnfinished(HttpServer::State& aServer)
+{
+  std::scoped_lock lock(aServer.waitingMutex_);
+  auto now = aServer.clock_.Now();
+  for (const auto& unfinished : aServer.unfinished_) {
+    if (now < unfinished.since_ + aServer.limits_.promptTime_) {
+      return false;
+    }
+    auto oldest = unfinished.connection_.lock();
+    if (!oldest || oldest->isDropped_.exchange(true)) {
+      continue;
+    }
+    asio::post(oldest->stream_.get_executor(), [oldest] {
+      if (oldest->unfinished_) {
+        StopReading(*oldest);
+      }
+    });
+    return true;
+  }
+  return false;
+}
+
 /// Waits for a request's first byte; false once the connection has ended.
 bool
 WaitForRequest(HttpExchange::State& aState)
@@ -131,15 +185,14 @@
   timer.async_wait([state, reading](const beast::error_code& aError) {
     if (!aError && *reading == Reading::Running) {
       *reading = Reading::Late;
-      beast::error_code ignored;
-      state->stream_.socket().cancel(ignored);
+      StopReading(*state);
     }
   });
   beast::error_code error;
   aState.stream_.expires_never();
   http::async_read(
     aState.stream_, aState.buffer_, aParser, aState.Yield()[error]);
-  bool isLate = *reading == Reading::Late;
+  bool isLate = *reading == Reading::Late || aState.isDropped_;
   *reading = Reading::Ended;
   return error && isLate ? beast::error_code(beast::error::timeout) : error;
 }
@@ -151,10 +204,13 @@
   if (!WaitForRequest(aState)) {
     return false;
   }
+  SetUnfinished(aState, true);
   Parser parser;
   parser.header_limit(aState.server_->limits_.maxHeadBytes_);
   parser.body_limit(aState.server_->limits_.maxBodyBytes_);
-  if (auto error = ReadInTime(aState, parser)) {
+  auto error = ReadInTime(aState, parser);
+  SetUnfinished(aState, false);
+  if (error) {
     HttpExchange exchange(aState);
     aState.keepsAlive_ = false;
     RefuseUnreadable(exchange, error);
@@ -176,15 +232,18 @@
   auto state =
     std::make_shared<HttpExchange::State>(std::move(aSocket), aServer);
   state->fiber_ = &aFiber;
+  SetUnfinished(*state, true);
   while (ServeRequest(*state)) {
   }
+  SetUnfinished(*state, false);
   state->stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
   state->stream_.close();
   --aServer->connections_;
 }
 
-/// Accepts until the acceptor is closed. Connections over the limit are
-/// closed at once, so that they cost the others nothing.
+/// Accepts until the acceptor is closed. Where there is no room, the connection
+/// that has taken longest over a request goes; where none is left, the new one
+/// is closed at once, so that it costs the others nothing.
 void
 AcceptConnections(const std::shared_ptr<HttpServer::State>& aServer,
                   Fiber& aFiber)
@@ -198,7 +257,8 @@
       aFiber.Sleep(std::chrono::milliseconds(10));
       continue;
     }
-    if (aServer->connections_ >= aServer->limits_.maxConnections_) {
+    bool isFull = aServer->connections_ >= aServer->limits_.maxConnections_;
+    if (isFull && !DropOldestUnfinished(*aServer)) {
       continue;
     }
     ++aServer->connections_;
@@ -271,7 +331,7 @@
 void
 HttpServer::CloseIdle()
 {
-  std::scoped_lock lock(state_->idleMutex_);
+  std::scoped_lock lock(state_->waitingMutex_);
   for (const auto& [key, weak] : state_->idle_) {
     auto idle = weak.lock();
     if (!idle) {
--- a/src/tanagerstall/connection/tanagerstall_http_server.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_server.hpp
@@ -19,6 +19,9 @@
   std::uint64_t maxBodyBytes_ = 4ULL * 1024 * 1024;
   std::size_t maxConnections_ = 4096;
   Duration requestTimeout_ = std::chrono::seconds(15);
+  /// A connection may take so long over a request before it makes room for
+  /// another one; well above a round between regions.
+  Duration promptTime_ = std::chrono::seconds(1);
   Duration idleTimeout_ = std::chrono::seconds(75);
   Duration writeTimeout_ = std::chrono::seconds(30);
 };
--- a/src/tanagerstall/internal/tanagerstall_http_server_state.hpp
+++ b/src/tanagerstall/internal/tanagerstall_http_server_state.hpp
@@ -9,8 +9,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <list>
 #include <map>
 #include <mutex>
+#include <optional>
 
 namespace tanagerstall {
 
@@ -18,6 +20,13 @@
 namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
 
+/// A connection whose request isn't whole yet.
+struct Unfinished
+{
+  std::weak_ptr<HttpExchange::State> connection_;
+  TimePoint since_;
+};
+
 struct HttpServer::State
 {
   State(TrafficThreads& aThreads, HttpLimits aLimits, Handler aHandler)
@@ -31,14 +40,18 @@
   TrafficThreads& threads_;
   HttpLimits limits_;
   Handler handler_;
+  Clock clock_;
   tcp::acceptor acceptor_;
   std::atomic<bool> isAccepting_{ true };
   std::atomic<bool> keepsAlive_{ true };
   std::atomic<std::size_t> connections_{ 0 };
   std::atomic<std::size_t> exchanges_{ 0 };
-  std::mutex idleMutex_;
-  /// Connections that wait for a request.
+  std::mutex waitingMutex_;
+  /// Kept connections that wait for their next request.
   std::map<const void*, std::weak_ptr<HttpExchange::State>> idle_;
+  /// Connections whose first request, or one that has begun, isn't whole yet;
+  /// in the order in which they began to wait.
+  std::list<Unfinished> unfinished_;
 };
 
 /// The life of one accepted connection; its exchanges follow one another.
@@ -66,6 +79,10 @@
   bool isWatching_ = false;
   bool isInExchange_ = false;
   bool isIdle_ = false;
+  /// Its place among those with an unfinished request.
+  std::optional<std::list<Unfinished>::iterator> unfinished_;
+  /// It has to make room for another connection.
+  std::atomic<bool> isDropped_{ false };
   bool isCallerGone_ = false;
   int status_ = 0;
   bool keepsAlive_ = true;
--- a/tests/http_server_tests.cpp
+++ b/tests/http_server_tests.cpp
@@ -17,6 +17,18 @@
 
 namespace {
 
+/// Room for four connections, and time enough for all of them where no other
+/// needs the room.
+HttpLimits
+PatientLimits()
+{
+  HttpLimits limits;
+  limits.maxConnections_ = 4;
+  limits.requestTimeout_ = std::chrono::minutes(10);
+  limits.promptTime_ = Duration::zero();
+  return limits;
+}
+
 HttpLimits
 SmallLimits()
 {
@@ -32,10 +44,10 @@
 /// A server that echoes bodies, on a port of the system's choice.
 struct EchoServer
 {
-  EchoServer()
+  explicit EchoServer(HttpLimits aLimits = SmallLimits())
     : threads_(2)
     , server_(threads_,
-              SmallLimits(),
+              aLimits,
               [this](HttpExchange& aExchange) { Handle(aExchange); })
     , address_(server_.Listen({ "127.0.0.1", 0 }).value())
   {
@@ -202,3 +214,25 @@
   over.Send("GET / HTTP/1.1\r\n\r\n");
   BOOST_TEST(over.ReadAll().empty());
 }
+
+// Callers that open connections and never end their requests, until there is
+// no room for another.
+BOOST_DATA_TEST_CASE(Requests_that_never_end_shut_nobody_out,
+                     data::make({ "", "GET / HTT", "POST / HTTP/1.1\r\n" }),
+                     begun)
+{
+  EchoServer server(PatientLimits());
+  std::vector<std::unique_ptr<RawCaller>> held;
+  for (int i = 0; i < 4; ++i) {
+    held.push_back(std::make_unique<RawCaller>(server.address_));
+    held.back()->Send(begun);
+  }
+  for (int i = 0; i < 6; ++i) {
+    auto other = Fetch(server, { "POST", "/", {}, "still served" });
+    BOOST_TEST_REQUIRE(other.has_value());
+    BOOST_TEST(other->body_ == "still served");
+  }
+  std::string answer = held.front()->ReadAll();
+  bool isTold = answer.empty() || answer.starts_with("HTTP/1.1 408");
+  BOOST_TEST(isTold);
+}
