Each entry takes one copy of a declaration, from near

Every control process sent the whole document to every entry that didn't have it yet, nine copies over a link of 10 Mbit/s, the more of them the longer the first took. Ruled out: the log (applied everywhere in time), decoding (the other region took 0.05 s).

The five places that listened or logged are one function.

--- a/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
@@ -19,8 +19,12 @@
 /// must not wait long for one that wasn't up yet.
 constexpr auto kConnectTimeout = 300 * kj::MILLISECONDS;
 constexpr std::chrono::milliseconds kWait{ 800 };
+/// While a newer declaration is to be had, from whomever.
+constexpr std::chrono::milliseconds kWaitForDeclaration{ 150 };
 /// Past the wait: the round trip and a busy control process.
 constexpr auto kAnswerTimeout = 1800 * kj::MILLISECONDS;
+/// Some megabytes over a narrow link.
+constexpr auto kDeclarationTimeout = 6 * kj::SECONDS;
 /// Lets changes that come together travel together.
 constexpr auto kPause = 60 * kj::MILLISECONDS;
 constexpr auto kRetryPause = 120 * kj::MILLISECONDS;
@@ -60,9 +64,13 @@
   {
     auto request = aLink->port_.syncRequest();
     EntryReport report = hooks_.report_(aAddress, aAddress == leader_);
-    report.wait_ = aWait;
+    bool lacksDeclaration = report.heard_ > report.entry_.revision_;
+    report.wait_ =
+      lacksDeclaration ? std::min(aWait, kWaitForDeclaration) : aWait;
     WriteReport(request.initRequest(), report);
-    return timer_.timeoutAfter(kAnswerTimeout, request.send())
+    auto timeout =
+      report.wantsDeclaration_ ? kDeclarationTimeout : kAnswerTimeout;
+    return timer_.timeoutAfter(timeout, request.send())
       .then([this, aLink, aAddress](auto aResponse) {
         OnAnswer(aAddress, ReadAnswer(aResponse.getReply()));
       });
--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -50,6 +50,8 @@
   aTo.setControlRun(aFrom.controlRun_);
   aTo.setStamp(aFrom.stamp_);
   aTo.setWaitMs(static_cast<std::uint32_t>(aFrom.wait_.count()));
+  aTo.setHeard(aFrom.heard_);
+  aTo.setWantsDocument(aFrom.wantsDeclaration_);
   auto usage = aTo.initUsage(aFrom.usage_.size());
   for (unsigned i = 0; i < aFrom.usage_.size(); ++i) {
     WriteUsage(usage[i], aFrom.usage_[i]);
@@ -85,6 +87,8 @@
   report.controlRun_ = aFrom.getControlRun();
   report.stamp_ = aFrom.getStamp();
   report.wait_ = std::chrono::milliseconds(aFrom.getWaitMs());
+  report.heard_ = aFrom.getHeard();
+  report.wantsDeclaration_ = aFrom.getWantsDocument();
   for (auto usage : aFrom.getUsage()) {
     report.usage_.push_back(ReadUsage(usage));
   }
@@ -113,6 +117,7 @@
   for (unsigned i = 0; i < aFrom.replicas_.changed_.size(); ++i) {
     WriteReplica(replicas[i], aFrom.replicas_.changed_[i]);
   }
+  aTo.setRegion(ToText(aFrom.region_));
   aTo.setPlanNumber(aFrom.planNumber_);
   if (aFrom.declaration_) {
     aTo.setDocument(ToData(ViewOf(aFrom.declaration_->document_)));
@@ -141,6 +146,7 @@
   for (auto replica : aFrom.getReplicas()) {
     answer.replicas_.changed_.push_back(ReadReplica(replica));
   }
+  answer.region_ = ToString(aFrom.getRegion());
   answer.planNumber_ = aFrom.getPlanNumber();
   if (aFrom.getDocument().size() > 0) {
     answer.declaration_ = { aFrom.getPlanNumber(),
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -37,14 +37,20 @@
   /// What it asks of the organisations' limits; to the leader only.
   CostAsks asks_;
   std::map<std::string, ServiceLoad> services_;
+  /// The newest declaration that it has heard of from anyone.
+  std::uint64_t heard_ = 0;
+  /// Whether the answer is to carry the declaration, if it is newer.
+  bool wantsDeclaration_ = false;
 };
 
 /// The answer of a control process.
 struct ControlAnswer
 {
   ReplicaReport replicas_;
+  /// The region of the control process.
+  std::string region_;
   std::uint64_t planNumber_ = 0;
-  /// The declaration, where it is newer than the entry's.
+  /// The declaration, where the entry asked for it and has an older one.
   std::optional<Declaration> declaration_;
   /// Where entries reach the members of the cluster.
   std::vector<std::string> members_;
--- a/src/tanagerstall/connection/tanagerstall_http_server.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_server.cpp
@@ -360,6 +360,19 @@
   return state_->exchanges_;
 }
 
+std::optional<Address>
+ListenOrLog(HttpServer& aServer, const Address& aAddress)
+{
+  auto listening = aServer.Listen(aAddress);
+  if (!listening) {
+    LogEvent(Severity::Error,
+             "listen failed",
+             { { "error", listening.error().message_ } });
+    return std::nullopt;
+  }
+  return *listening;
+}
+
 void
 ListenForMetrics(HttpServer& aServer, const Address& aAddress)
 {
--- a/src/tanagerstall/connection/tanagerstall_http_server.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_server.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <tl/expected.hpp>
 
 namespace tanagerstall {
@@ -58,6 +59,11 @@
   std::shared_ptr<State> state_;
 };
 
+/// Listens for what a process can't do without. Gives the address in use;
+/// nothing where it can't listen, which is logged.
+std::optional<Address>
+ListenOrLog(HttpServer& aServer, const Address& aAddress);
+
 /// Listens for metrics. A process serves on without them, and says so.
 void
 ListenForMetrics(HttpServer& aServer, const Address& aAddress);
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -77,6 +77,9 @@
   usage @4 :List(UsageWindow);
   asks @5 :List(CostAsk);
   services @6 :List(ServiceLoad);
+  heard @7 :UInt64;
+  # The newest declaration that the entry has heard of.
+  wantsDocument @8 :Bool;
 }
 
 struct CostGrant {
@@ -91,12 +94,13 @@
   # Those that changed after the stamp in the request.
   planNumber @3 :UInt64;
   document @4 :Data;
-  # Only where it is newer than what the entry has.
+  # Only where the entry asks for it.
   members @5 :List(Text);
   entries @6 :UInt32;
   # Entries that take requests, the asking one included.
   grants @7 :List(CostGrant);
   leads @8 :Bool;
+  region @9 :Text;
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -174,7 +174,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -204,7 +204,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1091,6 +1091,10 @@
   inline bool hasServices() const;
   inline  ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader getServices() const;
 
+  inline  ::uint64_t getHeard() const;
+
+  inline bool getWantsDocument() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1156,6 +1160,12 @@
   inline void adoptServices(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>> disownServices();
 
+  inline  ::uint64_t getHeard();
+  inline void setHeard( ::uint64_t value);
+
+  inline bool getWantsDocument();
+  inline void setWantsDocument(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1308,6 +1318,9 @@
 
   inline bool getLeads() const;
 
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1380,6 +1393,13 @@
   inline bool getLeads();
   inline void setLeads(bool value);
 
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2534,6 +2554,34 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t SyncRequest::Reader::getHeard() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getHeard() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setHeard( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncRequest::Reader::getWantsDocument() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncRequest::Builder::getWantsDocument() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setWantsDocument(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CostGrant::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2792,6 +2840,40 @@
       ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncReply::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SyncReply::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SyncReply::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SyncReply::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SyncReply::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/process/standin/tanagerstall_standin.cpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin.cpp
@@ -325,11 +325,8 @@
 RunStandin(StandinSettings aSettings)
 {
   Standin standin(std::move(aSettings));
-  auto address = standin.server_.Listen(standin.settings_.address_);
+  auto address = ListenOrLog(standin.server_, standin.settings_.address_);
   if (!address) {
-    LogEvent(Severity::Error,
-             "listen failed",
-             { { "error", address.error().message_ } });
     return 1;
   }
   UpstreamInfo& info = standin.settings_.info_;
--- a/src/tanagerstall/process/tanagerstall_controller.cpp
+++ b/src/tanagerstall/process/tanagerstall_controller.cpp
@@ -159,11 +159,9 @@
 int
 Controller::Run()
 {
-  auto operators = state_->server_.Listen(state_->settings_.operatorAddress_);
+  auto operators =
+    ListenOrLog(state_->server_, state_->settings_.operatorAddress_);
   if (!operators) {
-    LogEvent(Severity::Error,
-             "listen failed",
-             { { "error", operators.error().message_ } });
     return 1;
   }
   auto rpc = state_->ListenForEntries();
--- a/src/tanagerstall/process/tanagerstall_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_entry.cpp
@@ -342,11 +342,8 @@
 int
 Entry::Run()
 {
-  auto caller = state_->server_.Listen(state_->settings_.callerAddress_);
+  auto caller = ListenOrLog(state_->server_, state_->settings_.callerAddress_);
   if (!caller) {
-    LogEvent(Severity::Error,
-             "listen failed",
-             { { "error", caller.error().message_ } });
     return 1;
   }
   state_->settings_.callerAddress_ = *caller;
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -172,6 +172,7 @@
     report.entry_.id_ = settings_.id_;
     report.entry_.weight_ = 0;
     report.entry_.revision_ = fleet_.Current().number_;
+    report.heard_ = report.entry_.revision_;
     std::tie(report.controlRun_, report.stamp_) = view_.Position(aControl);
     return report;
   }
@@ -182,9 +183,11 @@
       std::any_of(aReport.asks_.begin(),
                   aReport.asks_.end(),
                   [](const auto& aIt) { return aIt.second.WantsGrant(); });
-    return wantsGrant || aReport.controlRun_ != run_ ||
-           aReport.stamp_ < replicas_.Stamp() ||
-           aReport.entry_.revision_ < fleet_.Current().number_;
+    std::uint64_t number = fleet_.Current().number_;
+    bool wantsDeclaration =
+      aReport.wantsDeclaration_ && aReport.entry_.revision_ < number;
+    return wantsGrant || wantsDeclaration || aReport.heard_ < number ||
+           aReport.controlRun_ != run_ || aReport.stamp_ < replicas_.Stamp();
   }
 
   ControlAnswer MakeAnswer(const EntryReport& aReport)
@@ -194,8 +197,10 @@
     answer.replicas_ = { run_,
                          replicas_.Stamp(),
                          replicas_.ChangedAfter(isKnown ? aReport.stamp_ : 0) };
+    answer.region_ = settings_.region_;
     answer.planNumber_ = fleet_.Current().number_;
-    if (answer.planNumber_ > aReport.entry_.revision_) {
+    if (aReport.wantsDeclaration_ &&
+        answer.planNumber_ > aReport.entry_.revision_) {
       answer.declaration_ = fleet_.Current();
     }
     answer.members_ = memberAddresses_;
@@ -428,15 +433,9 @@
 {
   State* state = state_.get();
   state->startedAt_ = state->clock_.Now();
-  for (auto [server, address] :
-       { std::pair(&state->control_, &state->settings_.controlAddress_),
-         std::pair(&state->directory_, &state->settings_.directoryAddress_) }) {
-    if (auto listening = server->Listen(*address); !listening) {
-      LogEvent(Severity::Error,
-               "listen failed",
-               { { "error", listening.error().message_ } });
-      return 1;
-    }
+  if (!ListenOrLog(state->control_, state->settings_.controlAddress_) ||
+      !ListenOrLog(state->directory_, state->settings_.directoryAddress_)) {
+    return 1;
   }
   state->member_.Start(state->settings_.entriesAddress_,
                        { state->fleet_.AsStateMachine() });
--- a/src/tanagerstall/process/tanagerstall_fleet_control.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.hpp
@@ -16,6 +16,7 @@
 struct FleetControlSettings
 {
   std::string id_;
+  std::string region_;
   /// Where operators and replicas call.
   Address controlAddress_;
   /// Where callers ask for entries.
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -6,6 +6,7 @@
 #include "tanagerstall/process/tanagerstall_drain.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
+#include "tanagerstall/version/tanagerstall_declaration_source.hpp"
 
 #include <atomic>
 #include <kj/async-io.h>
@@ -95,6 +96,9 @@
       report.asks_ = forwarder_.Limits().Asks(clock_.Now());
     }
     report.services_ = traffic_.services_;
+    report.heard_ = source_.Newest();
+    report.wantsDeclaration_ =
+      source_.AsksFrom(aControl, self_.revision_, clock_.Now());
     return report;
   }
 
@@ -102,6 +106,11 @@
   {
     TimePoint now = clock_.Now();
     view_.Take(aControl, aAnswer.replicas_, now);
+    source_.Hear(aControl,
+                 { aAnswer.planNumber_,
+                   aAnswer.region_ == settings_.region_,
+                   aAnswer.isLeader_ },
+                 now);
     if (aAnswer.declaration_) {
       TakeDeclaration(*aAnswer.declaration_);
     }
@@ -237,6 +246,7 @@
   kj::Timer& timer_;
   EntryInfo self_;
   ReplicaView view_;
+  DeclarationSource source_;
   TrafficReport traffic_;
   Drain drain_;
   std::atomic<bool> hasPlan_{ false };
@@ -262,15 +272,9 @@
 FleetEntry::Run()
 {
   State* state = state_.get();
-  for (auto [server, address] :
-       { std::pair(&state->callers_, &state->settings_.callerAddress_),
-         std::pair(&state->readiness_, &state->settings_.readinessAddress_) }) {
-    if (auto listening = server->Listen(*address); !listening) {
-      LogEvent(Severity::Error,
-               "listen failed",
-               { { "error", listening.error().message_ } });
-      return 1;
-    }
+  if (!ListenOrLog(state->callers_, state->settings_.callerAddress_) ||
+      !ListenOrLog(state->readiness_, state->settings_.readinessAddress_)) {
+    return 1;
   }
   ListenForMetrics(state->metrics_, state->settings_.metricsAddress_);
   LogEvent(Severity::Info,
