--- a/src/tanagerstall/process/standin/tanagerstall_standin_faults.cpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin_faults.cpp
@@ -71,7 +71,8 @@
     { "slots", Number(&Faults::slots_) },
     { "batch_slowdown", Number(&Faults::batchSlowdown_) },
     { "deduplicates", Flag(&Faults::deduplicates_) },
-    { "refuses", Flag(&Faults::refuses_) }
+    { "refuses", Flag(&Faults::refuses_) },
+    { "holds", Flag(&Faults::holds_) }
   };
   return kSetters;
 }
--- a/src/tanagerstall/process/standin/tanagerstall_standin_faults.hpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin_faults.hpp
@@ -54,6 +54,8 @@
   bool deduplicates_ = false;
   /// Whether every request gets 503 and does not run.
   bool refuses_ = false;
+  /// Nothing that runs gets its first token until this is false again.
+  bool holds_ = false;
 };
 
 /// Changes the faults that a JSON object names, such as {"stall_ms": 100}.
--- a/src/tanagerstall/process/standin/tanagerstall_standin_work.cpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin_work.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr Duration kHoldPoll = std::chrono::milliseconds(20);
+
 Duration
 Scale(std::chrono::milliseconds aTime, double aFactor)
 {
@@ -86,6 +88,9 @@
 StandinWork::WaitForFirst(Fiber& aFiber, double aSlowness)
 {
   Wait(aFiber, Scale(faults_.firstToken_, aSlowness));
+  while (faults_.holds_) {
+    aFiber.Sleep(kHoldPoll);
+  }
 }
 
 void
--- a/tests/processes/request_faults_test.sh
+++ b/tests/processes/request_faults_test.sh
@@ -135,7 +135,7 @@
 expect_runs control 1
 
 echo "entry frozen with a grant, woken later"
-set_faults orders '{"first_token_ms":4000}'
+set_faults orders '{"first_token_ms":0,"holds":true}'
 order 1 frozen >"$run/out" &
 order=$!
 wait_until has_run frozen
@@ -143,6 +143,7 @@
 order 2 frozen >"$run/elsewhere"
 expect "$run/elsewhere" "502 unknown" "frozen, resent"
 kill -CONT "$(pid_of entry-1)"
+set_faults orders '{"holds":false}'
 wait "$order"
 expect "$run/out" "200 answered" "frozen and woken"
 order 2 frozen >"$run/again"
@@ -151,6 +152,7 @@
 ! is_unknown frozen || fail "an answered order is listed as unknown"
 
 echo "entry killed with a grant"
+set_faults orders '{"holds":true}'
 order 1 killed >/dev/null 2>&1 &
 wait_until has_run killed
 kill -KILL "$(pid_of entry-1)"
@@ -158,6 +160,7 @@
 expect "$run/out" "502 unknown" killed
 is_unknown killed || fail "the killed order is not listed"
 expect_runs killed 1
+set_faults orders '{"holds":false}'
 
 echo "no upstream: refused as not run, and it never runs"
 kill -TERM "$(pid_of orders)"
