Trial reverted: full cover on demand while several failure domains are lost

Most of the price is for a need that overload itself makes look larger: running requests count those that queue.

--- a/src/tanagerstall/process/tanagerstall_replica_placement.cpp
+++ b/src/tanagerstall/process/tanagerstall_replica_placement.cpp
@@ -24,13 +24,6 @@
 constexpr Duration kOrderAgainAfter = std::chrono::seconds(3);
 constexpr Duration kUnavailablePause = std::chrono::milliseconds(1500);
 
-/// What is missing, if anything.
-std::uint32_t
-Missing(std::uint32_t aWanted, std::uint32_t aThere)
-{
-  return aWanted > aThere ? aWanted - aThere : 0;
-}
-
 std::uint32_t
 Ceil(double aNumber)
 {
@@ -166,6 +159,7 @@
   }
   Service& service = services_[aInput.service_];
   UpdateNeed(service, aInput, aNow);
+  std::uint32_t covered = Ceil(service.needed_ * kCoveredPart);
   bool hasReclaimable = aInput.bounds_.reclaimablePrice_ > 0.0;
   std::uint32_t perDomain =
     std::clamp(Ceil(service.needed_ /
@@ -186,13 +180,12 @@
             orders);
     }
   }
-  // What is missing now, or would be if one more domain were lost.
-  std::uint32_t missing = std::max(
-    Missing(Ceil(service.needed_), reclaimable),
-    Missing(Ceil(service.needed_ * kCoveredPart), reclaimable - largest));
-  auto spread = SpreadOnDemand(aInput, missing);
+  std::uint32_t left = reclaimable - largest;
+  auto spread = SpreadOnDemand(aInput, covered > left ? covered - left : 0);
   for (const auto& [domain, replicas] : aInput.domains_) {
-    std::uint32_t least = Missing(aInput.bounds_.min_, replicas.reclaimable_);
+    std::uint32_t least = replicas.reclaimable_ >= aInput.bounds_.min_
+                            ? 0
+                            : aInput.bounds_.min_ - replicas.reclaimable_;
     Order(service,
           { aInput.service_, domain, std::max(spread[domain], least), false },
           replicas.onDemand_,
--- a/src/tanagerstall/process/tanagerstall_replica_placement.hpp
+++ b/src/tanagerstall/process/tanagerstall_replica_placement.hpp
@@ -31,9 +31,8 @@
 /// Decides how many replicas of each kind to order in each failure domain.
 /// For demand that comes in waves on instances that are reclaimed a failure
 /// domain at a time: reclaimable replicas in every domain, so many that the
-/// loss of one leaves enough; replicas on demand only for what is missing all
-/// the same, or would be if one more were lost. Lives with the holder of the
-/// duties; a plain state machine.
+/// loss of one leaves enough; replicas on demand only for what would be
+/// missing then. Lives with the holder of the duties; a plain state machine.
 class ReplicaPlacement
 {
 public:
