--- a/tests/soak/tanagerstall_soak.cpp
+++ b/tests/soak/tanagerstall_soak.cpp
@@ -4,6 +4,7 @@
 #include "tanagerstall/process/tanagerstall_settings.hpp"
 #include "tanagerstall_soak_callers.hpp"
 #include "tanagerstall_soak_faults.hpp"
+#include "tanagerstall_soak_operators.hpp"
 #include "tanagerstall_soak_world.hpp"
 
 #include <algorithm>
@@ -157,6 +158,22 @@
   return faults;
 }
 
+/// A whole number that addresses leave room for; ends the process otherwise.
+int
+RequireBetween(const boost::program_options::variables_map& aSettings,
+               const char* aName,
+               int aLow,
+               int aHigh)
+{
+  int number = aSettings[aName].as<int>();
+  if (number < aLow || number > aHigh) {
+    std::cerr << "--" << aName << " has to lie between " << aLow << " and "
+              << aHigh << '\n';
+    EndProcess(2);
+  }
+  return number;
+}
+
 } // namespace
 
 int
@@ -165,11 +182,11 @@
   auto settings = ReadSettingsOrExit(aCount, aArguments, Options());
   SoakOptions options;
   options.seed_ = settings["seed"].as<std::uint64_t>();
-  options.rounds_ = settings["rounds"].as<int>();
-  options.control_ = settings["control"].as<int>();
-  options.entries_ = settings["entries"].as<int>();
-  options.replicas_ = settings["replicas"].as<int>();
-  options.callers_ = settings["callers"].as<int>();
+  options.rounds_ = RequireBetween(settings, "rounds", 0, 1000);
+  options.control_ = RequireBetween(settings, "control", 1, kMostControl);
+  options.entries_ = RequireBetween(settings, "entries", 1, kMostEntries);
+  options.replicas_ = RequireBetween(settings, "replicas", 1, kMostReplicas);
+  options.callers_ = RequireBetween(settings, "callers", 1, 2000);
   options.checksTimes_ = settings.count("without-times") == 0;
   options.faults_ = RequireFaults(settings["faults"].as<std::string>());
   options.programs_ =
@@ -180,7 +197,8 @@
     std::filesystem::absolute(settings["folder"].as<std::string>()).string();
   StartLog("soak", Severity::Info, std::cout);
   std::size_t findings = 0;
-  for (int i = 0; i < settings["seeds"].as<int>(); ++i) {
+  int seeds = RequireBetween(settings, "seeds", 1, 100'000);
+  for (int i = 0; i < seeds; ++i) {
     options.folder_ = folder + "/seed-" + std::to_string(options.seed_);
     findings += RunSeed(options);
     ++options.seed_;
--- a/tests/soak/tanagerstall_soak_callers.hpp
+++ b/tests/soak/tanagerstall_soak_callers.hpp
@@ -10,20 +10,6 @@
 void
 StartCallers(World& aWorld);
 
-/// Starts operators that change and read the configuration, and a caller that
-/// looks at every entry for the newest change.
-void
-StartOperators(World& aWorld);
-
-/// Starts the cloud that takes orders and reports. False if it can't listen.
-bool
-StartCloud(World& aWorld);
-
-/// Reads the configuration at every control process; what was acknowledged
-/// has to be there by `aUntil`.
-void
-ReadBack(Fiber& aFiber, World& aWorld, TimePoint aUntil);
-
 /// Whether one request of each kind is served right now.
 bool
 IsServed(Fiber& aFiber, World& aWorld);
--- a/tests/soak/tanagerstall_soak_network.hpp
+++ b/tests/soak/tanagerstall_soak_network.hpp
@@ -44,7 +44,8 @@
 
 /// A proxy on loopback addresses. An instance's own address is 127.S.0.HOST,
 /// with S the subnet; instance FROM reaches it at 127.S.FROM.HOST, where the
-/// proxy listens. Used by fibers of one thread.
+/// proxy listens. The processes connect to the own address; the preloaded
+/// object puts FROM into it. Used by fibers of one thread.
 class Network
 {
 public:
@@ -55,7 +56,7 @@
   Address Own(Host aHost, std::uint16_t aPort) const;
   /// Where another instance connects to it.
   Address Through(LinkEnds aLink, std::uint16_t aPort) const;
-  /// The address as the proxy's own side sees it, for one read elsewhere.
+  /// The same for an instance's own address, as the system names it.
   Address Through(Host aFrom, const Address& aOwn) const;
 
   /// Listens for connections of a link to a port. False if it can't.
--- a/tests/soak/tanagerstall_soak_operators.cpp
+++ b/tests/soak/tanagerstall_soak_operators.cpp
@@ -1,8 +1,9 @@
+#include "tanagerstall_soak_operators.hpp"
+
 #include "tanagerstall/connection/tanagerstall_http_client.hpp"
 #include "tanagerstall_platform_names.hpp"
 #include "tanagerstall_platform_outside.hpp"
 #include "tanagerstall_platform_plan.hpp"
-#include "tanagerstall_soak_callers.hpp"
 
 #include <deque>
 
--- a/tests/soak/tanagerstall_soak_world.cpp
+++ b/tests/soak/tanagerstall_soak_world.cpp
@@ -101,14 +101,9 @@
 Node&
 World::NodeAt(Host aHost)
 {
-  for (auto* nodes : { &control_, &entries_ }) {
-    for (auto& node : *nodes) {
-      if (node.process_->GetHost() == aHost) {
-        return node;
-      }
-    }
-  }
-  return control_.front();
+  auto& nodes = aHost < kFirstEntry ? control_ : entries_;
+  Host first = aHost < kFirstEntry ? kFirstControl : kFirstEntry;
+  return nodes.at(static_cast<std::size_t>(aHost - first));
 }
 
 void
--- a/tests/soak/tanagerstall_soak_world.hpp
+++ b/tests/soak/tanagerstall_soak_world.hpp
@@ -21,6 +21,11 @@
 constexpr Host kCloudHost = 99;
 constexpr std::uint16_t kCloudPort = 8225;
 
+/// What the addresses of a run leave room for; replicas a service.
+constexpr int kMostControl = 10;
+constexpr int kMostEntries = 88;
+constexpr int kMostReplicas = 49;
+
 struct SoakOptions
 {
   std::uint64_t seed_ = 1;
@@ -71,6 +76,7 @@
 
   /// Writes a node's settings file.
   void WriteSettings(const Node& aNode, bool aIsFirstStart) const;
+  /// Of a host that runs a process of the system.
   Node& NodeAt(Host aHost);
   std::vector<Host> ControlHosts() const;
   std::vector<Host> EntryHosts() const;
--- a/tools/scripts/lint-one.sh
+++ b/tools/scripts/lint-one.sh
@@ -9,7 +9,7 @@
   '.[] | select(.file == $file) | .command' build/compile_commands.json |
   head -n 1)
 flags=$(grep -oE -- '-(D|I|isystem|std=)[^ ]*( /[^ ]+)?' <<<"$command" |
-  tr '\n' ' ')
+  grep -v '"' | tr '\n' ' ')
 # shellcheck disable=SC2086
 key=$( { cat .clang-tidy; g++ $flags -E -P "$file"; cat "$file"; } |
   sha256sum | cut -d ' ' -f 1)
