http_server_tests: which waiting connection goes first is the threads' matter

Only one connection has to make room there, and the test waited for the first one to be it, though two threads note who began to wait; it now finds the one that was ended.

--- a/tests/http_server_tests.cpp
+++ b/tests/http_server_tests.cpp
@@ -4,11 +4,13 @@
 #include "tanagerstall/connection/tanagerstall_http_client.hpp"
 #include "tanagerstall/connection/tanagerstall_http_server.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -102,6 +104,8 @@
     ::send(socket_, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
   }
 
+  int Descriptor() const { return socket_; }
+
   /// Reads until the server closes the connection.
   std::string ReadAll() const
   {
@@ -232,7 +236,16 @@
     BOOST_TEST_REQUIRE(other.has_value());
     BOOST_TEST(other->body_ == "still served");
   }
-  std::string answer = held.front()->ReadAll();
+  // Which one began to wait first is up to the server's threads.
+  std::vector<pollfd> ends;
+  for (const auto& caller : held) {
+    ends.push_back({ caller->Descriptor(), POLLIN, 0 });
+  }
+  BOOST_TEST_REQUIRE(::poll(ends.data(), ends.size(), -1) > 0);
+  auto dropped = std::find_if(ends.begin(), ends.end(), [](const pollfd& aIt) {
+    return aIt.revents != 0;
+  });
+  std::string answer = held[dropped - ends.begin()]->ReadAll();
   bool isTold = answer.empty() || answer.starts_with("HTTP/1.1 408");
   BOOST_TEST(isTold);
 }
