--- a/tests/http_server_tests.cpp
+++ b/tests/http_server_tests.cpp
@@ -238,6 +238,7 @@
   }
   // Which one began to wait first is up to the server's threads.
   std::vector<pollfd> ends;
+  ends.reserve(held.size());
   for (const auto& caller : held) {
     ends.push_back({ caller->Descriptor(), POLLIN, 0 });
   }
