A look at a socket never waits

HttpServer looked with a blocking read whether a caller had gone, HttpConnection with one that doesn't wait: one function serves both now. Where the wait before it ends without a reason, the blocking one held up its whole thread until that caller sent or left; a copy of a descriptor brings that about (found when the soak's children inherited its sockets). The test hung before; the caller's leaving is still seen after.

--- a/src/tanagerstall/connection/tanagerstall_http_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall/connection/tanagerstall_http_client.hpp"
 
 #include "tanagerstall/internal/tanagerstall_fiber_context.hpp"
+#include "tanagerstall/internal/tanagerstall_socket_peek.hpp"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -237,13 +238,7 @@
 bool
 HttpConnection::IsQuiet()
 {
-  char byte = 0;
-  beast::error_code error;
-  auto& socket = state_->stream_.socket();
-  socket.non_blocking(true, error);
-  socket.receive(
-    asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
-  return error == asio::error::would_block;
+  return Peek(state_->stream_.socket()) == SocketState::Quiet;
 }
 
 void
--- a/src/tanagerstall/connection/tanagerstall_http_exchange.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_exchange.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall/connection/tanagerstall_http_exchange.hpp"
 
 #include "tanagerstall/internal/tanagerstall_http_server_state.hpp"
+#include "tanagerstall/internal/tanagerstall_socket_peek.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -30,16 +31,19 @@
 void
 HttpExchange::State::CheckForEnd()
 {
-  char byte = 0;
-  beast::error_code error;
-  auto count = stream_.socket().receive(
-    asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  if (!error && count > 0) {
-    return;
-  }
-  isCallerGone_ = true;
-  if (onCallerGone_) {
-    std::exchange(onCallerGone_, nullptr)();
+  switch (Peek(stream_.socket())) {
+    case SocketState::Quiet:
+      // The wait ended without a reason.
+      WatchCaller();
+      return;
+    case SocketState::HasBytes:
+      return;
+    case SocketState::Ended:
+      isCallerGone_ = true;
+      if (onCallerGone_) {
+        std::exchange(onCallerGone_, nullptr)();
+      }
+      return;
   }
 }
 
--- a/tests/http_server_tests.cpp
+++ b/tests/http_server_tests.cpp
@@ -46,8 +46,9 @@
 /// A server that echoes bodies, on a port of the system's choice.
 struct EchoServer
 {
-  explicit EchoServer(HttpLimits aLimits = SmallLimits())
-    : threads_(2)
+  explicit EchoServer(HttpLimits aLimits = SmallLimits(),
+                      std::size_t aThreads = 2)
+    : threads_(aThreads)
     , server_(threads_,
               aLimits,
               [this](HttpExchange& aExchange) { Handle(aExchange); })
@@ -63,6 +64,7 @@
           callerGone_.set_value();
           aResume();
         });
+        isWaiting_.set_value();
       });
       return;
     }
@@ -76,6 +78,7 @@
   }
 
   TrafficThreads threads_;
+  std::promise<void> isWaiting_;
   std::promise<void> callerGone_;
   HttpServer server_;
   Address address_;
@@ -142,6 +145,45 @@
   return promise.get_future().get();
 }
 
+/// The descriptor of this process that is connected to a port of its own; -1
+/// for none.
+int
+FindConnectedTo(std::uint16_t aPort)
+{
+  constexpr int kDescriptors = 256;
+  for (int i = 0; i < kDescriptors; ++i) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    int found = ::getpeername(i, reinterpret_cast<sockaddr*>(&peer), &size);
+    if (found == 0 && ntohs(peer.sin_port) == aPort) {
+      return i;
+    }
+  }
+  return -1;
+}
+
+/// Connects to a server on its own thread, copies the descriptor and closes
+/// the connection; the copy holds it open.
+int
+CopyOfClosedConnection(EchoServer& aServer)
+{
+  std::promise<int> copy;
+  aServer.threads_.Spawn([&](Fiber& aFiber) {
+    auto connection = HttpConnection::Connect(
+      aFiber, aServer.address_, std::chrono::seconds(10));
+    BOOST_TEST_REQUIRE(connection.has_value());
+    auto sent =
+      (*connection)->Send({ "GET", "/", {}, "" }, std::chrono::seconds(10));
+    BOOST_TEST_REQUIRE(sent.has_value());
+    BOOST_TEST_REQUIRE(
+      (*connection)->ReadWhole(std::chrono::seconds(10), 100).has_value());
+    int result = ::dup(FindConnectedTo(aServer.address_.port_));
+    connection->reset();
+    copy.set_value(result);
+  });
+  return copy.get_future().get();
+}
+
 struct BadInput
 {
   const char* name_;
@@ -196,6 +238,25 @@
   BOOST_TEST(true);
 }
 
+// A copy of a descriptor keeps the events of a closed connection coming, and
+// they may reach the wait of the connection that came after it.
+BOOST_AUTO_TEST_CASE(A_wait_that_ends_without_a_reason_holds_up_nobody,
+                     *boost::unit_test::label("http"))
+{
+  EchoServer server(SmallLimits(), 1);
+  int copy = CopyOfClosedConnection(server);
+  RawCaller waiting(server.address_);
+  waiting.Send("GET /wait HTTP/1.1\r\n\r\n");
+  server.isWaiting_.get_future().wait();
+  // Ends the connection of the copy.
+  server.server_.CloseIdle();
+  auto other = Fetch(server, { "POST", "/", {}, "still served" });
+  BOOST_TEST(other.has_value());
+  waiting.Close();
+  server.callerGone_.get_future().wait();
+  ::close(copy);
+}
+
 BOOST_AUTO_TEST_CASE(An_answer_that_is_cut_off_never_looks_whole,
                      *boost::unit_test::label("http"))
 {
