--- a/src/tanagerstall/connection/tanagerstall_http_exchange.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_exchange.cpp
@@ -77,14 +77,33 @@
 
 template<class Message>
 void
-SetHead(Message& aMessage, const HttpResponse& aResponse, bool aKeepAlive)
+SetHead(HttpExchange::State& aState,
+        Message& aMessage,
+        const HttpResponse& aResponse)
 {
+  aState.status_ = aResponse.status_;
+  aState.keepsAlive_ = aState.keepsAlive_ && aState.server_->keepsAlive_;
   aMessage.version(11);
   aMessage.result(static_cast<unsigned>(aResponse.status_));
   for (const auto& header : aResponse.headers_) {
     aMessage.insert(header.name_, header.value_);
   }
-  aMessage.keep_alive(aKeepAlive);
+  aMessage.keep_alive(aState.keepsAlive_);
+}
+
+/// Waits for a write that `aStart` begins; false once the caller is gone, which
+/// a write that fails or takes too long shows.
+template<class Start>
+bool
+Write(HttpExchange& aExchange, HttpExchange::State& aState, const Start& aStart)
+{
+  beast::error_code error;
+  aState.stream_.expires_after(aState.server_->limits_.writeTimeout_);
+  aStart(aState.Yield()[error]);
+  if (error) {
+    aExchange.Abort();
+  }
+  return !error;
 }
 
 } // namespace
@@ -92,35 +111,25 @@
 void
 HttpExchange::Respond(const HttpResponse& aResponse)
 {
-  state_.status_ = aResponse.status_;
-  state_.keepsAlive_ = state_.keepsAlive_ && state_.server_->keepsAlive_;
   http::response<http::string_body> message;
-  SetHead(message, aResponse, state_.keepsAlive_);
+  SetHead(state_, message, aResponse);
   message.body() = aResponse.body_;
   message.prepare_payload();
-  beast::error_code error;
-  state_.stream_.expires_after(state_.server_->limits_.writeTimeout_);
-  http::async_write(state_.stream_, message, state_.Yield()[error]);
-  if (error) {
-    Abort();
-  }
+  Write(*this, state_, [&](auto aDone) {
+    http::async_write(state_.stream_, message, aDone);
+  });
 }
 
 void
 HttpExchange::StartStream(const HttpResponse& aHead)
 {
-  state_.status_ = aHead.status_;
-  state_.keepsAlive_ = state_.keepsAlive_ && state_.server_->keepsAlive_;
   http::response<http::empty_body> message;
-  SetHead(message, aHead, state_.keepsAlive_);
+  SetHead(state_, message, aHead);
   message.chunked(true);
   http::response_serializer<http::empty_body> serializer(message);
-  beast::error_code error;
-  state_.stream_.expires_after(state_.server_->limits_.writeTimeout_);
-  http::async_write_header(state_.stream_, serializer, state_.Yield()[error]);
-  if (error) {
-    Abort();
-  }
+  Write(*this, state_, [&](auto aDone) {
+    http::async_write_header(state_.stream_, serializer, aDone);
+  });
 }
 
 bool
@@ -129,15 +138,10 @@
   if (state_.isCallerGone_ || aPart.empty()) {
     return !state_.isCallerGone_;
   }
-  beast::error_code error;
-  state_.stream_.expires_after(state_.server_->limits_.writeTimeout_);
-  asio::async_write(state_.stream_,
-                    http::make_chunk(asio::buffer(aPart)),
-                    state_.Yield()[error]);
-  if (error) {
-    Abort();
-  }
-  return !error;
+  return Write(*this, state_, [&](auto aDone) {
+    asio::async_write(
+      state_.stream_, http::make_chunk(asio::buffer(aPart)), aDone);
+  });
 }
 
 void
@@ -146,13 +150,9 @@
   if (state_.isCallerGone_) {
     return;
   }
-  beast::error_code error;
-  state_.stream_.expires_after(state_.server_->limits_.writeTimeout_);
-  asio::async_write(
-    state_.stream_, http::make_chunk_last(), state_.Yield()[error]);
-  if (error) {
-    Abort();
-  }
+  Write(*this, state_, [&](auto aDone) {
+    asio::async_write(state_.stream_, http::make_chunk_last(), aDone);
+  });
 }
 
 void
--- a/src/tanagerstall/connection/tanagerstall_http_server.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_server.cpp
@@ -77,6 +77,7 @@
 void
 StopReading(HttpExchange::State& aState)
 {
+  aState.isReadStopped_ = true;
   beast::error_code ignored;
   aState.stream_.socket().shutdown(tcp::socket::shutdown_receive, ignored);
 }
@@ -172,19 +173,12 @@
 beast::error_code
 ReadInTime(HttpExchange::State& aState, Parser& aParser)
 {
-  enum class Reading
-  {
-    Running,
-    Late,
-    Ended
-  };
-  auto reading = std::make_shared<Reading>(Reading::Running);
+  auto isOver = std::make_shared<bool>(false);
   asio::steady_timer timer(aState.stream_.get_executor(),
                            aState.server_->limits_.requestTimeout_);
   auto state = aState.shared_from_this();
-  timer.async_wait([state, reading](const beast::error_code& aError) {
-    if (!aError && *reading == Reading::Running) {
-      *reading = Reading::Late;
+  timer.async_wait([state, isOver](const beast::error_code& aError) {
+    if (!aError && !*isOver) {
       StopReading(*state);
     }
   });
@@ -192,9 +186,9 @@
   aState.stream_.expires_never();
   http::async_read(
     aState.stream_, aState.buffer_, aParser, aState.Yield()[error]);
-  bool isLate = *reading == Reading::Late || aState.isDropped_;
-  *reading = Reading::Ended;
-  return error && isLate ? beast::error_code(beast::error::timeout) : error;
+  *isOver = true;
+  bool isLate = error && aState.isReadStopped_;
+  return isLate ? beast::error_code(beast::error::timeout) : error;
 }
 
 /// Reads and handles one request; false once the connection is to be closed.
--- a/src/tanagerstall/internal/tanagerstall_http_server_state.hpp
+++ b/src/tanagerstall/internal/tanagerstall_http_server_state.hpp
@@ -81,8 +81,10 @@
   bool isIdle_ = false;
   /// Its place among those with an unfinished request.
   std::optional<std::list<Unfinished>::iterator> unfinished_;
-  /// It has to make room for another connection.
+  /// It has been chosen to make room for another connection.
   std::atomic<bool> isDropped_{ false };
+  /// Its request took too long, or has to make room: nothing more is read.
+  bool isReadStopped_ = false;
   bool isCallerGone_ = false;
   int status_ = 0;
   bool keepsAlive_ = true;
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
@@ -34,7 +34,6 @@
   std::vector<Replica> ChangedAfter(std::uint64_t aStamp) const;
   /// The replicas that would take work.
   std::vector<Replica> Ready() const;
-  /// All that is known, the silent and the gone included.
 
 private:
   struct Known
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -249,11 +249,10 @@
       }
       NoteMembers();
       duties_.Observe(now);
-      bool leads = duties_.LeadsSteadily(now);
-      if (leads && !std::exchange(isLeading_, leads)) {
+      bool wasLeading = std::exchange(isLeading_, duties_.LeadsSteadily(now));
+      if (isLeading_ && !wasLeading) {
         leases_.StartLeading(now);
       }
-      isLeading_ = leads;
       if (now >= settingsAt_) {
         Reload(false);
       }
--- a/src/tanagerstall/process/tanagerstall_settings.cpp
+++ b/src/tanagerstall/process/tanagerstall_settings.cpp
@@ -1,5 +1,7 @@
 #include "tanagerstall/process/tanagerstall_settings.hpp"
 
+#include "tanagerstall/process/tanagerstall_log.hpp"
+
 #include <boost/asio/ip/address.hpp>
 #include <boost/program_options/parsers.hpp>
 #include <charconv>
@@ -109,7 +111,7 @@
 {
   if (aSettings.count("check-settings") != 0) {
     std::cout << "the settings are valid\n" << std::flush;
-    std::_Exit(0);
+    EndProcess(0);
   }
 }
 
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -57,6 +57,12 @@
   /// The last event that the caller has, for a stream that goes on elsewhere.
   std::string lastEventId_;
 
+  /// Empty where the request is of none.
+  std::string_view OrganisationName() const
+  {
+    return organisation_ == nullptr ? std::string_view() : organisation_->name_;
+  }
+
   std::uint32_t Priority() const
   {
     return organisation_ != nullptr && organisation_->priority_
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -118,8 +118,7 @@
   if (aRequest.route_->kind_ == RequestKind::Stream) {
     work = IsLongAnswer(aRequest.prompt_) ? WorkClass::Long : WorkClass::Short;
   }
-  std::string_view organisation =
-    aRequest.organisation_ == nullptr ? "" : aRequest.organisation_->name_;
+  std::string_view organisation = aRequest.OrganisationName();
   TimePoint now = clock_.Now();
   metrics_.Observe(organisation,
                    work,
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -19,13 +19,6 @@
                                     : aRequest.route_->name_;
 }
 
-std::string_view
-OrganisationOf(const ForwardedRequest& aRequest)
-{
-  return aRequest.organisation_ == nullptr ? std::string_view()
-                                           : aRequest.organisation_->name_;
-}
-
 std::uint64_t
 PlanOf(const ForwardedRequest& aRequest)
 {
@@ -46,7 +39,7 @@
            { { "request", aRequest.id_ },
              { "route", RouteOf(aRequest) },
              { "plan", PlanOf(aRequest) },
-             { "organisation", OrganisationOf(aRequest) },
+             { "organisation", aRequest.OrganisationName() },
              { "prompt_tokens", aRequest.prompt_.promptTokens_ },
              { "output_tokens", aRequest.prompt_.maxOutputTokens_ },
              { "replica", aReplica.id_ },
@@ -71,7 +64,7 @@
              { "status", aStatus },
              { "route", RouteOf(aRequest) },
              { "plan", PlanOf(aRequest) },
-             { "organisation", OrganisationOf(aRequest) },
+             { "organisation", aRequest.OrganisationName() },
              { "cost", aRequest.limitCost_ },
              { "service", aRequest.service_ },
              { "sends", aRequest.sends_ },
