What the soak had written twice

One wait for a stopped process, one list of all of them, one place for a caller's request, for the links of an instance and for what a replica tells control; cuts are set and taken back by the same loop; bounds stand once.

--- a/tests/soak/tanagerstall_soak.cpp
+++ b/tests/soak/tanagerstall_soak.cpp
@@ -24,8 +24,6 @@
 /// Without checks of time, a run gives up on service after this.
 constexpr Duration kRecoveryAtMost = std::chrono::seconds(60);
 constexpr Duration kCalm = std::chrono::seconds(4);
-/// Times with a bound hold for processes that were left alone for so long.
-constexpr Duration kContactWindow = std::chrono::seconds(5);
 /// The part of the requests that has to be served in calm.
 constexpr double kServedPart = 0.25;
 
--- a/tests/soak/tanagerstall_soak_callers.hpp
+++ b/tests/soak/tanagerstall_soak_callers.hpp
@@ -5,6 +5,11 @@
 
 namespace tanagerstall::soak {
 
+/// A try as a caller sends it that waits for so long.
+HttpRequest
+MakeCallerRequest(const SentRequest& aSent,
+                  std::chrono::milliseconds aPatience);
+
 /// Starts callers that ask the directory, keep connections until the entry
 /// closes them, and send requests of every kind until the run is over.
 void
--- a/tests/soak/tanagerstall_soak_replica.hpp
+++ b/tests/soak/tanagerstall_soak_replica.hpp
@@ -2,6 +2,7 @@
 #define TANAGERSTALL_SOAK_REPLICA_HPP_INCLUDED
 
 #include "tanagerstall/connection/tanagerstall_http_server.hpp"
+#include "tanagerstall/connection/tanagerstall_transport_error.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica.hpp"
 #include "tanagerstall_soak_judge.hpp"
 #include "tanagerstall_soak_network.hpp"
@@ -83,6 +84,10 @@
   bool IsDead(unsigned aIncarnation) const;
   void AnnounceForever(Fiber& aFiber);
   void Announce(Fiber& aFiber);
+  tl::expected<HttpResponse, TransportError> Tell(Fiber& aFiber,
+                                                  const char* aMethod,
+                                                  std::string aBody);
+  void SetRefusing(bool aIsRefusing);
 
   ReplicaPlan plan_;
   Network& network_;
