Log which control process an entry downloads a declaration from

Entries now log each request for a declaration (number, the one held, control process) and each arrival (region, bytes, time taken); control processes log the size with 'declaration applied'. No logic changed.

--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -141,7 +141,8 @@
     }
     LogEvent(Severity::Info,
              "declaration applied",
-             { { "number", fleet_.Current().number_ } });
+             { { "number", fleet_.Current().number_ },
+               { "bytes", fleet_.Current().document_.size() } });
     entriesServer_.Notify();
   }
 
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <kj/async-io.h>
+#include <map>
 
 namespace tanagerstall {
 
@@ -102,15 +103,44 @@
     report.newestDeclaration_ = source_.NewestNumber();
     std::uint64_t held =
       std::max(self_.revision_, unconfirmed_ ? unconfirmed_->number_ : 0);
-    report.wantsDeclaration_ =
-      source_.ShouldRequestFrom(aControl, held, clock_.Now());
+    TimePoint now = clock_.Now();
+    report.wantsDeclaration_ = source_.ShouldRequestFrom(aControl, held, now);
+    if (report.wantsDeclaration_) {
+      downloads_[aControl] = now;
+      LogEvent(Severity::Info,
+               "declaration requested",
+               { { "number", source_.NewestNumber() },
+                 { "held", held },
+                 { "control", aControl },
+                 { "to_leader", aIsLeader } });
+    }
     return report;
   }
 
+  void LogDownload(const std::string& aControl,
+                   const ControlAnswer& aAnswer,
+                   TimePoint aNow)
+  {
+    auto started = downloads_.extract(aControl);
+    if (started.empty() || !aAnswer.declaration_) {
+      return;
+    }
+    auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aNow - started.mapped());
+    LogEvent(Severity::Info,
+             "declaration received",
+             { { "number", aAnswer.declaration_->number_ },
+               { "control", aControl },
+               { "region", aAnswer.region_ },
+               { "bytes", aAnswer.declaration_->document_.size() },
+               { "took_ms", took.count() } });
+  }
+
   void HandleAnswer(const std::string& aControl, const ControlAnswer& aAnswer)
   {
     TimePoint now = clock_.Now();
     view_.ApplyReport(aControl, aAnswer.replicas_, now);
+    LogDownload(aControl, aAnswer, now);
     source_.OnUpdate(aControl,
                      { aAnswer.planNumber_,
                        aAnswer.region_ == settings_.region_,
@@ -269,6 +299,8 @@
   EntryInfo self_;
   ReplicaView view_;
   DeclarationSource source_;
+  /// When the declaration was last requested from each control process.
+  std::map<std::string, TimePoint> downloads_;
   /// The declaration that is received but not yet applied.
   std::optional<Declaration> unconfirmed_;
   TrafficReport traffic_;
