--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -126,7 +126,7 @@
   aTo.setRegion(ToText(aFrom.region_));
   aTo.setPlanNumber(aFrom.planNumber_);
   if (aFrom.declaration_) {
-    aTo.setDocument(ToData(ViewOf(aFrom.declaration_->document_)));
+    aTo.setDocument(ToData(aFrom.declaration_->payload_));
   }
   auto members = aTo.initMembers(aFrom.members_.size());
   for (unsigned i = 0; i < aFrom.members_.size(); ++i) {
@@ -157,7 +157,7 @@
   answer.planNumber_ = aFrom.getPlanNumber();
   if (aFrom.getDocument().size() > 0) {
     answer.declaration_ = { aFrom.getPlanNumber(),
-                            TextOf(ToBytes(aFrom.getDocument())) };
+                            ToBytes(aFrom.getDocument()) };
   }
   for (auto member : aFrom.getMembers()) {
     answer.members_.push_back(ToString(member));
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -4,7 +4,7 @@
 #include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
-#include "tanagerstall/version/tanagerstall_fleet_state.hpp"
+#include "tanagerstall/version/tanagerstall_declaration_transfer.hpp"
 
 #include <map>
 #include <optional>
@@ -60,7 +60,7 @@
   /// The number of the control process's current declaration.
   std::uint64_t planNumber_ = 0;
   /// Set if the entry requested the declaration and has an older one.
-  std::optional<Declaration> declaration_;
+  std::optional<DeclarationTransfer> declaration_;
   /// Addresses at which entries reach the members of the cluster.
   std::vector<std::string> members_;
   /// The number by which the entry divides what all entries share.
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -135,6 +135,7 @@
     if (fleet_.Current().number_ == 0) {
       return;
     }
+    history_.Add(fleet_.Current());
     if (auto plan = hooks_.decodePlan_(fleet_.Current().document_)) {
       plan_ = std::move(*plan);
       SetLimits();
@@ -226,7 +227,7 @@
     answer.planNumber_ = fleet_.Current().number_;
     if (aReport.wantsDeclaration_ &&
         answer.planNumber_ > aReport.entry_.revision_) {
-      answer.declaration_ = fleet_.Current();
+      answer.declaration_ = history_.TransferFor(aReport.entry_.revision_);
     }
     answer.members_ = memberAddresses_;
     answer.shareDivisor_ = workingSet_.ShareDivisor(aReport.entry_.id_);
@@ -347,6 +348,7 @@
   bool isBuilt_ = false;
   std::uint64_t runId_ = MakeRunId();
   FleetState fleet_;
+  DeclarationHistory history_;
   RaftMember member_;
   ReplicaTable replicas_;
   EntryDirectory entries_;
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -132,7 +132,7 @@
              { { "number", aAnswer.declaration_->number_ },
                { "control", aControl },
                { "region", aAnswer.region_ },
-               { "bytes", aAnswer.declaration_->document_.size() },
+               { "bytes", aAnswer.declaration_->payload_.size() },
                { "took_ms", took.count() } });
   }
 
@@ -149,7 +149,7 @@
     if (aAnswer.declaration_ &&
         (!unconfirmed_ ||
          aAnswer.declaration_->number_ > unconfirmed_->number_)) {
-      unconfirmed_ = *aAnswer.declaration_;
+      unconfirmed_ = RestoreDeclaration(*aAnswer.declaration_);
     }
     ApplyConfirmed(now);
     if (aAnswer.isLeader_) {
