--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -595,3 +595,68 @@
   BOOST_TEST(answer->status_ == 503);
   BOOST_TEST(environment.Fetch("/nowhere")->status_ == 404);
 }
+
+namespace {
+
+struct DepartedCase
+{
+  const char* path_;
+  /// Whether the entry has a kept connection to the upstream.
+  bool isConnected_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const DepartedCase& aCase)
+{
+  return aOut << aCase.path_ << (aCase.isConnected_ ? " connected" : "");
+}
+
+const std::vector<DepartedCase> kDeparted{
+  { "/safe/x", false },  { "/once/x", false }, { "/stream/x", false },
+  { "/safe/x", true },   { "/once/x", true },  { "/stream/x", true },
+  { "/resume/x", true },
+};
+
+/// Sends a request and closes the connection without reading the response.
+void
+SendAndLeave(const Address& aAddress, const std::string& aPath)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(aAddress.port_);
+  int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+  BOOST_REQUIRE(::connect(caller,
+                          reinterpret_cast<sockaddr*>(&address),
+                          sizeof(address)) == 0);
+  std::string request =
+    "GET " + aPath +
+    " HTTP/1.1\r\nHost: h\r\nTanagerstall-Request-Id: id-2\r\n"
+    "Tanagerstall-Time-Remaining: 1200\r\n\r\n";
+  ::send(caller, request.data(), request.size(), MSG_NOSIGNAL);
+  ::close(caller);
+}
+
+} // namespace
+
+// Guards against work for callers that have left: an entry that was held up
+// reads a request and the end of its connection together.
+BOOST_DATA_TEST_CASE(A_request_whose_caller_has_left_is_not_sent,
+                     data::make(kDeparted),
+                     sample)
+{
+  ScriptedUpstream upstream({ kWhole, After::Keep, {}, {}, kWhole });
+  Environment environment({ &upstream });
+  int before = 0;
+  if (sample.isConnected_) {
+    BOOST_REQUIRE(environment.Fetch("/safe/x"));
+    before = upstream.Requests();
+  }
+  std::promise<void> release;
+  environment.threads_.Post([&] { release.get_future().wait(); });
+  SendAndLeave(environment.address_, sample.path_);
+  release.set_value();
+  BOOST_TEST(environment.Fetch("/nowhere")->status_ == 404);
+  std::this_thread::sleep_for(50ms);
+  BOOST_TEST(upstream.Requests() == before);
+}
