Declarations travel compressed, and to entries as a change of the one they hold

Cause: each declaration was sent whole. A change of one route in 4,250 sent 1.07 MB to each entry and four times through the Raft log, over one link of 60 Mbit/s between the regions. Entries of the other region had to download from the leader's region, since their own control members received the log entry later than their wait of 250 ms; heartbeats and the next declaration waited behind.

Fix: an entry names the declaration that it holds, and gets the newest compressed with that as the reference; without a known base it gets the whole, compressed. The log carries declarations compressed once all members say that they can apply them.

--- a/CMake/TanagerstallDependencies.cmake
+++ b/CMake/TanagerstallDependencies.cmake
@@ -18,4 +18,4 @@
 target_link_libraries(
   tanagerstall_dependencies
   INTERFACE Threads::Threads Boost::context Boost::json Boost::log
-            Boost::program_options TBB::tbb capnp-rpc capnp kj-async kj xxhash OpenSSL::Crypto)
+            Boost::program_options TBB::tbb capnp-rpc capnp kj-async kj xxhash zstd OpenSSL::Crypto)
--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -54,6 +54,8 @@
   aTo.setWantsDocument(aFrom.wantsDeclaration_);
   aTo.setRequestRate(aFrom.requestRate_);
   aTo.setToLeader(aFrom.isToLeader_);
+  aTo.setReadsCompressed(aFrom.canRestore_.readsCompressed_);
+  aTo.setBase(aFrom.canRestore_.base_);
   auto usage = aTo.initUsage(aFrom.usage_.size());
   for (unsigned i = 0; i < aFrom.usage_.size(); ++i) {
     WriteUsage(usage[i], aFrom.usage_[i]);
@@ -93,6 +95,7 @@
   report.wantsDeclaration_ = aFrom.getWantsDocument();
   report.requestRate_ = aFrom.getRequestRate();
   report.isToLeader_ = aFrom.getToLeader();
+  report.canRestore_ = { aFrom.getReadsCompressed(), aFrom.getBase() };
   for (auto usage : aFrom.getUsage()) {
     report.usage_.push_back(ReadUsage(usage));
   }
@@ -127,6 +130,8 @@
   aTo.setPlanNumber(aFrom.planNumber_);
   if (aFrom.declaration_) {
     aTo.setDocument(ToData(aFrom.declaration_->payload_));
+    aTo.setEncoding(WriteEncoding(aFrom.declaration_->encoding_));
+    aTo.setBase(aFrom.declaration_->base_);
   }
   auto members = aTo.initMembers(aFrom.members_.size());
   for (unsigned i = 0; i < aFrom.members_.size(); ++i) {
@@ -142,6 +147,7 @@
     ++next;
   }
   aTo.setLeads(aFrom.isLeader_);
+  aTo.setReadsCompressed(aFrom.readsCompressed_);
 }
 
 ControlAnswer
@@ -157,6 +163,8 @@
   answer.planNumber_ = aFrom.getPlanNumber();
   if (aFrom.getDocument().size() > 0) {
     answer.declaration_ = { aFrom.getPlanNumber(),
+                            ReadEncoding(aFrom.getEncoding()),
+                            aFrom.getBase(),
                             ToBytes(aFrom.getDocument()) };
   }
   for (auto member : aFrom.getMembers()) {
@@ -168,6 +176,7 @@
     answer.grants_[ToString(grant.getOrganisation())] = grant.getCost();
   }
   answer.isLeader_ = aFrom.getLeads();
+  answer.readsCompressed_ = aFrom.getReadsCompressed();
   return answer;
 }
 
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -49,6 +49,7 @@
   /// Whether the answer should include the declaration, if it is newer than
   /// the entry's.
   bool wantsDeclaration_ = false;
+  TransferCapability canRestore_;
 };
 
 /// The answer of a control process.
@@ -71,6 +72,8 @@
   /// Cost granted for the entry's grant requests, by organisation.
   CostByName grants_;
   bool isLeader_ = false;
+  /// Whether the control process applies compressed declarations.
+  bool readsCompressed_ = false;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -17,11 +17,17 @@
   counts @1 :List(NamedCount);
 }
 
+enum DocumentEncoding {
+  plain @0;
+  zstd @1;
+}
+
 struct FleetCommand {
   union {
     declare :group {
       number @0 :UInt64;
       document @1 :Data;
+      encoding @3 :DocumentEncoding;
     }
     usage @2 :UsageWindow;
   }
@@ -85,6 +91,9 @@
   # Requests per second that the entry receives from callers.
   toLeader @10 :Bool;
   # Whether the entry takes the receiver for the leader.
+  readsCompressed @11 :Bool;
+  base @12 :UInt64;
+  # The number of the declaration of which the answer may send a change.
 }
 
 struct CostGrant {
@@ -108,6 +117,12 @@
   region @9 :Text;
   standby @10 :Bool;
   # Whether callers are directed to other entries.
+  encoding @11 :DocumentEncoding;
+  base @12 :UInt64;
+  # The number of the declaration that the receiver needs to restore the
+  # document; 0 for none.
+  readsCompressed @13 :Bool;
+  # Whether the sender applies compressed declarations.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -22,6 +22,12 @@
 
 CAPNP_DECLARE_SCHEMA(da037d476490ccd5);
 CAPNP_DECLARE_SCHEMA(bb105d15250a0922);
+CAPNP_DECLARE_SCHEMA(a25b6f3a1418ae20);
+enum class DocumentEncoding_a25b6f3a1418ae20: uint16_t {
+  PLAIN,
+  ZSTD,
+};
+CAPNP_DECLARE_ENUM(DocumentEncoding, a25b6f3a1418ae20);
 CAPNP_DECLARE_SCHEMA(90629e0ab67df7cc);
 CAPNP_DECLARE_SCHEMA(aecdefe119a00dd3);
 CAPNP_DECLARE_SCHEMA(e46d487850c4f971);
@@ -71,6 +77,8 @@
   };
 };
 
+typedef ::capnp::schemas::DocumentEncoding_a25b6f3a1418ae20 DocumentEncoding;
+
 struct FleetCommand {
   FleetCommand() = delete;
 
@@ -174,7 +182,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 6, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -204,7 +212,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -548,6 +556,8 @@
   inline bool hasDocument() const;
   inline  ::capnp::Data::Reader getDocument() const;
 
+  inline  ::tanagerstall::wire::DocumentEncoding getEncoding() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -586,6 +596,9 @@
   inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownDocument();
 
+  inline  ::tanagerstall::wire::DocumentEncoding getEncoding();
+  inline void setEncoding( ::tanagerstall::wire::DocumentEncoding value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1099,6 +1112,10 @@
 
   inline bool getToLeader() const;
 
+  inline bool getReadsCompressed() const;
+
+  inline  ::uint64_t getBase() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1176,6 +1193,12 @@
   inline bool getToLeader();
   inline void setToLeader(bool value);
 
+  inline bool getReadsCompressed();
+  inline void setReadsCompressed(bool value);
+
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1333,6 +1356,12 @@
 
   inline bool getStandby() const;
 
+  inline  ::tanagerstall::wire::DocumentEncoding getEncoding() const;
+
+  inline  ::uint64_t getBase() const;
+
+  inline bool getReadsCompressed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1415,6 +1444,15 @@
   inline bool getStandby();
   inline void setStandby(bool value);
 
+  inline  ::tanagerstall::wire::DocumentEncoding getEncoding();
+  inline void setEncoding( ::tanagerstall::wire::DocumentEncoding value);
+
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
+  inline bool getReadsCompressed();
+  inline void setReadsCompressed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1785,6 +1823,7 @@
   _builder.setDataField<FleetCommand::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::DECLARE);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename FleetCommand::Declare::Builder(_builder);
 }
@@ -1890,6 +1929,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::tanagerstall::wire::DocumentEncoding FleetCommand::Declare::Reader::getEncoding() const {
+  return _reader.getDataField< ::tanagerstall::wire::DocumentEncoding>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::tanagerstall::wire::DocumentEncoding FleetCommand::Declare::Builder::getEncoding() {
+  return _builder.getDataField< ::tanagerstall::wire::DocumentEncoding>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FleetCommand::Declare::Builder::setEncoding( ::tanagerstall::wire::DocumentEncoding value) {
+  _builder.setDataField< ::tanagerstall::wire::DocumentEncoding>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FleetSnapshot::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2625,6 +2678,34 @@
       ::capnp::bounded<161>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncRequest::Reader::getReadsCompressed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<162>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncRequest::Builder::getReadsCompressed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<162>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setReadsCompressed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<162>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SyncRequest::Reader::getBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CostGrant::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2931,6 +3012,48 @@
       ::capnp::bounded<225>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::tanagerstall::wire::DocumentEncoding SyncReply::Reader::getEncoding() const {
+  return _reader.getDataField< ::tanagerstall::wire::DocumentEncoding>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+
+inline  ::tanagerstall::wire::DocumentEncoding SyncReply::Builder::getEncoding() {
+  return _builder.getDataField< ::tanagerstall::wire::DocumentEncoding>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setEncoding( ::tanagerstall::wire::DocumentEncoding value) {
+  _builder.setDataField< ::tanagerstall::wire::DocumentEncoding>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SyncReply::Reader::getBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncReply::Builder::getBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncReply::Reader::getReadsCompressed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<226>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncReply::Builder::getReadsCompressed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<226>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setReadsCompressed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<226>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/internal/tanagerstall_fleet_wire.hpp
+++ b/src/tanagerstall/internal/tanagerstall_fleet_wire.hpp
@@ -5,8 +5,32 @@
 #include "tanagerstall/internal/tanagerstall_wire.hpp"
 #include "tanagerstall/version/tanagerstall_fleet_state.hpp"
 
+#include <kj/debug.h>
+
 namespace tanagerstall {
 
+inline wire::DocumentEncoding
+WriteEncoding(DocumentEncoding aEncoding)
+{
+  return aEncoding == DocumentEncoding::Compressed
+           ? wire::DocumentEncoding::ZSTD
+           : wire::DocumentEncoding::PLAIN;
+}
+
+/// Throws kj::Exception if the encoding is unknown.
+inline DocumentEncoding
+ReadEncoding(wire::DocumentEncoding aEncoding)
+{
+  switch (aEncoding) {
+    case wire::DocumentEncoding::PLAIN:
+      return DocumentEncoding::Plain;
+    case wire::DocumentEncoding::ZSTD:
+      return DocumentEncoding::Compressed;
+  }
+  KJ_FAIL_REQUIRE("unknown encoding of a document",
+                  static_cast<int>(aEncoding));
+}
+
 inline void
 WriteUsage(wire::UsageWindow::Builder aTo, const UsageWindow& aFrom)
 {
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -78,6 +78,7 @@
           [this](const std::string& aControl, const ControlAnswer& aAnswer) {
             view_.ApplyReport(aControl, aAnswer.replicas_, clock_.Now());
             AdoptDepartures(aAnswer.replicas_);
+            readsCompressed_[aControl] = aAnswer.readsCompressed_;
           } })
     , control_(threads_,
                HttpLimits(),
@@ -227,9 +228,10 @@
     answer.planNumber_ = fleet_.Current().number_;
     if (aReport.wantsDeclaration_ &&
         answer.planNumber_ > aReport.entry_.revision_) {
-      answer.declaration_ = history_.TransferFor(aReport.entry_.revision_);
+      answer.declaration_ = history_.TransferFor(aReport.canRestore_);
     }
     answer.members_ = memberAddresses_;
+    answer.readsCompressed_ = true;
     answer.shareDivisor_ = workingSet_.ShareDivisor(aReport.entry_.id_);
     answer.isStandby_ =
       aReport.entry_.weight_ > 0 && !workingSet_.IsActive(aReport.entry_.id_);
@@ -257,6 +259,20 @@
     }
   }
 
+  /// Compressed if all members are known to apply compressed declarations.
+  DocumentEncoding CommandEncoding() const
+  {
+    bool canAllRead =
+      !memberAddresses_.empty() &&
+      std::all_of(memberAddresses_.begin(),
+                  memberAddresses_.end(),
+                  [this](const std::string& aMember) {
+                    auto it = readsCompressed_.find(aMember);
+                    return it != readsCompressed_.end() && it->second;
+                  });
+    return canAllRead ? DocumentEncoding::Compressed : DocumentEncoding::Plain;
+  }
+
   std::vector<EntryInfo> ServingEntries() const
   {
     auto present = entries_.Present(clock_.Now());
@@ -356,6 +372,8 @@
   RequestRates requestRates_;
   EntryWorkingSet workingSet_;
   std::vector<std::string> memberAddresses_;
+  /// Whether a member applies compressed declarations, by its address.
+  std::map<std::string, bool> readsCompressed_;
   CostLeases leases_;
   bool isLeading_ = false;
   UsageTotals usageTotals_;
@@ -390,10 +408,11 @@
 {
   auto result = aFiber.Await<GroupResult>(
     [&](const std::function<void(GroupResult)>& aDone) {
-      state_->loop_.Post(
-        [this, command = FleetState::EncodeDeclare(aDeclaration), aDone] {
-          state_->member_.Propose(GroupName::Configuration, command, aDone);
-        });
+      state_->loop_.Post([this, aDeclaration, aDone] {
+        Bytes command =
+          FleetState::EncodeDeclare(aDeclaration, state_->CommandEncoding());
+        state_->member_.Propose(GroupName::Configuration, command, aDone);
+      });
     });
   if (!result) {
     return tl::make_unexpected(result.error());
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -101,8 +101,8 @@
     report.services_ = traffic_.services_;
     report.requestRate_ = traffic_.requestRate_;
     report.newestDeclaration_ = source_.NewestNumber();
-    std::uint64_t held =
-      std::max(self_.revision_, unconfirmed_ ? unconfirmed_->number_ : 0);
+    std::uint64_t held = received_.number_;
+    report.canRestore_ = { true, needsWhole_ ? 0 : held };
     TimePoint now = clock_.Now();
     report.wantsDeclaration_ = source_.ShouldRequestFrom(aControl, held, now);
     if (report.wantsDeclaration_) {
@@ -130,6 +130,7 @@
     LogEvent(Severity::Info,
              "declaration received",
              { { "number", aAnswer.declaration_->number_ },
+               { "base", aAnswer.declaration_->base_ },
                { "control", aControl },
                { "region", aAnswer.region_ },
                { "bytes", aAnswer.declaration_->payload_.size() },
@@ -146,10 +147,8 @@
                        aAnswer.region_ == settings_.region_,
                        aAnswer.isLeader_ },
                      now);
-    if (aAnswer.declaration_ &&
-        (!unconfirmed_ ||
-         aAnswer.declaration_->number_ > unconfirmed_->number_)) {
-      unconfirmed_ = RestoreDeclaration(*aAnswer.declaration_);
+    if (aAnswer.declaration_) {
+      ReceiveDeclaration(*aAnswer.declaration_);
     }
     ApplyConfirmed(now);
     if (aAnswer.isLeader_) {
@@ -161,22 +160,40 @@
     PublishReplicas(now);
   }
 
+  void ReceiveDeclaration(const DeclarationTransfer& aTransfer)
+  {
+    if (aTransfer.number_ <= received_.number_) {
+      return;
+    }
+    auto declaration = RestoreDeclaration(aTransfer, received_);
+    needsWhole_ = !declaration;
+    if (!declaration) {
+      LogEvent(Severity::Warning,
+               "declaration not restored",
+               { { "number", aTransfer.number_ },
+                 { "base", aTransfer.base_ },
+                 { "held", received_.number_ },
+                 { "error", declaration.error().detail_ } });
+      return;
+    }
+    received_ = std::move(*declaration);
+    isUnconfirmed_ = true;
+  }
+
   /// Applies the declaration received last. A starting entry waits until the
   /// leader has none that is newer; later ones are newer in any case.
   void ApplyConfirmed(TimePoint aNow)
   {
     bool isFirst = self_.revision_ == 0;
-    if (unconfirmed_ &&
-        (!isFirst || source_.IsConfirmed(unconfirmed_->number_, aNow))) {
-      ApplyDeclaration(*std::exchange(unconfirmed_, std::nullopt));
+    if (isUnconfirmed_ &&
+        (!isFirst || source_.IsConfirmed(received_.number_, aNow))) {
+      isUnconfirmed_ = false;
+      ApplyDeclaration(received_);
     }
   }
 
   void ApplyDeclaration(const Declaration& aDeclaration)
   {
-    if (aDeclaration.number_ <= self_.revision_) {
-      return;
-    }
     auto plan = hooks_.decodePlan_(aDeclaration.document_);
     if (!plan) {
       LogEvent(Severity::Error,
@@ -301,8 +318,12 @@
   DeclarationSource source_;
   /// When the declaration was last requested from each control process.
   std::map<std::string, TimePoint> downloads_;
-  /// The declaration that is received but not yet applied.
-  std::optional<Declaration> unconfirmed_;
+  /// The newest declaration received; the next is requested as its change.
+  Declaration received_;
+  /// Whether `received_` is not yet applied.
+  bool isUnconfirmed_ = false;
+  /// Whether the last change could not be restored.
+  bool needsWhole_ = false;
   TrafficReport traffic_;
   Drain drain_;
   std::atomic<bool> hasPlan_{ false };
--- a/src/tanagerstall/version/tanagerstall_declaration_transfer.hpp
+++ b/src/tanagerstall/version/tanagerstall_declaration_transfer.hpp
@@ -1,39 +1,62 @@
 #ifndef TANAGERSTALL_DECLARATION_TRANSFER_HPP_INCLUDED
 #define TANAGERSTALL_DECLARATION_TRANSFER_HPP_INCLUDED
 
-#include "tanagerstall/process/tanagerstall_bytes.hpp"
+#include "tanagerstall/process/tanagerstall_compression.hpp"
 #include "tanagerstall/version/tanagerstall_fleet_state.hpp"
 
 #include <cstdint>
+#include <deque>
+#include <map>
 
 namespace tanagerstall {
 
+/// What the receiver of a declaration can restore it from.
+struct TransferCapability
+{
+  bool readsCompressed_ = false;
+  /// The number of the declaration that it holds; 0 for none.
+  std::uint64_t base_ = 0;
+};
+
 /// A declaration on its way from a control process to an entry.
 struct DeclarationTransfer
 {
   std::uint64_t number_ = 0;
+  DocumentEncoding encoding_ = DocumentEncoding::Plain;
+  /// The number of the declaration that the receiver needs to restore this one;
+  /// 0 for none.
+  std::uint64_t base_ = 0;
   Bytes payload_;
 };
 
-/// The declarations of a control process, in the form in which it sends them to
-/// entries.
+/// The last declarations of a control process, which it sends to entries as
+/// changes of one that they hold.
 class DeclarationHistory
 {
 public:
   /// Makes a declaration the newest one.
   void Add(const Declaration& aDeclaration);
 
-  /// Returns the newest declaration for an entry that holds the declaration
-  /// with the number `aHeld`, 0 for none.
-  DeclarationTransfer TransferFor(std::uint64_t aHeld);
+  /// Returns the newest declaration: as a change of the receiver's base if that
+  /// is among the last ones, else whole.
+  DeclarationTransfer TransferFor(const TransferCapability& aReceiver);
 
 private:
-  Declaration newest_;
+  const Declaration* Find(std::uint64_t aNumber) const;
+  const Bytes& CompressedFor(const Declaration* aBase);
+  void Trim();
+
+  /// Oldest first.
+  std::deque<Declaration> declarations_;
+  /// The newest declaration in compressed form, by the number of its base.
+  std::map<std::uint64_t, Bytes> compressed_;
 };
 
-/// Returns the declaration that a transfer carries.
-Declaration
-RestoreDeclaration(const DeclarationTransfer& aTransfer);
+/// Returns the declaration that a transfer carries. Fails if it is a change of
+/// another declaration than `aHeld`, or damaged.
+tl::expected<Declaration, CompressionError>
+RestoreDeclaration(const DeclarationTransfer& aTransfer,
+                   const Declaration& aHeld);
 
 } // namespace tanagerstall
 
--- a/src/tanagerstall/version/tanagerstall_fleet_state.cpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall/version/tanagerstall_fleet_state.hpp"
 
 #include "tanagerstall/internal/tanagerstall_fleet_wire.hpp"
+#include "tanagerstall/process/tanagerstall_log.hpp"
 
 namespace tanagerstall {
 
@@ -49,12 +50,21 @@
 }
 
 Bytes
-FleetState::EncodeDeclare(const Declaration& aDeclaration)
+FleetState::EncodeDeclare(const Declaration& aDeclaration,
+                          DocumentEncoding aEncoding)
 {
   capnp::MallocMessageBuilder message;
   auto declare = message.initRoot<wire::FleetCommand>().initDeclare();
   declare.setNumber(aDeclaration.number_);
-  declare.setDocument(ToData(ViewOf(aDeclaration.document_)));
+  BytesView document = ViewOf(aDeclaration.document_);
+  if (aEncoding == DocumentEncoding::Compressed) {
+    if (auto compressed = Compress(document, {})) {
+      declare.setEncoding(WriteEncoding(aEncoding));
+      declare.setDocument(ToData(*compressed));
+      return Flatten(message);
+    }
+  }
+  declare.setDocument(ToData(document));
   return Flatten(message);
 }
 
@@ -88,13 +98,9 @@
   auto command = message.Root<wire::FleetCommand>();
   if (command.isDeclare()) {
     auto declare = command.getDeclare();
-    if (declare.getNumber() > current_.number_) {
-      current_ = { declare.getNumber(),
-                   TextOf(ToBytes(declare.getDocument())) };
-      if (onDeclaration_) {
-        onDeclaration_();
-      }
-    }
+    ApplyDeclare(declare.getNumber(),
+                 ReadEncoding(declare.getEncoding()),
+                 ToBytes(declare.getDocument()));
     return {};
   }
   // The first counts of a window are final, so that every report of the window
@@ -109,6 +115,27 @@
   return Flatten(reply);
 }
 
+void
+FleetState::ApplyDeclare(std::uint64_t aNumber,
+                         DocumentEncoding aEncoding,
+                         BytesView aPayload)
+{
+  if (aNumber <= current_.number_) {
+    return;
+  }
+  auto document = DecodeDocument(aEncoding, aPayload, {});
+  if (!document) {
+    LogEvent(Severity::Error,
+             "declaration not restored",
+             { { "number", aNumber }, { "error", document.error().detail_ } });
+    return;
+  }
+  current_ = { aNumber, std::move(*document) };
+  if (onDeclaration_) {
+    onDeclaration_();
+  }
+}
+
 Bytes
 FleetState::TakeSnapshot() const
 {
--- a/src/tanagerstall/version/tanagerstall_fleet_state.hpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.hpp
@@ -2,6 +2,7 @@
 #define TANAGERSTALL_FLEET_STATE_HPP_INCLUDED
 
 #include "tanagerstall/process/raft/tanagerstall_state_machine.hpp"
+#include "tanagerstall/version/tanagerstall_document_encoding.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -47,7 +48,10 @@
   /// Returns the agreed counts of a window, or nullopt if there are none.
   std::optional<CountsByName> AgreedUsage(std::int64_t aWindow) const;
 
-  static Bytes EncodeDeclare(const Declaration& aDeclaration);
+  /// Members of builds that don't know an encoding can't apply the command.
+  static Bytes EncodeDeclare(
+    const Declaration& aDeclaration,
+    DocumentEncoding aEncoding = DocumentEncoding::Compressed);
   static Bytes EncodeUsage(const UsageWindow& aUsage);
   /// Decodes the result of a query.
   static Declaration DecodeDeclaration(BytesView aBytes);
@@ -56,6 +60,9 @@
 
 private:
   Bytes Apply(BytesView aCommand);
+  void ApplyDeclare(std::uint64_t aNumber,
+                    DocumentEncoding aEncoding,
+                    BytesView aPayload);
   Bytes TakeSnapshot() const;
   void InstallSnapshot(BytesView aSnapshot);
 
--- a/tests/tanagerstall_rollout_simulation.hpp
+++ b/tests/tanagerstall_rollout_simulation.hpp
@@ -280,7 +280,8 @@
     std::size_t bytes = kAnswerBytes;
     if (aReport.wantsDeclaration_ && member.number_ > aReport.held_) {
       sent = member.number_;
-      bytes += member.history_.TransferFor(aReport.held_).payload_.size();
+      bytes +=
+        member.history_.TransferFor({ true, aReport.held_ }).payload_.size();
     }
     std::size_t entry = aReport.entry_;
     TimePoint now = events_.Now();
--- a/tools/scripts/install.sh
+++ b/tools/scripts/install.sh
@@ -4,7 +4,7 @@
 packages=(
   libtbb-dev libcapnp-dev capnproto libboost1.81-dev libboost-context1.81-dev
   libboost-program-options1.81-dev libboost-log1.81-dev libboost-test1.81-dev
-  libboost-json1.81-dev libexpected-dev librapidcheck-dev libxxhash-dev libssl-dev
+  libboost-json1.81-dev libexpected-dev librapidcheck-dev libxxhash-dev libzstd-dev libssl-dev
   ccache cmake ninja-build g++ clang-format clang-tidy jq curl
 )
 missing=()
