The end of a caller's connection is looked for right before a request is sent on

Cause: an entry learned of a closed connection by a callback of the event loop. One that was held up reads the request and the end of its connection together; if it has a kept connection to the replica, it sends the request within the same event, before the callback runs. Class: a decision rests on news that the process has received but not yet looked at.

The same place in the model services' dispatch now looks as well; there a fresh connection to the upstream lets the event loop run in between, so it wasn't seen to fail. Waiting for a grant and retries yield to the event loop and were right before.

The test's upstream answered a kept connection that was closed without a second request, and ended the test; it now answers requests only.

--- a/src/tanagerstall/connection/tanagerstall_http_exchange.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_exchange.cpp
@@ -175,6 +175,18 @@
   return state_.isCallerDisconnected_;
 }
 
+// A close that arrived together with the request is reported by the next poll
+// of the event loop, which may come after the request is sent on.
+bool
+HttpExchange::DetectCallerDisconnect()
+{
+  if (!state_.isCallerDisconnected_ && state_.isInExchange_ &&
+      Peek(state_.stream_.socket()) == SocketState::Closed) {
+    state_.isCallerDisconnected_ = true;
+  }
+  return state_.isCallerDisconnected_;
+}
+
 void
 HttpExchange::OnCallerDisconnect(std::function<void()> aHook)
 {
--- a/src/tanagerstall/connection/tanagerstall_http_exchange.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_exchange.hpp
@@ -37,7 +37,11 @@
   bool HasStarted() const { return Status() != 0; }
   /// The status of the response; 0 before it has started.
   int Status() const;
+  /// Whether the caller is known to have closed the connection.
   bool IsCallerDisconnected() const;
+  /// The same, after a look at the connection. Costs a system call; to be used
+  /// before work is started for the caller, on the connection's fiber.
+  bool DetectCallerDisconnect();
   /// Sets the hook to call, once and on this thread, when the caller closes the
   /// connection; at once if it already has. An empty hook removes it.
   void OnCallerDisconnect(std::function<void()> aHook);
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -185,7 +185,7 @@
   if (!lease) {
     return MakeFailure(lease.error(), false);
   }
-  if (exchange_.IsCallerDisconnected()) {
+  if (exchange_.DetectCallerDisconnect()) {
     resources_.pool_.Keep(
       aReplica.id_, std::move(lease->connection_), std::chrono::seconds(1));
     return MakeAbandoned(false);
--- a/src/tanagerstall/request/tanagerstall_idempotent_dispatch.cpp
+++ b/src/tanagerstall/request/tanagerstall_idempotent_dispatch.cpp
@@ -170,6 +170,9 @@
       return { AttemptStatus::Unreachable,
                ToString(connection.error().fault_) };
     }
+    if (exchange_.DetectCallerDisconnect()) {
+      return { AttemptStatus::NeverSent, "caller left" };
+    }
     HttpConnection& upstream = **connection;
     exchange_.OnCallerDisconnect([&upstream] { upstream.Cancel(); });
     bool isModel = call_.service_.protocol_ == ServiceProtocol::Model;
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -138,8 +138,10 @@
     Send(aConnection, WithId(script_.bytes_, head));
     if (script_.after_ == After::Keep && !script_.second_.empty()) {
       head = ReadRequest(aConnection);
-      requests_ += head.empty() ? 0 : 1;
-      Send(aConnection, WithId(script_.second_, head));
+      if (!head.empty()) {
+        ++requests_;
+        Send(aConnection, WithId(script_.second_, head));
+      }
     }
     if (script_.after_ == After::Keep) {
       ::recv(aConnection, buffer, sizeof(buffer), 0);
