Log the prompt parts of a failed attempt and whether its answer had begun

No logic changed, but a prompt with a malformed part now has no shared parts, where the last alone decided before.

--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -200,10 +200,12 @@
                                              resources_.clock_.Now()),
                          RemainingTime());
   auto head = ReadMatchingHead(lease->isReused_);
+  bool hasHead = head.has_value();
   Duration keepFor = head ? KeepAliveTimeOf(*head) : Duration::zero();
   AttemptResult result = head
                            ? HandleResponse(std::move(*head), aReturnsFailures)
                            : MakeFailure(head.error(), true);
+  result.hasHead_ = hasHead;
   exchange_.OnCallerDisconnect(nullptr);
   if (connection_->IsReusable()) {
     resources_.pool_.Keep(aReplica.id_, std::move(lease->connection_), keepFor);
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
@@ -18,6 +18,8 @@
   AttemptOutcome outcome_ = AttemptOutcome::Broken;
   /// Whether any part of the request was sent.
   bool isSent_ = false;
+  /// Whether the head of a response arrived.
+  bool hasHead_ = false;
   /// Whether the replica ran the request and answered with a server error.
   bool isServerError_ = false;
   /// Whether the attempt failed after the request's deadline.
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::string_view kLastEventId = "Last-Event-Id";
 constexpr std::uint32_t kLeastUrgent = 9;
+/// A prompt with more parts counts as one without shared parts.
+constexpr std::size_t kMaxSharedParts = 64;
 
 template<class Number>
 std::optional<Number>
@@ -46,6 +48,27 @@
   return names;
 }
 
+/// Returns the ids of all prompt parts but the last, which is unique to the
+/// request; nothing if one is malformed.
+PromptParts
+ReadSharedParts(std::string_view aParts)
+{
+  PromptParts ids;
+  while (true) {
+    auto comma = aParts.find(',');
+    if (comma == std::string_view::npos) {
+      return ids;
+    }
+    std::string_view part = aParts.substr(0, comma);
+    auto id = ReadNumber<std::uint64_t>(part.substr(0, part.find(':')), 16);
+    if (!id || ids.size() == kMaxSharedParts) {
+      return {};
+    }
+    ids.push_back(*id);
+    aParts.remove_prefix(comma + 1);
+  }
+}
+
 bool
 ContainsName(const std::vector<std::string>& aNames, std::string_view aName)
 {
@@ -70,17 +93,7 @@
       facts.maxOutputTokens_ = *output;
     }
   }
-  // The last part is unique to the request; the part before it ends the
-  // longest prefix that other requests share.
-  std::string_view parts = aRequest.Header(aProtocol.promptParts_);
-  auto last = parts.rfind(',');
-  if (last != std::string_view::npos) {
-    std::string_view shared = parts.substr(0, last);
-    auto begin = shared.rfind(',');
-    shared.remove_prefix(begin == std::string_view::npos ? 0 : begin + 1);
-    auto id = ReadNumber<std::uint64_t>(shared.substr(0, shared.find(':')), 16);
-    facts.sharedPart_ = id.value_or(0);
-  }
+  facts.sharedParts_ = ReadSharedParts(aRequest.Header(aProtocol.promptParts_));
   return facts;
 }
 
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -4,6 +4,7 @@
 #include "tanagerstall/connection/tanagerstall_http_message.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica.hpp"
 #include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
+#include "tanagerstall/request/tanagerstall_prompt_evidence.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
 #include <memory>
@@ -18,8 +19,15 @@
 {
   std::uint64_t promptTokens_ = 0;
   std::uint64_t maxOutputTokens_ = 0;
-  /// The id of the last prompt part that other requests share; 0 for none.
-  std::uint64_t sharedPart_ = 0;
+  /// The ids of the prompt parts that other requests may share, in order.
+  PromptParts sharedParts_;
+
+  /// The last shared part, which ends the longest prefix that other requests
+  /// share; 0 for none.
+  std::uint64_t LastSharedPart() const
+  {
+    return sharedParts_.empty() ? 0 : sharedParts_.back();
+  }
 };
 
 /// The state of one caller request while an entry forwards it.
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -368,7 +368,7 @@
   AttemptResult last;
   while (canRetry) {
     ChoiceRequest choice{ aRequest.service_,
-                          aRequest.prompt_.sharedPart_,
+                          aRequest.prompt_.LastSharedPart(),
                           WorkClassOf(aRequest),
                           aRequest.cost_,
                           aRequest.excluded_ };
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -2,6 +2,9 @@
 
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
+#include <sstream>
+#include <utility>
+
 namespace tanagerstall {
 
 namespace {
@@ -25,6 +28,19 @@
   return aRequest.plan_ ? aRequest.plan_->number_ : 0;
 }
 
+/// The ids of the shared prompt parts in hexadecimal, separated by commas.
+std::string
+PromptPartsOf(const ForwardedRequest& aRequest)
+{
+  std::ostringstream text;
+  text << std::hex;
+  const char* separator = "";
+  for (std::uint64_t part : aRequest.prompt_.sharedParts_) {
+    text << std::exchange(separator, ",") << part;
+  }
+  return text.str();
+}
+
 } // namespace
 
 void
@@ -82,6 +98,8 @@
              { "replica", aRequest.lastReplica_ },
              { "sent", aResult.isSent_ },
              { "may_have_run", aMayHaveRun },
+             { "answer_begun", aResult.hasHead_ },
+             { "prompt_parts", PromptPartsOf(aRequest) },
              { "detail", aResult.detail_ } });
 }
 
