A failing test for prompt parts that crash replicas

A simulation of entries, replicas, callers and the leader without a network, with the real choice of replicas.

--- /dev/null
+++ b/tests/prompt_crash_tests.cpp
@@ -0,0 +1,189 @@
+// Prompt parts that crash each replica that begins to answer them, and crashes
+// that have other causes.
+#define BOOST_TEST_MODULE prompt_crash
+#include "tanagerstall_prompt_crash_simulation.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+using namespace tanagerstall;
+using std::chrono::seconds;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+struct DeadlyCase
+{
+  const char* name_;
+  CrashingFleet fleet_;
+  double share_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const DeadlyCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<DeadlyCase> kDeadly = {
+  { "7 entries, 1 in 50", { 7, 18, 160.0, 40, 2 }, 0.02 },
+  { "7 entries, 1 in 50, part in the middle", { 7, 18, 160.0, 40, 1 }, 0.02 },
+  { "7 entries, 1 in 50, first part", { 7, 18, 160.0, 40, 0 }, 0.02 },
+  { "7 entries, 1 in 200", { 7, 18, 160.0, 40, 2 }, 0.005 },
+  { "7 entries, 1 in 8", { 7, 18, 160.0, 400, 2 }, 0.12 },
+  { "54 entries, 1 in 50", { 54, 72, 600.0, 200, 2 }, 0.02 },
+  { "191 entries, 1 in 50", { 191, 63, 500.0, 200, 2 }, 0.02 },
+  { "191 entries, 1 in 500", { 191, 63, 500.0, 200, 2 }, 0.002 },
+};
+
+constexpr unsigned kSeeds = 3;
+constexpr seconds kBefore{ 10 };
+constexpr seconds kDuring{ 30 };
+/// The time that control has to find a part after its fifth crash, and until
+/// sound requests are served again.
+constexpr seconds kMaxDetection{ 4 };
+constexpr seconds kMaxRecovery{ 8 };
+constexpr std::size_t kMaxLateSends = 3;
+constexpr double kMinBegunRatio = 0.5;
+
+} // namespace
+
+// Guards against requests of one kind that crash one replica after the other.
+BOOST_TEST_DECORATOR(*boost::unit_test::label("prompt crash"))
+BOOST_DATA_TEST_CASE(Requests_with_a_deadly_part_are_soon_kept_from_replicas,
+                     data::make(kDeadly),
+                     row)
+{
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      PromptCrashSimulation simulation(row.fleet_, seed);
+      simulation.RunFor(kBefore);
+      TimePoint start = simulation.Now();
+      simulation.SetDeadlyShare(row.share_);
+      simulation.RunFor(kDuring);
+      auto fifth = simulation.DeadlyCrash(5);
+      auto last = fifth.value_or(start);
+      BOOST_TEST(simulation.DeadlySendsSince(last + kMaxDetection) <=
+                 kMaxLateSends);
+      double before =
+        simulation.TallyBetween(start - kBefore, start).BegunShare();
+      double after =
+        simulation.TallyBetween(last + kMaxRecovery, simulation.Now())
+          .BegunShare();
+      BOOST_TEST(after >= kMinBegunRatio * before);
+      auto others = simulation.Quarantined();
+      others.erase(PromptCrashSimulation::kDeadlyPart);
+      BOOST_TEST(others.empty());
+    }
+  }
+}
+
+namespace {
+
+struct CrashCase
+{
+  const char* name_;
+  CrashingFleet fleet_;
+  double share_;
+  int times_;
+  std::chrono::milliseconds interval_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const CrashCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<CrashCase> kCrashes = {
+  { "all replicas once", { 7, 18, 160.0, 40, 2 }, 1.0, 1, {} },
+  { "all replicas, again and again",
+    { 7, 18, 160.0, 40, 2 },
+    1.0,
+    4,
+    std::chrono::milliseconds(5000) },
+  { "half, again and again",
+    { 7, 18, 160.0, 400, 2 },
+    0.5,
+    8,
+    std::chrono::milliseconds(4200) },
+  { "half of 72", { 54, 72, 600.0, 2000, 2 }, 0.5, 1, {} },
+  { "all of 63 twice",
+    { 191, 63, 500.0, 2000, 2 },
+    1.0,
+    2,
+    std::chrono::milliseconds(4500) },
+};
+
+} // namespace
+
+// Guards against sound requests that are refused because replicas crashed for
+// other reasons.
+BOOST_TEST_DECORATOR(*boost::unit_test::label("prompt crash"))
+BOOST_DATA_TEST_CASE(Crashes_with_other_causes_put_no_part_in_quarantine,
+                     data::make(kCrashes),
+                     row)
+{
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      PromptCrashSimulation simulation(row.fleet_, seed);
+      simulation.RunFor(kBefore);
+      for (int i = 0; i < row.times_; ++i) {
+        simulation.CrashReplicas(row.share_);
+        simulation.RunFor(row.interval_);
+      }
+      simulation.RunFor(kBefore);
+      BOOST_TEST(simulation.Quarantined().empty());
+    }
+  }
+}
+
+namespace {
+
+struct ChangeCase
+{
+  const char* name_;
+  bool replacesLeader_;
+  bool restartsEntry_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const ChangeCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<ChangeCase> kChanges = {
+  { "another leader", true, false },
+  { "an entry restarts", false, true },
+  { "an entry restarts under another leader", true, true },
+};
+
+} // namespace
+
+// Guards against a quarantine that is forgotten with the process that knew it.
+BOOST_TEST_DECORATOR(*boost::unit_test::label("prompt crash"))
+BOOST_DATA_TEST_CASE(A_quarantine_outlives_processes, data::make(kChanges), row)
+{
+  PromptCrashSimulation simulation({ 7, 18, 160.0, 40, 2 }, 1);
+  simulation.SetDeadlyShare(0.05);
+  simulation.RunFor(kBefore);
+  BOOST_REQUIRE(!simulation.Quarantined().empty());
+  TimePoint now = simulation.Now();
+  if (row.replacesLeader_) {
+    simulation.ReplaceLeader();
+    simulation.RunFor(seconds(1));
+  }
+  if (row.restartsEntry_) {
+    simulation.RestartEntry(0);
+    // A starting entry serves once control has answered it.
+    simulation.RunFor(seconds(1));
+    now = simulation.Now();
+  }
+  simulation.RunFor(kDuring);
+  BOOST_TEST(simulation.DeadlySendsSince(now) == 0U);
+}
--- a/tests/tanagerstall_rollout_simulation.hpp
+++ b/tests/tanagerstall_rollout_simulation.hpp
@@ -1,6 +1,8 @@
 #ifndef TANAGERSTALL_ROLLOUT_SIMULATION_HPP_INCLUDED
 #define TANAGERSTALL_ROLLOUT_SIMULATION_HPP_INCLUDED
 
+#include "tanagerstall_event_queue.hpp"
+
 #include "tanagerstall/process/tanagerstall_clock.hpp"
 #include "tanagerstall/version/tanagerstall_declaration_source.hpp"
 #include "tanagerstall/version/tanagerstall_declaration_transfer.hpp"
@@ -51,32 +53,6 @@
   TimePoint freeAt_;
 };
 
-/// Runs callbacks in the order of their times.
-class EventQueue
-{
-public:
-  void At(TimePoint aTime, std::function<void()> aEvent)
-  {
-    events_.emplace(std::max(aTime, now_), std::move(aEvent));
-  }
-
-  void RunUntil(TimePoint aEnd)
-  {
-    while (!events_.empty() && events_.begin()->first <= aEnd) {
-      auto next = events_.extract(events_.begin());
-      now_ = next.key();
-      next.mapped()();
-    }
-    now_ = aEnd;
-  }
-
-  TimePoint Now() const { return now_; }
-
-private:
-  TimePoint now_{ std::chrono::hours(1) };
-  std::multimap<TimePoint, std::function<void()>> events_;
-};
-
 /// A declaration document with random names, which grows route by route.
 class GrowingDocument
 {
