--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -1,5 +1,6 @@
 #include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
 
+#include "tanagerstall/connection/tanagerstall_prompt_codec.hpp"
 #include "tanagerstall/internal/tanagerstall_entry_wire.hpp"
 
 #include <kj/debug.h>
@@ -56,6 +57,10 @@
   aTo.setToLeader(aFrom.isToLeader_);
   aTo.setReadsCompressed(aFrom.canRestore_.readsCompressed_);
   aTo.setBase(aFrom.canRestore_.base_);
+  aTo.setPromptRevision(aFrom.promptRevision_);
+  if (aFrom.promptEvidence_) {
+    WriteEvidence(aTo.initPromptEvidence(), *aFrom.promptEvidence_);
+  }
   auto usage = aTo.initUsage(aFrom.usage_.size());
   for (unsigned i = 0; i < aFrom.usage_.size(); ++i) {
     WriteUsage(usage[i], aFrom.usage_[i]);
@@ -96,6 +101,10 @@
   report.requestRate_ = aFrom.getRequestRate();
   report.isToLeader_ = aFrom.getToLeader();
   report.canRestore_ = { aFrom.getReadsCompressed(), aFrom.getBase() };
+  report.promptRevision_ = aFrom.getPromptRevision();
+  if (aFrom.hasPromptEvidence()) {
+    report.promptEvidence_ = ReadEvidence(aFrom.getPromptEvidence());
+  }
   for (auto usage : aFrom.getUsage()) {
     report.usage_.push_back(ReadUsage(usage));
   }
@@ -148,6 +157,9 @@
   }
   aTo.setLeads(aFrom.isLeader_);
   aTo.setReadsCompressed(aFrom.readsCompressed_);
+  if (aFrom.promptVerdicts_) {
+    WriteVerdicts(aTo.initPromptVerdicts(), *aFrom.promptVerdicts_);
+  }
 }
 
 ControlAnswer
@@ -177,6 +189,9 @@
   }
   answer.isLeader_ = aFrom.getLeads();
   answer.readsCompressed_ = aFrom.getReadsCompressed();
+  if (aFrom.hasPromptVerdicts()) {
+    answer.promptVerdicts_ = ReadVerdicts(aFrom.getPromptVerdicts());
+  }
   return answer;
 }
 
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -4,6 +4,7 @@
 #include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
+#include "tanagerstall/request/tanagerstall_prompt_evidence.hpp"
 #include "tanagerstall/version/tanagerstall_declaration_transfer.hpp"
 
 #include <map>
@@ -50,6 +51,10 @@
   /// the entry's.
   bool wantsDeclaration_ = false;
   TransferCapability canRestore_;
+  /// Sent to the leader only.
+  std::optional<PromptEvidence> promptEvidence_;
+  /// The revision of this control process's verdicts that the entry has.
+  std::uint64_t promptRevision_ = 0;
 };
 
 /// The answer of a control process.
@@ -74,6 +79,8 @@
   bool isLeader_ = false;
   /// Whether the control process applies compressed declarations.
   bool readsCompressed_ = false;
+  /// The leader's verdicts, if the entry doesn't have them.
+  std::optional<PromptVerdicts> promptVerdicts_;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -75,6 +75,34 @@
   refused @4 :UInt64;
 }
 
+struct PromptCrash {
+  part @0 :UInt64;
+  loss @1 :UInt64;
+  # The entry's number of the lost request.
+  replica @2 :UInt64;
+  ageMs @3 :UInt32;
+}
+
+struct PromptPart {
+  part @0 :UInt64;
+  ms @1 :UInt32;
+  # The age of the last success, or what remains of the quarantine.
+}
+
+struct PromptEvidence {
+  answered @0 :UInt64;
+  lost @1 :UInt64;
+  crashes @2 :List(PromptCrash);
+  successes @3 :List(PromptPart);
+  quarantined @4 :List(PromptPart);
+}
+
+struct PromptVerdicts {
+  revision @0 :UInt64;
+  suspects @1 :List(UInt64);
+  quarantined @2 :List(PromptPart);
+}
+
 struct SyncRequest {
   entry @0 :Control.EntryInfo;
   controlRun @1 :UInt64;
@@ -94,6 +122,10 @@
   readsCompressed @11 :Bool;
   base @12 :UInt64;
   # The number of the declaration of which the answer may send a change.
+  promptEvidence @13 :PromptEvidence;
+  # Sent to the leader.
+  promptRevision @14 :UInt64;
+  # The revision of the receiver's verdicts that the entry has.
 }
 
 struct CostGrant {
@@ -123,6 +155,8 @@
   # document; 0 for none.
   readsCompressed @13 :Bool;
   # Whether the sender applies compressed declarations.
+  promptVerdicts @14 :PromptVerdicts;
+  # Set only if they differ from the revision in the request.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -34,6 +34,10 @@
 CAPNP_DECLARE_SCHEMA(99ff16a110e51354);
 CAPNP_DECLARE_SCHEMA(81ee73827d40ac8a);
 CAPNP_DECLARE_SCHEMA(bdcd1f1d9c4ae99f);
+CAPNP_DECLARE_SCHEMA(847a8a984529b1f0);
+CAPNP_DECLARE_SCHEMA(dfa4466ad39fdac2);
+CAPNP_DECLARE_SCHEMA(92f38c1f52b27f30);
+CAPNP_DECLARE_SCHEMA(e8712151c729c516);
 CAPNP_DECLARE_SCHEMA(a8bf46aabef2c4ea);
 CAPNP_DECLARE_SCHEMA(ac458a8c09f8367d);
 CAPNP_DECLARE_SCHEMA(c45ee92c61620b2a);
@@ -174,6 +178,66 @@
   };
 };
 
+struct PromptCrash {
+  PromptCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(847a8a984529b1f0, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PromptPart {
+  PromptPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dfa4466ad39fdac2, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PromptEvidence {
+  PromptEvidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(92f38c1f52b27f30, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PromptVerdicts {
+  PromptVerdicts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8712151c729c516, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct SyncRequest {
   SyncRequest() = delete;
 
@@ -182,7 +246,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -212,7 +276,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 5, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1034,14 +1098,394 @@
   inline  ::uint32_t getRunning();
   inline void setRunning( ::uint32_t value);
 
-  inline  ::uint32_t getWaiting();
-  inline void setWaiting( ::uint32_t value);
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
+
+  inline  ::uint64_t getArrivals();
+  inline void setArrivals( ::uint64_t value);
+
+  inline  ::uint64_t getRefused();
+  inline void setRefused( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceLoad::Pipeline {
+public:
+  typedef ServiceLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PromptCrash::Reader {
+public:
+  typedef PromptCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::uint64_t getLoss() const;
+
+  inline  ::uint64_t getReplica() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PromptCrash::Builder {
+public:
+  typedef PromptCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint64_t getLoss();
+  inline void setLoss( ::uint64_t value);
+
+  inline  ::uint64_t getReplica();
+  inline void setReplica( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PromptCrash::Pipeline {
+public:
+  typedef PromptCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PromptPart::Reader {
+public:
+  typedef PromptPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::uint32_t getMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PromptPart::Builder {
+public:
+  typedef PromptPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint32_t getMs();
+  inline void setMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PromptPart::Pipeline {
+public:
+  typedef PromptPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PromptEvidence::Reader {
+public:
+  typedef PromptEvidence Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAnswered() const;
+
+  inline  ::uint64_t getLost() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasSuccesses() const;
+  inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader getSuccesses() const;
+
+  inline bool hasQuarantined() const;
+  inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PromptEvidence::Builder {
+public:
+  typedef PromptEvidence Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAnswered();
+  inline void setAnswered( ::uint64_t value);
+
+  inline  ::uint64_t getLost();
+  inline void setLost( ::uint64_t value);
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasSuccesses();
+  inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder getSuccesses();
+  inline void setSuccesses( ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder initSuccesses(unsigned int size);
+  inline void adoptSuccesses(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>> disownSuccesses();
+
+  inline bool hasQuarantined();
+  inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>> disownQuarantined();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PromptEvidence::Pipeline {
+public:
+  typedef PromptEvidence Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PromptVerdicts::Reader {
+public:
+  typedef PromptVerdicts Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSuspects() const;
+
+  inline bool hasQuarantined() const;
+  inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PromptVerdicts::Builder {
+public:
+  typedef PromptVerdicts Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
-  inline  ::uint64_t getArrivals();
-  inline void setArrivals( ::uint64_t value);
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSuspects(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSuspects();
 
-  inline  ::uint64_t getRefused();
-  inline void setRefused( ::uint64_t value);
+  inline bool hasQuarantined();
+  inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>> disownQuarantined();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1053,9 +1497,9 @@
 };
 
 #if !CAPNP_LITE
-class ServiceLoad::Pipeline {
+class PromptVerdicts::Pipeline {
 public:
-  typedef ServiceLoad Pipelines;
+  typedef PromptVerdicts Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1116,6 +1560,11 @@
 
   inline  ::uint64_t getBase() const;
 
+  inline bool hasPromptEvidence() const;
+  inline  ::tanagerstall::wire::PromptEvidence::Reader getPromptEvidence() const;
+
+  inline  ::uint64_t getPromptRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1199,6 +1648,16 @@
   inline  ::uint64_t getBase();
   inline void setBase( ::uint64_t value);
 
+  inline bool hasPromptEvidence();
+  inline  ::tanagerstall::wire::PromptEvidence::Builder getPromptEvidence();
+  inline void setPromptEvidence( ::tanagerstall::wire::PromptEvidence::Reader value);
+  inline  ::tanagerstall::wire::PromptEvidence::Builder initPromptEvidence();
+  inline void adoptPromptEvidence(::capnp::Orphan< ::tanagerstall::wire::PromptEvidence>&& value);
+  inline ::capnp::Orphan< ::tanagerstall::wire::PromptEvidence> disownPromptEvidence();
+
+  inline  ::uint64_t getPromptRevision();
+  inline void setPromptRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1218,6 +1677,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::tanagerstall::wire::EntryInfo::Pipeline getEntry();
+  inline  ::tanagerstall::wire::PromptEvidence::Pipeline getPromptEvidence();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1362,6 +1822,9 @@
 
   inline bool getReadsCompressed() const;
 
+  inline bool hasPromptVerdicts() const;
+  inline  ::tanagerstall::wire::PromptVerdicts::Reader getPromptVerdicts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1453,6 +1916,13 @@
   inline bool getReadsCompressed();
   inline void setReadsCompressed(bool value);
 
+  inline bool hasPromptVerdicts();
+  inline  ::tanagerstall::wire::PromptVerdicts::Builder getPromptVerdicts();
+  inline void setPromptVerdicts( ::tanagerstall::wire::PromptVerdicts::Reader value);
+  inline  ::tanagerstall::wire::PromptVerdicts::Builder initPromptVerdicts();
+  inline void adoptPromptVerdicts(::capnp::Orphan< ::tanagerstall::wire::PromptVerdicts>&& value);
+  inline ::capnp::Orphan< ::tanagerstall::wire::PromptVerdicts> disownPromptVerdicts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1471,6 +1941,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::tanagerstall::wire::PromptVerdicts::Pipeline getPromptVerdicts();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2439,6 +2910,306 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PromptCrash::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromptCrash::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PromptCrash::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PromptCrash::Reader::getLoss() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromptCrash::Builder::getLoss() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PromptCrash::Builder::setLoss( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PromptCrash::Reader::getReplica() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromptCrash::Builder::getReplica() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PromptCrash::Builder::setReplica( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PromptCrash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PromptCrash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PromptCrash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PromptPart::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromptPart::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PromptPart::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PromptPart::Reader::getMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PromptPart::Builder::getMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PromptPart::Builder::setMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PromptEvidence::Reader::getAnswered() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromptEvidence::Builder::getAnswered() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PromptEvidence::Builder::setAnswered( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PromptEvidence::Reader::getLost() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromptEvidence::Builder::getLost() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PromptEvidence::Builder::setLost( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PromptEvidence::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PromptEvidence::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Reader PromptEvidence::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PromptEvidence::Builder::setCrashes( ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PromptEvidence::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>> PromptEvidence::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PromptEvidence::Reader::hasSuccesses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PromptEvidence::Builder::hasSuccesses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PromptEvidence::Reader::getSuccesses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::getSuccesses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PromptEvidence::Builder::setSuccesses( ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::initSuccesses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PromptEvidence::Builder::adoptSuccesses(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>> PromptEvidence::Builder::disownSuccesses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool PromptEvidence::Reader::hasQuarantined() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PromptEvidence::Builder::hasQuarantined() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PromptEvidence::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PromptEvidence::Builder::setQuarantined( ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PromptEvidence::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>> PromptEvidence::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PromptVerdicts::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromptVerdicts::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PromptVerdicts::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PromptVerdicts::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PromptVerdicts::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PromptVerdicts::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptVerdicts::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PromptVerdicts::Builder::setSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void PromptVerdicts::Builder::setSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptVerdicts::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PromptVerdicts::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PromptVerdicts::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PromptVerdicts::Reader::hasQuarantined() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PromptVerdicts::Builder::hasQuarantined() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PromptVerdicts::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptVerdicts::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PromptVerdicts::Builder::setQuarantined( ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptVerdicts::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PromptVerdicts::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>> PromptVerdicts::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool SyncRequest::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2706,6 +3477,59 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncRequest::Reader::hasPromptEvidence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasPromptEvidence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tanagerstall::wire::PromptEvidence::Reader SyncRequest::Reader::getPromptEvidence() const {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptEvidence>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::tanagerstall::wire::PromptEvidence::Builder SyncRequest::Builder::getPromptEvidence() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptEvidence>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::tanagerstall::wire::PromptEvidence::Pipeline SyncRequest::Pipeline::getPromptEvidence() {
+  return  ::tanagerstall::wire::PromptEvidence::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void SyncRequest::Builder::setPromptEvidence( ::tanagerstall::wire::PromptEvidence::Reader value) {
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptEvidence>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::tanagerstall::wire::PromptEvidence::Builder SyncRequest::Builder::initPromptEvidence() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptEvidence>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::adoptPromptEvidence(
+    ::capnp::Orphan< ::tanagerstall::wire::PromptEvidence>&& value) {
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptEvidence>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tanagerstall::wire::PromptEvidence> SyncRequest::Builder::disownPromptEvidence() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptEvidence>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SyncRequest::Reader::getPromptRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getPromptRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setPromptRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CostGrant::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3054,6 +3878,45 @@
       ::capnp::bounded<226>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncReply::Reader::hasPromptVerdicts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasPromptVerdicts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tanagerstall::wire::PromptVerdicts::Reader SyncReply::Reader::getPromptVerdicts() const {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptVerdicts>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::tanagerstall::wire::PromptVerdicts::Builder SyncReply::Builder::getPromptVerdicts() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptVerdicts>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::tanagerstall::wire::PromptVerdicts::Pipeline SyncReply::Pipeline::getPromptVerdicts() {
+  return  ::tanagerstall::wire::PromptVerdicts::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void SyncReply::Builder::setPromptVerdicts( ::tanagerstall::wire::PromptVerdicts::Reader value) {
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptVerdicts>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::tanagerstall::wire::PromptVerdicts::Builder SyncReply::Builder::initPromptVerdicts() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptVerdicts>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::adoptPromptVerdicts(
+    ::capnp::Orphan< ::tanagerstall::wire::PromptVerdicts>&& value) {
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptVerdicts>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tanagerstall::wire::PromptVerdicts> SyncReply::Builder::disownPromptVerdicts() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptVerdicts>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/process/tanagerstall_bytes.cpp
+++ b/src/tanagerstall/process/tanagerstall_bytes.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <openssl/evp.h>
 #include <random>
+#include <sstream>
 #include <stdexcept>
 #include <xxhash.h>
 
@@ -35,6 +36,14 @@
   return hex;
 }
 
+std::string
+ToHex(std::uint64_t aNumber)
+{
+  std::ostringstream text;
+  text << std::hex << aNumber;
+  return text.str();
+}
+
 std::string
 RandomHex(std::size_t aCount)
 {
--- a/src/tanagerstall/process/tanagerstall_bytes.hpp
+++ b/src/tanagerstall/process/tanagerstall_bytes.hpp
@@ -33,6 +33,10 @@
 std::string
 Sha256Hex(std::string_view aText);
 
+/// Returns the number in lower-case hexadecimal, without leading zeros.
+std::string
+ToHex(std::uint64_t aNumber);
+
 /// Returns `aCount` bytes of std::random_device in lower-case hexadecimal.
 std::string
 RandomHex(std::size_t aCount);
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -11,6 +11,7 @@
 #include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
 #include "tanagerstall/request/tanagerstall_cost_leases.hpp"
+#include "tanagerstall/request/tanagerstall_prompt_crash_detector.hpp"
 #include "tanagerstall/request/tanagerstall_usage_counter.hpp"
 
 #include <algorithm>
@@ -43,6 +44,13 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+/// Identifies one run of an entry.
+std::string
+RunOf(const EntryInfo& aEntry)
+{
+  return aEntry.id_ + "#" + std::to_string(aEntry.incarnation_);
+}
+
 } // namespace
 
 struct FleetControl::State
@@ -115,6 +123,8 @@
       { "voters", static_cast<double>(voters) },
       { "declaration", static_cast<double>(fleet_.Current().number_) },
       { "entries_serving", static_cast<double>(ServingEntries().size()) },
+      { "prompt_parts_quarantined",
+        static_cast<double>(detector_.CountQuarantined(now)) },
       { "entries_active", static_cast<double>(workingSet_.ActiveCount()) },
       { "replicas_ready_here", static_cast<double>(replicas_.Ready().size()) }
     };
@@ -165,9 +175,7 @@
   void HandleReport(const EntryReport& aReport)
   {
     entries_.Observe(aReport.entry_, clock_.Now());
-    usageTotals_.Merge(aReport.entry_.id_ + "#" +
-                         std::to_string(aReport.entry_.incarnation_),
-                       aReport.usage_);
+    usageTotals_.Merge(RunOf(aReport.entry_), aReport.usage_);
     loads_[aReport.entry_.id_] = aReport.services_;
     requestRates_[aReport.entry_.id_] = aReport.requestRate_;
     if (aReport.entry_.weight_ > 0) {
@@ -176,6 +184,34 @@
                            aReport.grantRequests_,
                            clock_.Now());
     }
+    if (isLeading_ && aReport.promptEvidence_) {
+      detector_.RecordReport(
+        RunOf(aReport.entry_), *aReport.promptEvidence_, clock_.Now());
+    }
+  }
+
+  /// Whether the report is one to the leader and lacks its verdicts.
+  bool LacksVerdicts(const EntryReport& aReport) const
+  {
+    return isLeading_ && aReport.promptEvidence_ &&
+           aReport.promptRevision_ != detector_.Revision();
+  }
+
+  void DecideOnPrompts(TimePoint aNow)
+  {
+    if (!isLeading_ || !detector_.Update(aNow)) {
+      return;
+    }
+    for (const auto& decision : detector_.TakeDecisions()) {
+      LogEvent(Severity::Warning,
+               "prompt part quarantined",
+               { { "part", ToHex(decision.part_) },
+                 { "crashes", decision.crashes_ },
+                 { "answered", decision.answered_ },
+                 { "lost", decision.lost_ },
+                 { "for_s", decision.duration_.count() } });
+    }
+    entriesServer_.Notify();
   }
 
   void AdoptDepartures(const ReplicaReport& aReport)
@@ -213,7 +249,7 @@
     // Entries without a leader get no grants.
     bool missesLeader = isLeading_ && !aReport.isToLeader_;
     return wantsGrant || wantsDeclaration || missesLeader ||
-           aReport.newestDeclaration_ < number ||
+           LacksVerdicts(aReport) || aReport.newestDeclaration_ < number ||
            aReport.controlRun_ != runId_ || aReport.stamp_ < replicas_.Stamp();
   }
 
@@ -230,6 +266,9 @@
         answer.planNumber_ > aReport.entry_.revision_) {
       answer.declaration_ = history_.TransferFor(aReport.canRestore_);
     }
+    if (LacksVerdicts(aReport)) {
+      answer.promptVerdicts_ = detector_.Verdicts(clock_.Now());
+    }
     answer.members_ = memberAddresses_;
     answer.readsCompressed_ = true;
     answer.shareDivisor_ = workingSet_.ShareDivisor(aReport.entry_.id_);
@@ -298,8 +337,10 @@
         std::exchange(isLeading_, leaderTasks_.IsSteadyLeader(now));
       if (isLeading_ && !wasLeading) {
         leases_.StartLeading(now);
+        detector_.StartLeading();
         entriesServer_.Notify();
       }
+      DecideOnPrompts(now);
       if (now >= nextSettingsReadAt_) {
         Reload(false);
       }
@@ -375,6 +416,7 @@
   /// Whether a member applies compressed declarations, by its address.
   std::map<std::string, bool> readsCompressed_;
   CostLeases leases_;
+  PromptCrashDetector detector_{ runId_ };
   bool isLeading_ = false;
   UsageTotals usageTotals_;
   /// The replicas that the other control processes report.
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -97,6 +97,9 @@
     if (aIsLeader) {
       report.grantRequests_ =
         forwarder_.Limits().NextGrantRequests(clock_.Now());
+      report.promptEvidence_ = traffic_.promptEvidence_;
+      report.promptRevision_ =
+        aControl == verdictsFrom_ ? verdictsRevision_ : 0;
     }
     report.services_ = traffic_.services_;
     report.requestRate_ = traffic_.requestRate_;
@@ -157,9 +160,23 @@
         forwarder_.SetShareDivisor(divisor);
       });
     }
+    if (aAnswer.promptVerdicts_) {
+      ReceiveVerdicts(aControl, *aAnswer.promptVerdicts_);
+    }
     PublishReplicas(now);
   }
 
+  void ReceiveVerdicts(const std::string& aControl,
+                       const PromptVerdicts& aVerdicts)
+  {
+    verdictsFrom_ = aControl;
+    verdictsRevision_ = aVerdicts.revision_;
+    threads_.Post([this, aVerdicts] {
+      forwarder_.ApplyVerdicts(aVerdicts);
+      PostReport(true);
+    });
+  }
+
   void ReceiveDeclaration(const DeclarationTransfer& aTransfer)
   {
     if (aTransfer.number_ <= received_.number_) {
@@ -302,10 +319,24 @@
     while (true) {
       aFiber.Sleep(kReportInterval);
       forwarder_.TrimConnections();
-      loop_.Post([this, report = forwarder_.Report()] { traffic_ = report; });
+      PostReport(false);
     }
   }
 
+  /// Passes the traffic report to the control thread. The leader gets it at
+  /// once if that is urgent or if requests were lost with their replicas.
+  void PostReport(bool aIsUrgent)
+  {
+    loop_.Post([this, aIsUrgent, report = forwarder_.Report()] {
+      bool hasLosses =
+        report.promptEvidence_.lost_ > traffic_.promptEvidence_.lost_;
+      traffic_ = report;
+      if (aIsUrgent || hasLosses) {
+        client_.RefreshLeader();
+      }
+    });
+  }
+
   FleetEntrySettings settings_;
   FleetEntryHooks hooks_;
   Clock clock_;
@@ -325,6 +356,9 @@
   /// Whether the last change could not be restored.
   bool needsWhole_ = false;
   TrafficReport traffic_;
+  /// The control process that sent the latest verdicts on prompt parts.
+  std::string verdictsFrom_;
+  std::uint64_t verdictsRevision_ = 0;
   Drain drain_;
   std::atomic<bool> hasPlan_{ false };
   std::atomic<bool> isStopping_{ false };
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -23,6 +23,12 @@
 /// An event that is longer counts as bytes that never end.
 constexpr std::size_t kMaxEventBytes = 1UL << 20U;
 
+bool
+IsSuccess(int aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
+
 AttemptResult
 MakeAbandoned(bool aIsSent)
 {
@@ -83,6 +89,8 @@
     result.outcome_ = AttemptOutcome::Abandoned;
   } else if (!aIsSent) {
     result.outcome_ = AttemptOutcome::Unreachable;
+  } else {
+    result.isConnectionLost_ = aError.fault_ == TransportFault::ConnectionLost;
   }
   return result;
 }
@@ -206,6 +214,7 @@
                            ? HandleResponse(std::move(*head), aReturnsFailures)
                            : MakeFailure(head.error(), true);
   result.hasHead_ = hasHead;
+  result.begunAt_ = begunAt_;
   exchange_.OnCallerDisconnect(nullptr);
   if (connection_->IsReusable()) {
     resources_.pool_.Keep(aReplica.id_, std::move(lease->connection_), keepFor);
@@ -219,7 +228,7 @@
 AttemptResult
 ForwardAttempt::HandleResponse(HttpResponse aHead, bool aReturnsFailures)
 {
-  bool isGood = aHead.status_ >= 200 && aHead.status_ < 300;
+  bool isGood = IsSuccess(aHead.status_);
   if (aHead.status_ == kMisdirected ||
       !aHead.Header(resources_.protocol_.notRun_).empty()) {
     // An error here can be ignored: the request has not run either way, and a
@@ -269,6 +278,7 @@
   result.outcome_ = AttemptOutcome::Answered;
   result.isSent_ = true;
   result.isServerError_ = aHead.status_ >= kServerError;
+  result.isSuccess_ = IsSuccess(aHead.status_);
   if (exchange_.HasStarted()) {
     // The caller has part of a stream already, and the replica that should
     // resume it did not return a stream.
@@ -296,6 +306,8 @@
       return false;
     }
     TimePoint now = resources_.clock_.Now();
+    begunAt_ = begunAt_.value_or(now);
+    hooks_.onEvent_(now - *begunAt_);
     if (request_.lastPartAt_ != TimePoint()) {
       request_.longestGap_ =
         std::max(request_.longestGap_, now - request_.lastPartAt_);
@@ -339,6 +351,7 @@
   AttemptResult result;
   result.outcome_ = AttemptOutcome::Answered;
   result.isSent_ = true;
+  result.isSuccess_ = true;
   return result;
 }
 
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
@@ -20,6 +20,12 @@
   bool isSent_ = false;
   /// Whether the head of a response arrived.
   bool hasHead_ = false;
+  /// When the first event of a stream arrived.
+  std::optional<TimePoint> begunAt_;
+  /// Whether a 2xx response arrived whole.
+  bool isSuccess_ = false;
+  /// Whether the connection was lost after the request was sent.
+  bool isConnectionLost_ = false;
   /// Whether the replica ran the request and answered with a server error.
   bool isServerError_ = false;
   /// Whether the attempt failed after the request's deadline.
@@ -48,6 +54,8 @@
   {
     /// Called when the first part of a response has arrived.
     std::function<void()> onFirstPart_;
+    /// Called for each event of a stream, with the time since the first one.
+    std::function<void(Duration)> onEvent_;
   };
 
   ForwardAttempt(ForwardResources aResources,
@@ -79,6 +87,7 @@
   Hooks hooks_;
   HttpConnection* connection_ = nullptr;
   EventStream events_;
+  std::optional<TimePoint> begunAt_;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -58,6 +58,9 @@
                                    "unavailable",
                                    "no replica took it",
                                    kDefaultRetryAfter };
+const ForwardRefusal kQuarantined{ 503,
+                                   "prompt_quarantined",
+                                   "a prompt part crashes replicas" };
 
 std::string
 Seconds(Duration aDuration)
@@ -161,6 +164,12 @@
   chooser_.SetReplicas(std::move(aReplicas));
 }
 
+void
+Forwarder::ApplyVerdicts(const PromptVerdicts& aVerdicts)
+{
+  quarantine_.Apply(aVerdicts, clock_.Now());
+}
+
 /// Returns this entry's share of the retry slack. It is less than the full
 /// share because one time window can contain both the retries that an entry
 /// saved up and the initial budget of the entry after a restart.
@@ -222,6 +231,20 @@
   return Refuse(aRequest, kOverRate);
 }
 
+/// Refuses a request that would crash its replica.
+std::optional<HttpResponse>
+Forwarder::CheckPrompt(const ForwardedRequest& aRequest)
+{
+  auto remaining =
+    quarantine_.RemainingFor(aRequest.prompt_.sharedParts_, clock_.Now());
+  if (!remaining) {
+    return std::nullopt;
+  }
+  ForwardRefusal refusal = kQuarantined;
+  refusal.retryAfter_ = remaining;
+  return Refuse(aRequest, refusal);
+}
+
 /// Takes the cost from the organisation's limit, waiting for control to grant
 /// more if the entry holds too little.
 CostDecision
@@ -280,6 +303,9 @@
     return tl::make_unexpected(*refusal);
   }
   request.prompt_ = ReadPromptFacts(http, settings_.protocol_);
+  if (auto refusal = CheckPrompt(request)) {
+    return tl::make_unexpected(*refusal);
+  }
   request.cost_ = std::max(
     1.0,
     static_cast<double>(request.prompt_.promptTokens_) +
@@ -335,6 +361,12 @@
   } else if (aResult.isSent_ && aResult.outcome_ == AttemptOutcome::Abandoned) {
     chooser_.ObserveFirstPart(aReplica, now - aStartedAt, now);
   }
+  const PromptParts& parts = aRequest.prompt_.sharedParts_;
+  if (aResult.isSuccess_) {
+    quarantine_.RecordSuccess(parts, now);
+  } else if (aResult.isConnectionLost_) {
+    quarantine_.RecordLoss(parts, aReplica, aResult.begunAt_, now);
+  }
   auto outcome =
     aResult.isServerError_ ? AttemptOutcome::Failed : aResult.outcome_;
   chooser_.Finish(aReplica, aRequest.cost_, outcome, now);
@@ -362,11 +394,12 @@
 Forwarder::Run(HttpExchange& aExchange, ForwardedRequest& aRequest)
 {
   const Route& route = *aRequest.route_;
+  const PromptParts& parts = aRequest.prompt_.sharedParts_;
   bool hasRun = false;
   bool canRetry = true;
   std::optional<HttpResponse> failure;
   AttemptResult last;
-  while (canRetry) {
+  while (canRetry && !quarantine_.RemainingFor(parts, clock_.Now())) {
     ChoiceRequest choice{ aRequest.service_,
                           aRequest.prompt_.LastSharedPart(),
                           WorkClassOf(aRequest),
@@ -380,16 +413,24 @@
     bool mayRunAgain =
       route.IsIdempotent() && aRequest.runs_ + 1 < route.maxAttempts_;
     TimePoint startedAt = clock_.Now();
-    ForwardAttempt attempt({ pool_, buffers_, settings_.protocol_, clock_ },
-                           aExchange,
-                           aRequest,
-                           { [&] {
-                             if (!hasRun && aRequest.organisation_ != nullptr) {
-                               usage_.Count(aRequest.organisation_->name_);
-                             }
-                             hasRun = true;
-                             aRequest.firstPartAt_ = clock_.Now();
-                           } });
+    bool isProven = false;
+    ForwardAttempt attempt(
+      { pool_, buffers_, settings_.protocol_, clock_ },
+      aExchange,
+      aRequest,
+      { [&] {
+         if (!hasRun && aRequest.organisation_ != nullptr) {
+           usage_.Count(aRequest.organisation_->name_);
+         }
+         hasRun = true;
+         aRequest.firstPartAt_ = clock_.Now();
+       },
+        [&](Duration aSinceFirst) {
+          if (!isProven && aSinceFirst >= PromptQuarantine::kBeginning) {
+            isProven = true;
+            quarantine_.RecordSuccess(parts, clock_.Now());
+          }
+        } });
     last = attempt.Run(*replica, mayRunAgain && !failure);
     RecordAttempt(aRequest, *replica, last, startedAt);
     aRequest.lastReplica_ = replica->id_;
@@ -409,36 +450,53 @@
                       last.outcome_ == AttemptOutcome::Answered;
     aRequest.runs_ += mayHaveRun ? 1 : 0;
     LogAttemptFailed(aRequest, last, mayHaveRun);
-    if (mayHaveRun && !mayRunAgain) {
+    bool isSuspected = last.isConnectionLost_ && quarantine_.IsSuspected(parts);
+    if (mayHaveRun && (!mayRunAgain || isSuspected)) {
       break;
     }
     canRetry = TakeRetry(aRequest, last.isSent_);
   }
+  EndUnanswered(aExchange, aRequest, last, failure);
+}
+
+/// Ends the exchange of a request that no replica has answered: passes a
+/// replica's failure on, refuses the request if it has not run, or reports that
+/// its outcome is unknown.
+void
+Forwarder::EndUnanswered(HttpExchange& aExchange,
+                         ForwardedRequest& aRequest,
+                         const AttemptResult& aLast,
+                         const std::optional<HttpResponse>& aFailure)
+{
   if (aExchange.IsCallerDisconnected()) {
-    LogFailure("caller left", aRequest, last, clock_.Now());
+    LogFailure("caller left", aRequest, aLast, clock_.Now());
     return;
   }
   if (aExchange.HasStarted()) {
-    LogFailure("stream broken off", aRequest, last, clock_.Now());
+    LogFailure("stream broken off", aRequest, aLast, clock_.Now());
     aExchange.Abort();
     return;
   }
-  if (failure) {
-    LogFailure("failure passed on", aRequest, last, clock_.Now());
-    aExchange.Respond(*failure);
+  if (aFailure) {
+    LogFailure("failure passed on", aRequest, aLast, clock_.Now());
+    aExchange.Respond(*aFailure);
     return;
   }
   bool mayHaveRun =
     aRequest.runs_ > 0 ||
-    (last.outcome_ == AttemptOutcome::Abandoned && last.isSent_);
+    (aLast.outcome_ == AttemptOutcome::Abandoned && aLast.isSent_);
   if (!mayHaveRun) {
-    ++loads_[aRequest.service_].refused_;
-    aExchange.Respond(Refuse(aRequest, kUnavailable));
+    auto refusal = CheckPrompt(aRequest);
+    if (!refusal) {
+      ++loads_[aRequest.service_].refused_;
+      refusal = Refuse(aRequest, kUnavailable);
+    }
+    aExchange.Respond(*refusal);
     return;
   }
-  LogFailure("outcome unknown", aRequest, last, clock_.Now());
-  aExchange.Respond(last.isLate_ ? UnknownOutcome(504, "timeout")
-                                 : UnknownOutcome(502, "upstream_failed"));
+  LogFailure("outcome unknown", aRequest, aLast, clock_.Now());
+  aExchange.Respond(aLast.isLate_ ? UnknownOutcome(504, "timeout")
+                                  : UnknownOutcome(502, "upstream_failed"));
 }
 
 TrafficReport
@@ -451,6 +509,7 @@
   }
   report.services_ = loads_;
   report.requestRate_ = arrivals_.Update(clock_.Now());
+  report.promptEvidence_ = quarantine_.Report(clock_.Now());
   return report;
 }
 
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -10,6 +10,7 @@
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
 #include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
+#include "tanagerstall/request/tanagerstall_prompt_quarantine.hpp"
 #include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
 #include "tanagerstall/request/tanagerstall_request_rate.hpp"
 #include "tanagerstall/request/tanagerstall_usage_counter.hpp"
@@ -44,6 +45,7 @@
   std::map<std::string, ServiceLoad> services_;
   /// Requests per second from callers; refused ones count for a part.
   double requestRate_ = 0.0;
+  PromptEvidence promptEvidence_;
 };
 
 /// Forwards callers' requests to replicas along the routes of the traffic
@@ -65,6 +67,8 @@
   void SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas);
   /// Sets the number by which the retry slack of all entries is divided.
   void SetShareDivisor(std::uint32_t aDivisor);
+  /// Adopts the leader's verdicts on prompt parts.
+  void ApplyVerdicts(const PromptVerdicts& aVerdicts);
   /// Limits() and GetMetrics() may be called, and their results used, from
   /// any thread.
   CostLimits& Limits() { return limits_; }
@@ -92,7 +96,12 @@
   CostDecision AwaitCost(HttpExchange& aExchange,
                          const PlanOrganisation& aOrganisation,
                          double aCost);
+  std::optional<HttpResponse> CheckPrompt(const ForwardedRequest& aRequest);
   void Run(HttpExchange& aExchange, ForwardedRequest& aRequest);
+  void EndUnanswered(HttpExchange& aExchange,
+                     ForwardedRequest& aRequest,
+                     const AttemptResult& aLast,
+                     const std::optional<HttpResponse>& aFailure);
   bool TakeRetry(const ForwardedRequest& aRequest, bool aIsSent);
   HttpResponse Refuse(const ForwardedRequest& aRequest,
                       const ForwardRefusal& aRefusal);
@@ -111,6 +120,7 @@
   BufferBudget buffers_;
   ReplicaChooser chooser_;
   CostLimits limits_;
+  PromptQuarantine quarantine_;
   Metrics metrics_;
   UsageCounter usage_;
   std::map<std::string, AttemptBudget> budgets_;
--- a/src/tanagerstall/request/tanagerstall_member_api.cpp
+++ b/src/tanagerstall/request/tanagerstall_member_api.cpp
@@ -3,7 +3,6 @@
 #include "tanagerstall/request/tanagerstall_outcome.hpp"
 
 #include <boost/json.hpp>
-#include <sstream>
 
 namespace tanagerstall {
 
@@ -11,14 +10,6 @@
 
 namespace {
 
-std::string
-KeyText(MemberKey aKey)
-{
-  std::ostringstream text;
-  text << std::hex << aKey;
-  return text.str();
-}
-
 json::object
 ToJson(const RepairStatus& aStatus)
 {
@@ -27,7 +18,7 @@
     const Member& member = progress.member_;
     members.push_back(
       { { "name", member.name_ },
-        { "incarnation", KeyText(member.key_) },
+        { "incarnation", ToHex(member.key_) },
         { "member_address", member.memberAddress_ },
         { "control_address", member.controlAddress_ },
         { "voter", member.isVoter_ },
--- a/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
@@ -1,24 +1,399 @@
 #include "tanagerstall/request/tanagerstall_prompt_crash_detector.hpp"
 
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
 namespace tanagerstall {
 
+namespace {
+
+/// With fewer crashes a part is not suspected.
+constexpr std::size_t kMinCrashes = 3;
+/// With fewer replicas, the fault may be theirs.
+constexpr std::size_t kMinReplicas = 2;
+/// Replicas that are lost within this time are lost at the same moment.
+constexpr Duration kMoment = std::chrono::milliseconds(50);
+/// The probability below which chance no longer explains that all requests
+/// with a part were lost.
+constexpr double kMaxChance = 1e-3;
+/// Of the part that was present at most crashes, and at more than this share of
+/// all, a higher probability of chance convinces.
+constexpr double kMinCoverage = 0.9;
+constexpr std::size_t kMinCoveredCrashes = 5;
+constexpr double kMaxChanceWithCoverage = 1e-2;
+/// The time in which entries report successes of a suspected part.
+constexpr Duration kConfirmation = std::chrono::milliseconds(400);
+/// The time within which entries report what they have counted.
+constexpr Duration kReportDelay = std::chrono::milliseconds(250);
+/// The list of suspected parts is sent no more often than this.
+constexpr Duration kListInterval = std::chrono::milliseconds(200);
+/// Crashes that are older don't count.
+constexpr Duration kEvidenceAge = std::chrono::seconds(60);
+constexpr std::chrono::seconds kFirstQuarantine = std::chrono::minutes(10);
+constexpr std::chrono::seconds kMaxQuarantine = std::chrono::hours(4);
+/// How long after its end a quarantine is remembered.
+constexpr Duration kQuarantineMemory = std::chrono::hours(4);
+/// Bounds for what is kept and sent.
+constexpr std::size_t kMaxSuspicions = 2048;
+constexpr std::size_t kMaxListed = 32;
+constexpr std::size_t kMaxQuarantines = 64;
+
+} // namespace
+
+PromptCrashDetector::PromptCrashDetector(std::uint64_t aRun)
+  : run_(aRun)
+{
+}
+
+auto
+PromptCrashDetector::Totals::operator-(const Totals& aOther) const -> Totals
+{
+  return { answered_ - aOther.answered_,
+           lost_ - aOther.lost_,
+           crashes_ - aOther.crashes_ };
+}
+
+void
+PromptCrashDetector::StartLeading()
+{
+  entries_.clear();
+  suspicions_.clear();
+}
+
+void
+PromptCrashDetector::RecordReport(const std::string& aEntryRun,
+                                  const PromptEvidence& aEvidence,
+                                  TimePoint aNow)
+{
+  std::uint64_t known = RecordTotals(aEntryRun, aEvidence, aNow);
+  for (const auto& crash : aEvidence.crashes_) {
+    if (crash.loss_ > known) {
+      RecordCrash(crash, aNow);
+    }
+  }
+  for (const auto& success : aEvidence.successes_) {
+    RecordSuccess(success, aNow);
+  }
+  for (const auto& part : aEvidence.quarantined_) {
+    Adopt(part, aNow);
+  }
+}
+
+/// Adds what the entry has counted since its last report to this leader.
+/// Returns the number of losses that it had reported before. Of an entry that
+/// is new to this leader only the reported crashes count.
+std::uint64_t
+PromptCrashDetector::RecordTotals(const std::string& aEntryRun,
+                                  const PromptEvidence& aEvidence,
+                                  TimePoint aNow)
+{
+  auto [it, isNew] = entries_.try_emplace(aEntryRun);
+  EntryTotals& entry = it->second;
+  std::uint64_t known = entry.lost_;
+  if (isNew) {
+    known = aEvidence.lost_;
+    for (const auto& crash : aEvidence.crashes_) {
+      known = std::min(known, crash.loss_ - 1);
+    }
+    entry.answered_ = aEvidence.answered_;
+  }
+  totals_.answered_ += aEvidence.answered_ - entry.answered_;
+  totals_.lost_ += aEvidence.lost_ - known;
+  entry = { aEvidence.answered_, aEvidence.lost_, aNow };
+  return known;
+}
+
+/// Returns the moment of a crash at `aTime`. Replicas that are lost together
+/// may have a common cause and count as one crash.
+TimePoint
+PromptCrashDetector::FindMoment(TimePoint aTime)
+{
+  auto it = crashes_.lower_bound(aTime - kMoment);
+  if (it != crashes_.end() && *it <= aTime + kMoment) {
+    return *it;
+  }
+  ++totals_.crashes_;
+  crashes_.insert(aTime);
+  return aTime;
+}
+
+void
+PromptCrashDetector::RecordCrash(const PromptCrash& aCrash, TimePoint aNow)
+{
+  Totals before = totals_;
+  TimePoint at = FindMoment(aNow - aCrash.age_);
+  bool isKnown = suspicions_.contains(aCrash.part_);
+  if (IsQuarantined(aCrash.part_, aNow) ||
+      (!isKnown && suspicions_.size() >= kMaxSuspicions)) {
+    return;
+  }
+  Suspicion& suspicion = suspicions_[aCrash.part_];
+  if (at <= suspicion.lastSuccess_) {
+    return;
+  }
+  if (suspicion.crashes_.empty()) {
+    suspicion.before_ = before;
+    suspicion.requests_ = 0;
+    suspicion.replicas_.clear();
+    suspicion.firstAt_ = aNow;
+  }
+  if (aNow - suspicion.firstAt_ < kReportDelay) {
+    // Answers that were reported until now may be older than the crash.
+    suspicion.before_.answered_ = totals_.answered_;
+  }
+  ++suspicion.requests_;
+  suspicion.crashes_.insert(at);
+  suspicion.replicas_.insert(aCrash.replica_);
+  suspicion.latest_ = totals_;
+  suspicion.changedAt_ = aNow;
+}
+
+/// A part that was answered does not crash replicas: what happened to requests
+/// with it before had another cause.
+void
+PromptCrashDetector::RecordSuccess(const PromptSuccess& aSuccess,
+                                   TimePoint aNow)
+{
+  auto it = suspicions_.find(aSuccess.part_);
+  if (it == suspicions_.end()) {
+    return;
+  }
+  Suspicion& suspicion = it->second;
+  TimePoint at = aNow - aSuccess.age_;
+  suspicion.lastSuccess_ = std::max(suspicion.lastSuccess_, at);
+  suspicion.crashes_.erase(suspicion.crashes_.begin(),
+                           suspicion.crashes_.upper_bound(at));
+  if (!IsQuarantined(aSuccess.part_, aNow)) {
+    quarantines_.erase(aSuccess.part_);
+  }
+}
+
+void
+PromptCrashDetector::Adopt(const QuarantinedPart& aPart, TimePoint aNow)
+{
+  if (IsQuarantined(aPart.part_, aNow) ||
+      quarantines_.size() >= kMaxQuarantines) {
+    return;
+  }
+  quarantines_[aPart.part_] = { aNow + aPart.remaining_, kFirstQuarantine };
+  hasChanged_ = true;
+}
+
+bool
+PromptCrashDetector::Update(TimePoint aNow)
+{
+  ForgetOldEvidence(aNow);
+  auto candidates = Candidates(aNow);
+  if (aNow >= nextListAt_) {
+    List(candidates, aNow);
+  }
+  bool isFirst = true;
+  for (std::uint64_t part : candidates) {
+    if (IsConfirmed(part, isFirst, aNow)) {
+      StartQuarantine(part, aNow);
+      break;
+    }
+    isFirst = false;
+  }
+  changes_ += hasChanged_ ? 1 : 0;
+  return std::exchange(hasChanged_, false);
+}
+
+void
+PromptCrashDetector::ForgetOldEvidence(TimePoint aNow)
+{
+  std::erase_if(entries_, [&](const auto& aIt) {
+    return aNow - aIt.second.reportedAt_ > kEvidenceAge;
+  });
+  crashes_.erase(crashes_.begin(), crashes_.lower_bound(aNow - kEvidenceAge));
+  std::erase_if(suspicions_, [&](const auto& aIt) {
+    return aNow - aIt.second.changedAt_ > kEvidenceAge;
+  });
+  std::erase_if(quarantines_, [&](const auto& aIt) {
+    return aNow - aIt.second.until_ > kQuarantineMemory;
+  });
+}
+
+/// Returns the suspected parts, those that were present at most crashes first.
+/// Of parts that always come together, the one that was answered earlier is the
+/// less likely one.
+std::vector<std::uint64_t>
+PromptCrashDetector::Candidates(TimePoint aNow) const
+{
+  std::vector<std::uint64_t> parts;
+  for (const auto& [part, suspicion] : suspicions_) {
+    auto crashes = suspicion.crashes_.size();
+    bool isSuspected =
+      crashes >= kMinCrashes || (crashes > 0 && quarantines_.contains(part));
+    if (isSuspected && !IsQuarantined(part, aNow)) {
+      parts.push_back(part);
+    }
+  }
+  auto rank = [this](std::uint64_t aPart) {
+    const Suspicion& suspicion = suspicions_.at(aPart);
+    return std::tuple(suspicion.crashes_.size(),
+                      suspicion.requests_,
+                      -suspicion.lastSuccess_.time_since_epoch());
+  };
+  std::sort(parts.begin(), parts.end(), [&](auto aLeft, auto aRight) {
+    return rank(aLeft) > rank(aRight);
+  });
+  return parts;
+}
+
+/// Lists the first candidates, so that entries report successes of them.
+/// Entries need not be told of parts that leave the list.
+void
+PromptCrashDetector::List(const std::vector<std::uint64_t>& aCandidates,
+                          TimePoint aNow)
+{
+  std::map<std::uint64_t, TimePoint> listed;
+  for (std::uint64_t part : aCandidates) {
+    if (listed.size() == kMaxListed) {
+      break;
+    }
+    auto it = listedSince_.find(part);
+    bool isNew = it == listedSince_.end();
+    listed[part] = isNew ? aNow : it->second;
+    if (isNew) {
+      hasChanged_ = true;
+      nextListAt_ = aNow + kListInterval;
+    }
+  }
+  listedSince_ = std::move(listed);
+}
+
+/// Whether chance no longer explains that all requests with the part were lost.
+/// Only the time from its first to its last crash counts: later there may have
+/// been no request with it.
+bool
+PromptCrashDetector::IsConvincing(std::uint64_t aPart,
+                                  const Suspicion& aSuspicion,
+                                  bool aIsFirst) const
+{
+  if (quarantines_.contains(aPart)) {
+    return true;
+  }
+  if (aSuspicion.replicas_.size() < kMinReplicas) {
+    return false;
+  }
+  Totals totals = aSuspicion.latest_ - aSuspicion.before_;
+  auto crashes = static_cast<double>(aSuspicion.crashes_.size());
+  auto allCrashes = std::max(1.0, static_cast<double>(totals.crashes_));
+  auto answered = static_cast<double>(totals.answered_);
+  auto lost = static_cast<double>(totals.lost_);
+  double lostOthers =
+    std::max(1.0, lost - static_cast<double>(aSuspicion.requests_));
+  // Each crash is one trial, since requests at one replica are lost together.
+  double chance = std::pow(lostOthers / (lostOthers + answered), crashes);
+  if (chance < kMaxChance) {
+    return true;
+  }
+  // A part that is present at nearly all crashes has a large share of the
+  // requests, so that some of those that were answered should have had it.
+  double lostPerCrash = std::max(1.0, lostOthers / allCrashes);
+  double chanceOfAbsence =
+    std::pow(1.0 - kMinCoverage, answered / lostPerCrash);
+  return aIsFirst && aSuspicion.crashes_.size() >= kMinCoveredCrashes &&
+         crashes >= kMinCoverage * allCrashes &&
+         chanceOfAbsence < kMaxChanceWithCoverage;
+}
+
+/// Whether the evidence has been convincing for a while in which entries could
+/// report a success.
+bool
+PromptCrashDetector::IsConfirmed(std::uint64_t aPart,
+                                 bool aIsFirst,
+                                 TimePoint aNow)
+{
+  Suspicion& suspicion = suspicions_.at(aPart);
+  auto listed = listedSince_.find(aPart);
+  if (listed == listedSince_.end() ||
+      !IsConvincing(aPart, suspicion, aIsFirst)) {
+    suspicion.convincingSince_ = std::nullopt;
+    return false;
+  }
+  TimePoint since = suspicion.convincingSince_.value_or(aNow);
+  suspicion.convincingSince_ = since;
+  return aNow - std::max(since, listed->second) >= kConfirmation;
+}
+
+/// The crashes at which the part was present are explained by it and no longer
+/// count against other parts.
 void
-PromptCrashDetector::RecordReport(const std::string& /*aEntryRun*/,
-                                  const PromptEvidence& /*aEvidence*/,
-                                  TimePoint /*aNow*/)
+PromptCrashDetector::StartQuarantine(std::uint64_t aPart, TimePoint aNow)
 {
+  if (quarantines_.size() >= kMaxQuarantines && !quarantines_.contains(aPart)) {
+    return;
+  }
+  Quarantine& quarantine = quarantines_[aPart];
+  bool isFirst = quarantine.duration_ == std::chrono::seconds(0);
+  quarantine.duration_ = isFirst
+                           ? kFirstQuarantine
+                           : std::min(2 * quarantine.duration_, kMaxQuarantine);
+  quarantine.until_ = aNow + quarantine.duration_;
+  const Suspicion& found = suspicions_.at(aPart);
+  Totals totals = found.latest_ - found.before_;
+  decisions_.push_back({ aPart,
+                         found.crashes_.size(),
+                         totals.answered_,
+                         totals.lost_,
+                         quarantine.duration_ });
+  for (TimePoint crash : std::set<TimePoint>(found.crashes_)) {
+    for (auto& [part, suspicion] : suspicions_) {
+      suspicion.crashes_.erase(crash);
+    }
+  }
+  hasChanged_ = true;
 }
 
 bool
-PromptCrashDetector::Update(TimePoint /*aNow*/)
+PromptCrashDetector::IsQuarantined(std::uint64_t aPart, TimePoint aNow) const
 {
-  return false;
+  auto it = quarantines_.find(aPart);
+  return it != quarantines_.end() && aNow < it->second.until_;
 }
 
 PromptVerdicts
-PromptCrashDetector::Verdicts(TimePoint /*aNow*/) const
+PromptCrashDetector::Verdicts(TimePoint aNow) const
+{
+  PromptVerdicts verdicts;
+  verdicts.revision_ = Revision();
+  for (const auto& [part, since] : listedSince_) {
+    verdicts.suspects_.push_back(part);
+  }
+  for (const auto& [part, quarantine] : quarantines_) {
+    if (aNow < quarantine.until_) {
+      verdicts.quarantined_.push_back(
+        { part,
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+            quarantine.until_ - aNow) });
+    }
+  }
+  return verdicts;
+}
+
+std::uint64_t
+PromptCrashDetector::Revision() const
+{
+  return changes_ == 0 ? 0 : run_ + changes_;
+}
+
+std::vector<QuarantineDecision>
+PromptCrashDetector::TakeDecisions()
+{
+  return std::exchange(decisions_, {});
+}
+
+std::size_t
+PromptCrashDetector::CountQuarantined(TimePoint aNow) const
 {
-  return {};
+  return static_cast<std::size_t>(std::count_if(
+    quarantines_.begin(), quarantines_.end(), [&](const auto& aIt) {
+      return aNow < aIt.second.until_;
+    }));
 }
 
 } // namespace tanagerstall
--- a/src/tanagerstall/request/tanagerstall_prompt_evidence.hpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_evidence.hpp
@@ -16,8 +16,10 @@
 struct PromptCrash
 {
   std::uint64_t part_ = 0;
-  /// Identifies the replica and its start.
-  std::uint64_t replicaRun_ = 0;
+  /// The entry's number of the lost request, counted from 1.
+  std::uint64_t loss_ = 0;
+  /// Identifies the replica.
+  std::uint64_t replica_ = 0;
   std::chrono::milliseconds age_{ 0 };
 };
 
--- a/src/tanagerstall/request/tanagerstall_prompt_quarantine.hpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_quarantine.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 
 namespace tanagerstall {
 
@@ -18,7 +19,12 @@
 class PromptQuarantine
 {
 public:
-  /// Records a request that was answered whole.
+  /// A request that crashes its replica does so within this time from the first
+  /// part of its answer.
+  static constexpr Duration kBeginning = std::chrono::milliseconds(100);
+
+  /// Records a request that was answered whole, or is still being answered
+  /// after that time.
   void RecordSuccess(const PromptParts& aParts, TimePoint aNow);
   /// Records a request whose connection to a replica was lost. `aBegunAt` is
   /// when the first part of its answer arrived.
@@ -35,6 +41,29 @@
   /// nullopt if it may be sent.
   std::optional<Duration> RemainingFor(const PromptParts& aParts,
                                        TimePoint aNow) const;
+  /// Whether one of the parts may crash replicas, so that a request with it
+  /// must not be repeated after its replica was lost.
+  bool IsSuspected(const PromptParts& aParts) const;
+
+private:
+  struct Crash
+  {
+    std::uint64_t part_;
+    std::uint64_t loss_;
+    std::uint64_t replica_;
+    TimePoint at_;
+  };
+
+  void ForgetOldSuccesses(TimePoint aNow);
+
+  std::uint64_t answered_ = 0;
+  std::uint64_t lost_ = 0;
+  /// Oldest first; without those of parts that were answered since.
+  std::deque<Crash> crashes_;
+  std::unordered_map<std::uint64_t, TimePoint> lastSuccess_;
+  std::set<std::uint64_t> suspects_;
+  /// When the quarantine of each part ends.
+  std::map<std::uint64_t, TimePoint> quarantined_;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -1,10 +1,8 @@
 #include "tanagerstall/request/tanagerstall_request_log.hpp"
 
+#include "tanagerstall/process/tanagerstall_bytes.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
-#include <sstream>
-#include <utility>
-
 namespace tanagerstall {
 
 namespace {
@@ -32,13 +30,11 @@
 std::string
 PromptPartsOf(const ForwardedRequest& aRequest)
 {
-  std::ostringstream text;
-  text << std::hex;
-  const char* separator = "";
+  std::string text;
   for (std::uint64_t part : aRequest.prompt_.sharedParts_) {
-    text << std::exchange(separator, ",") << part;
+    text += (text.empty() ? "" : ",") + ToHex(part);
   }
-  return text.str();
+  return text;
 }
 
 } // namespace
