EntryLoads and the refusals of the forwarder have files of their own

The loads of entries that are gone are now forgotten, and the serving entries are gathered once a tick instead of once for each scaled service.

--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -7,6 +7,7 @@
 #include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 #include "tanagerstall/process/presence/tanagerstall_entry_working_set.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
+#include "tanagerstall/process/tanagerstall_entry_loads.hpp"
 #include "tanagerstall/process/tanagerstall_leader_tasks.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
@@ -176,8 +177,7 @@
   {
     entries_.Observe(aReport.entry_, clock_.Now());
     usageTotals_.Merge(RunOf(aReport.entry_), aReport.usage_);
-    loads_[aReport.entry_.id_] = aReport.services_;
-    requestRates_[aReport.entry_.id_] = aReport.requestRate_;
+    loads_.Record(aReport);
     if (aReport.entry_.weight_ > 0) {
       leases_.RecordReport(aReport.entry_.id_,
                            workingSet_.ShareDivisor(aReport.entry_.id_),
@@ -331,7 +331,9 @@
         entriesServer_.Notify();
       }
       UpdateMembers();
-      workingSet_.Update(ServingEntries(), requestRates_, now);
+      auto serving = ServingEntries();
+      loads_.KeepOnly(serving);
+      workingSet_.Update(serving, loads_.Rates(), now);
       leaderTasks_.Observe(now);
       bool wasLeading =
         std::exchange(isLeading_, leaderTasks_.IsSteadyLeader(now));
@@ -384,12 +386,7 @@
       PlacementInput input{ name, *service.scaling_, {}, 0, 0 };
       input.slots_ = LeastSlots(replicas->second);
       input.domains_ = CountByDomain(replicas->second, *service.scaling_);
-      for (const auto& entry : ServingEntries()) {
-        auto load = loads_.find(entry.id_);
-        if (load != loads_.end() && load->second.contains(name)) {
-          input.running_ += load->second.at(name).running_;
-        }
-      }
+      input.running_ = loads_.Running(name);
       inputs.push_back(std::move(input));
     }
     return inputs;
@@ -409,8 +406,6 @@
   RaftMember member_;
   ReplicaTable replicas_;
   EntryDirectory entries_;
-  /// Requests per second as last reported.
-  RequestRates requestRates_;
   EntryWorkingSet workingSet_;
   std::vector<std::string> memberAddresses_;
   /// Whether a member applies compressed declarations, by its address.
@@ -421,8 +416,7 @@
   UsageTotals usageTotals_;
   /// The replicas that the other control processes report.
   ReplicaView view_;
-  /// The load of each service by the entry that reported it.
-  std::map<std::string, std::map<std::string, ServiceLoad>> loads_;
+  EntryLoads loads_;
   std::optional<TrafficPlan> plan_;
   LeaderTasks leaderTasks_;
   TimePoint nextSettingsReadAt_;
--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
@@ -0,0 +1,64 @@
+#include "tanagerstall/request/tanagerstall_forward_refusal.hpp"
+
+#include <iomanip>
+#include <sstream>
+#include <string>
+
+namespace tanagerstall {
+
+namespace {
+
+constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
+constexpr Duration kOverRateRetryAfter = std::chrono::milliseconds(1000);
+
+std::string
+Seconds(Duration aDuration)
+{
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(3) << InSeconds(aDuration);
+  return text.str();
+}
+
+} // namespace
+
+const ForwardRefusal kNoConfiguration{ 503,
+                                       "no_configuration",
+                                       "no declaration yet",
+                                       kDefaultRetryAfter };
+const ForwardRefusal kNoRoute{ 404, "no_route", "no route" };
+const ForwardRefusal kUnknownKey{ 401, "unknown_key", "unknown key" };
+const ForwardRefusal kOverRate{ 429,
+                                "over_rate",
+                                "over the organisation's rate",
+                                kOverRateRetryAfter };
+const ForwardRefusal kUnavailable{ 503,
+                                   "unavailable",
+                                   "no replica took it",
+                                   kDefaultRetryAfter };
+const ForwardRefusal kQuarantined{ 503,
+                                   "prompt_quarantined",
+                                   "a prompt part crashes replicas" };
+
+HttpResponse
+RefusalResponse(const ForwardRefusal& aRefusal)
+{
+  auto response =
+    JsonResponse(aRefusal.status_,
+                 R"({"error":{"code":")" + std::string(aRefusal.code_) +
+                   R"(","outcome":"not_run"}})");
+  if (aRefusal.retryAfter_) {
+    response.headers_.push_back(
+      { "Retry-After", Seconds(*aRefusal.retryAfter_) });
+  }
+  return response;
+}
+
+HttpResponse
+UnknownOutcomeResponse(int aStatus, const char* aCode)
+{
+  return JsonResponse(aStatus,
+                      R"({"error":{"code":")" + std::string(aCode) +
+                        R"(","outcome":"unknown"}})");
+}
+
+} // namespace tanagerstall
--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
@@ -0,0 +1,38 @@
+#ifndef TANAGERSTALL_FORWARD_REFUSAL_HPP_INCLUDED
+#define TANAGERSTALL_FORWARD_REFUSAL_HPP_INCLUDED
+
+#include "tanagerstall/connection/tanagerstall_http_message.hpp"
+#include "tanagerstall/process/tanagerstall_clock.hpp"
+
+#include <optional>
+
+namespace tanagerstall {
+
+/// Why a request that has not run is refused.
+struct ForwardRefusal
+{
+  int status_;
+  const char* code_;
+  /// The reason that is logged.
+  const char* reason_;
+  std::optional<Duration> retryAfter_ = std::nullopt;
+};
+
+extern const ForwardRefusal kNoConfiguration;
+extern const ForwardRefusal kNoRoute;
+extern const ForwardRefusal kUnknownKey;
+extern const ForwardRefusal kOverRate;
+extern const ForwardRefusal kUnavailable;
+extern const ForwardRefusal kQuarantined;
+
+/// Returns the response that refuses a request.
+HttpResponse
+RefusalResponse(const ForwardRefusal& aRefusal);
+
+/// Returns the response to a request that may have run.
+HttpResponse
+UnknownOutcomeResponse(int aStatus, const char* aCode);
+
+} // namespace tanagerstall
+
+#endif
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -1,28 +1,15 @@
 #include "tanagerstall/request/tanagerstall_forwarder.hpp"
 
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
+#include "tanagerstall/request/tanagerstall_forward_refusal.hpp"
 #include "tanagerstall/request/tanagerstall_request_log.hpp"
 
 #include <algorithm>
-#include <iomanip>
-#include <sstream>
 
 namespace tanagerstall {
 
-/// The error response for a request that has not run.
-struct ForwardRefusal
-{
-  int status_;
-  const char* code_;
-  /// The reason that is logged.
-  const char* reason_;
-  std::optional<Duration> retryAfter_ = std::nullopt;
-};
-
 namespace {
 
-constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
-constexpr Duration kOverRateRetryAfter = std::chrono::milliseconds(1000);
 /// The maximum wait for control to grant a request's cost.
 constexpr Duration kGrantWait = std::chrono::milliseconds(250);
 /// The same for a request that asked control although its last reply reported
@@ -44,32 +31,6 @@
 /// tokens by this factor.
 constexpr double kLongAnswerFactor = 1.5;
 
-const ForwardRefusal kNoConfiguration{ 503,
-                                       "no_configuration",
-                                       "no declaration yet",
-                                       kDefaultRetryAfter };
-const ForwardRefusal kNoRoute{ 404, "no_route", "no route" };
-const ForwardRefusal kUnknownKey{ 401, "unknown_key", "unknown key" };
-const ForwardRefusal kOverRate{ 429,
-                                "over_rate",
-                                "over the organisation's rate",
-                                kOverRateRetryAfter };
-const ForwardRefusal kUnavailable{ 503,
-                                   "unavailable",
-                                   "no replica took it",
-                                   kDefaultRetryAfter };
-const ForwardRefusal kQuarantined{ 503,
-                                   "prompt_quarantined",
-                                   "a prompt part crashes replicas" };
-
-std::string
-Seconds(Duration aDuration)
-{
-  std::ostringstream text;
-  text << std::fixed << std::setprecision(3) << InSeconds(aDuration);
-  return text.str();
-}
-
 bool
 IsLongAnswer(const PromptFacts& aPrompt)
 {
@@ -86,14 +47,6 @@
   return IsLongAnswer(aRequest.prompt_) ? WorkClass::Long : WorkClass::Short;
 }
 
-HttpResponse
-UnknownOutcome(int aStatus, const char* aCode)
-{
-  return JsonResponse(aStatus,
-                      R"({"error":{"code":")" + std::string(aCode) +
-                        R"(","outcome":"unknown"}})");
-}
-
 } // namespace
 
 Forwarder::Forwarder(ForwarderSettings aSettings, Clock aClock, Hooks aHooks)
@@ -123,15 +76,7 @@
              aRefusal.status_,
              aRefusal.reason_,
              chooser_.CountReplicas(aRequest.service_));
-  auto response =
-    JsonResponse(aRefusal.status_,
-                 R"({"error":{"code":")" + std::string(aRefusal.code_) +
-                   R"(","outcome":"not_run"}})");
-  if (aRefusal.retryAfter_) {
-    response.headers_.push_back(
-      { "Retry-After", Seconds(*aRefusal.retryAfter_) });
-  }
-  return response;
+  return RefusalResponse(aRefusal);
 }
 
 void
@@ -495,8 +440,9 @@
     return;
   }
   LogFailure("outcome unknown", aRequest, aLast, clock_.Now());
-  aExchange.Respond(aLast.isLate_ ? UnknownOutcome(504, "timeout")
-                                  : UnknownOutcome(502, "upstream_failed"));
+  aExchange.Respond(aLast.isLate_
+                      ? UnknownOutcomeResponse(504, "timeout")
+                      : UnknownOutcomeResponse(502, "upstream_failed"));
 }
 
 TrafficReport
