Crashes that a quarantined part explains accuse no other part

Cause: requests that had been sent before a part was found go on crashing replicas for a moment, and other entries report the same crashes later. Both counted against the parts that came along.

Fix: a crash at which a quarantined part was present is explained, whoever reports it and when. 'Crashes that are explained accuse no other part' and the row 'with one subject' fail with that taken out, and pass. Reports of an entry that overtake each other no longer disturb its totals.

--- a/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
@@ -92,6 +92,11 @@
   auto [it, isNew] = entries_.try_emplace(aEntryRun);
   EntryTotals& entry = it->second;
   std::uint64_t known = entry.lost_;
+  bool isOvertaken =
+    aEvidence.answered_ < entry.answered_ || aEvidence.lost_ < entry.lost_;
+  if (isOvertaken) {
+    return known;
+  }
   if (isNew) {
     known = aEvidence.lost_;
     for (const auto& crash : aEvidence.crashes_) {
@@ -124,8 +129,12 @@
 {
   Totals before = totals_;
   TimePoint at = FindMoment(aNow - aCrash.age_);
+  if (IsQuarantined(aCrash.part_, aNow)) {
+    Explain(at);
+    return;
+  }
   bool isKnown = suspicions_.contains(aCrash.part_);
-  if (IsQuarantined(aCrash.part_, aNow) ||
+  if (explained_.contains(at) ||
       (!isKnown && suspicions_.size() >= kMaxSuspicions)) {
     return;
   }
@@ -150,6 +159,18 @@
   suspicion.changedAt_ = aNow;
 }
 
+/// A crash that a quarantined part explains doesn't count against other parts.
+void
+PromptCrashDetector::Explain(TimePoint aMoment)
+{
+  if (!explained_.insert(aMoment).second) {
+    return;
+  }
+  for (auto& [part, suspicion] : suspicions_) {
+    suspicion.crashes_.erase(aMoment);
+  }
+}
+
 /// A part that was answered does not crash replicas: what happened to requests
 /// with it before had another cause.
 void
@@ -208,6 +229,8 @@
     return aNow - aIt.second.reportedAt_ > kEvidenceAge;
   });
   crashes_.erase(crashes_.begin(), crashes_.lower_bound(aNow - kEvidenceAge));
+  explained_.erase(explained_.begin(),
+                   explained_.lower_bound(aNow - kEvidenceAge));
   std::erase_if(suspicions_, [&](const auto& aIt) {
     return aNow - aIt.second.changedAt_ > kEvidenceAge;
   });
@@ -320,8 +343,6 @@
   return aNow - std::max(since, listed->second) >= kConfirmation;
 }
 
-/// The crashes at which the part was present are explained by it and no longer
-/// count against other parts.
 void
 PromptCrashDetector::StartQuarantine(std::uint64_t aPart, TimePoint aNow)
 {
@@ -342,9 +363,7 @@
                          totals.lost_,
                          quarantine.duration_ });
   for (TimePoint crash : std::set<TimePoint>(found.crashes_)) {
-    for (auto& [part, suspicion] : suspicions_) {
-      suspicion.crashes_.erase(crash);
-    }
+    Explain(crash);
   }
   hasChanged_ = true;
 }
--- a/src/tanagerstall/request/tanagerstall_prompt_crash_detector.hpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_crash_detector.hpp
@@ -99,6 +99,7 @@
                              TimePoint aNow);
   void RecordCrash(const PromptCrash& aCrash, TimePoint aNow);
   TimePoint FindMoment(TimePoint aTime);
+  void Explain(TimePoint aMoment);
   void RecordSuccess(const PromptSuccess& aSuccess, TimePoint aNow);
   void Adopt(const QuarantinedPart& aPart, TimePoint aNow);
   void ForgetOldEvidence(TimePoint aNow);
@@ -116,8 +117,10 @@
   bool hasChanged_ = false;
   Totals totals_;
   std::map<std::string, EntryTotals> entries_;
-  /// The moments at which replicas were lost.
+  /// The moments at which replicas were lost, and those of them at which a
+  /// quarantined part was present.
   std::set<TimePoint> crashes_;
+  std::set<TimePoint> explained_;
   std::map<std::uint64_t, Suspicion> suspicions_;
   /// The parts of which entries report successes, and since when.
   std::map<std::uint64_t, TimePoint> listedSince_;
--- a/tests/prompt_crash_tests.cpp
+++ b/tests/prompt_crash_tests.cpp
@@ -33,6 +33,9 @@
   { "7 entries, 1 in 50, first part", { 7, 18, 160.0, 40, 0 }, 0.02 },
   { "7 entries, 1 in 200", { 7, 18, 160.0, 40, 2 }, 0.005 },
   { "7 entries, 1 in 8", { 7, 18, 160.0, 400, 2 }, 0.12 },
+  { "7 entries, 1 in 50, with one subject",
+    { 7, 18, 160.0, 40, 2, true },
+    0.02 },
   { "54 entries, 1 in 50", { 54, 72, 600.0, 200, 2 }, 0.02 },
   { "191 entries, 1 in 50", { 191, 63, 500.0, 200, 2 }, 0.02 },
   { "191 entries, 1 in 500", { 191, 63, 500.0, 200, 2 }, 0.002 },
@@ -189,3 +192,56 @@
   simulation.RunFor(kDuring);
   BOOST_TEST(simulation.DeadlySendsSince(now) == 0U);
 }
+
+namespace {
+
+struct CompanionCase
+{
+  const char* name_;
+  /// The part that comes along with the deadly one from this crash on.
+  std::uint64_t firstCrash_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const CompanionCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+constexpr std::uint64_t kDeadlyPart = PromptCrashSimulation::kDeadlyPart;
+constexpr std::uint64_t kCompanion = 7;
+constexpr std::uint64_t kCrashCount = 14;
+
+const std::vector<CompanionCase> kCompanions = {
+  { "from the third crash on", 3 },
+  { "only after the deadly part was found", 8 },
+};
+
+} // namespace
+
+// Guards against a part that is refused because requests with it were sent
+// before another one was found.
+BOOST_TEST_DECORATOR(*boost::unit_test::label("prompt crash"))
+BOOST_DATA_TEST_CASE(Crashes_that_are_explained_accuse_no_other_part,
+                     data::make(kCompanions),
+                     row)
+{
+  PromptCrashDetector detector(1);
+  TimePoint now{ std::chrono::hours(1) };
+  PromptEvidence evidence;
+  detector.RecordReport("entry", evidence, now);
+  for (std::uint64_t crash = 1; crash <= kCrashCount; ++crash) {
+    now += std::chrono::milliseconds(300);
+    evidence.answered_ += 100;
+    evidence.lost_ = crash;
+    evidence.crashes_ = { { kDeadlyPart, crash, crash, {} } };
+    if (crash >= row.firstCrash_) {
+      evidence.crashes_.push_back({ kCompanion, crash, crash, {} });
+    }
+    detector.RecordReport("entry", evidence, now);
+    detector.Update(now);
+  }
+  auto quarantined = detector.Verdicts(now).quarantined_;
+  BOOST_REQUIRE(quarantined.size() == 1U);
+  BOOST_TEST(quarantined.front().part_ == kDeadlyPart);
+}
--- a/tests/tanagerstall_prompt_crash_simulation.hpp
+++ b/tests/tanagerstall_prompt_crash_simulation.hpp
@@ -27,6 +27,8 @@
   std::size_t subjects_ = 0;
   /// Where the deadly part stands among the shared parts of its requests.
   std::size_t deadlyPosition_ = 0;
+  /// Whether all deadly requests have one subject, which sound ones have too.
+  bool sharesSubject_ = false;
 };
 
 /// Counts of requests by the time at which callers sent them.
@@ -229,7 +231,10 @@
                         DrawSubject() };
     double uniform = std::uniform_real_distribution<double>()(random_);
     request->isDeadly_ = uniform < deadlyShare_;
-    if (request->isDeadly_) {
+    if (request->isDeadly_ && fleet_.sharesSubject_) {
+      request->parts_.back() = kFirstSubject + fleet_.subjects_ - 1;
+      request->parts_.push_back(kDeadlyPart);
+    } else if (request->isDeadly_) {
       request->parts_[fleet_.deadlyPosition_] = kDeadlyPart;
     }
     return request;
