A stream's success counts once as evidence

A stream that lasts longer than the beginning of an answer was counted as answered while it lasted and again at its end, so that the share of lost requests seemed smaller than it was. The case 'a long whole stream' counts 2 with the check taken out.

--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -306,15 +306,26 @@
   } else if (aResult.isSent_ && aResult.outcome_ == AttemptOutcome::Abandoned) {
     chooser_.ObserveFirstPart(aReplica, now - aStartedAt, now);
   }
+  auto outcome =
+    aResult.isServerError_ ? AttemptOutcome::Failed : aResult.outcome_;
+  chooser_.Finish(aReplica, aRequest.cost_, outcome, now);
+}
+
+/// Records whether the replica survived the request. `aIsCounted` is set if its
+/// success was recorded while it was being answered.
+void
+Forwarder::RecordEvidence(const ForwardedRequest& aRequest,
+                          const Replica& aReplica,
+                          const AttemptResult& aResult,
+                          bool aIsCounted)
+{
   const PromptParts& parts = aRequest.prompt_.sharedParts_;
-  if (aResult.isSuccess_) {
+  TimePoint now = clock_.Now();
+  if (aResult.isSuccess_ && !aIsCounted) {
     quarantine_.RecordSuccess(parts, now);
   } else if (aResult.isConnectionLost_) {
     quarantine_.RecordLoss(parts, aReplica, aResult.begunAt_, now);
   }
-  auto outcome =
-    aResult.isServerError_ ? AttemptOutcome::Failed : aResult.outcome_;
-  chooser_.Finish(aReplica, aRequest.cost_, outcome, now);
 }
 
 /// Returns whether the request may be sent again, and takes the retry from the
@@ -358,7 +369,7 @@
     bool mayRunAgain =
       route.IsIdempotent() && aRequest.runs_ + 1 < route.maxAttempts_;
     TimePoint startedAt = clock_.Now();
-    bool isProven = false;
+    bool isSuccessCounted = false;
     ForwardAttempt attempt(
       { pool_, buffers_, settings_.protocol_, clock_ },
       aExchange,
@@ -371,13 +382,15 @@
          aRequest.firstPartAt_ = clock_.Now();
        },
         [&](Duration aSinceFirst) {
-          if (!isProven && aSinceFirst >= PromptQuarantine::kBeginning) {
-            isProven = true;
+          if (!isSuccessCounted &&
+              aSinceFirst >= PromptQuarantine::kBeginning) {
+            isSuccessCounted = true;
             quarantine_.RecordSuccess(parts, clock_.Now());
           }
         } });
     last = attempt.Run(*replica, mayRunAgain && !failure);
     RecordAttempt(aRequest, *replica, last, startedAt);
+    RecordEvidence(aRequest, *replica, last, isSuccessCounted);
     aRequest.lastReplica_ = replica->id_;
     if (last.outcome_ == AttemptOutcome::Abandoned) {
       break;
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -110,6 +110,10 @@
                      const Replica& aReplica,
                      const AttemptResult& aResult,
                      TimePoint aStartedAt);
+  void RecordEvidence(const ForwardedRequest& aRequest,
+                      const Replica& aReplica,
+                      const AttemptResult& aResult,
+                      bool aIsCounted);
   AttemptBudget& BudgetOf(const std::string& aService);
 
   ForwarderSettings settings_;
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -31,14 +31,16 @@
   Close,
   Reset,
   /// Sends more bytes without end, until the peer closes.
-  Endless
+  Endless,
+  /// Sends more bytes a few times, then the end of the stream.
+  Repeat
 };
 
 struct Script
 {
   std::string bytes_;
   After after_ = After::Keep;
-  /// The bytes that are repeated for After::Endless.
+  /// The bytes that are repeated for After::Endless and After::Repeat.
   std::string repeated_{};
   /// The pause between two repetitions.
   std::chrono::milliseconds pause_{ 0 };
@@ -125,6 +127,16 @@
     }
   }
 
+  void SendSomeTimes(int aConnection) const
+  {
+    constexpr int kTimes = 5;
+    for (int i = 0; i < kTimes; ++i) {
+      std::this_thread::sleep_for(script_.pause_);
+      Send(aConnection, script_.repeated_);
+    }
+    Send(aConnection, "0\r\n\r\n");
+  }
+
   void Serve(int aConnection)
   {
     char buffer[4096]; // NOLINT
@@ -147,6 +159,8 @@
       ::recv(aConnection, buffer, sizeof(buffer), 0);
     } else if (script_.after_ == After::Endless) {
       SendRepeatedly(aConnection);
+    } else if (script_.after_ == After::Repeat) {
+      SendSomeTimes(aConnection);
     } else if (script_.after_ == After::Reset) {
       std::this_thread::sleep_for(30ms);
       linger hard{ 1, 0 };
@@ -786,6 +800,12 @@
     { kStreamHead + Chunk(kEvent1) + "0\r\n\r\n" },
     1,
     0 },
+  // Its success counts once, though it is also seen while it lasts.
+  { "a long whole stream",
+    "/stream/x",
+    { kStreamHead + Chunk(kEvent1), After::Repeat, Chunk(kEvent2), 40ms },
+    1,
+    0 },
   { "refused", "/once/x", { kNotRun }, 0, 0 },
   { "failed", "/once/x", { kFailed }, 0, 0 },
   { "not HTTP", "/once/x", { "nonsense\r\n\r\n", After::Close }, 0, 0 },
