Members' addresses and capabilities, and the input of the placement, have files of their own

MemberDirectory has a test: declarations are compressed in the log only once all members are known to read them.

--- a/src/tanagerstall/process/tanagerstall_entry_loads.cpp
+++ b/src/tanagerstall/process/tanagerstall_entry_loads.cpp
@@ -34,4 +34,24 @@
   return running;
 }
 
+std::vector<PlacementInput>
+MakePlacementInputs(const TrafficPlan& aPlan,
+                    const ReplicasByService& aPresent,
+                    const EntryLoads& aLoads)
+{
+  std::vector<PlacementInput> inputs;
+  for (const auto& [name, service] : aPlan.services_) {
+    auto replicas = aPresent.find(name);
+    if (!service.scaling_ || replicas == aPresent.end()) {
+      continue;
+    }
+    PlacementInput input{ name, *service.scaling_, {}, 0, 0 };
+    input.slots_ = LeastSlots(replicas->second);
+    input.domains_ = CountByDomain(replicas->second, *service.scaling_);
+    input.running_ = aLoads.Running(name);
+    inputs.push_back(std::move(input));
+  }
+  return inputs;
+}
+
 } // namespace tanagerstall
--- a/src/tanagerstall/process/tanagerstall_entry_loads.hpp
+++ b/src/tanagerstall/process/tanagerstall_entry_loads.hpp
@@ -3,6 +3,9 @@
 
 #include "tanagerstall/connection/tanagerstall_fleet_messages.hpp"
 #include "tanagerstall/process/presence/tanagerstall_entry_working_set.hpp"
+#include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
+#include "tanagerstall/process/tanagerstall_replica_placement.hpp"
+#include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
 #include <cstdint>
 #include <map>
@@ -28,6 +31,13 @@
   std::map<std::string, std::map<std::string, ServiceLoad>> services_;
 };
 
+/// Returns the input of the replica placement for each service that is scaled
+/// and has replicas.
+std::vector<PlacementInput>
+MakePlacementInputs(const TrafficPlan& aPlan,
+                    const ReplicasByService& aPresent,
+                    const EntryLoads& aLoads);
+
 } // namespace tanagerstall
 
 #endif
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -10,9 +10,10 @@
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
 #include "tanagerstall/process/tanagerstall_leader_tasks.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
+#include "tanagerstall/process/tanagerstall_member_directory.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
 #include "tanagerstall/request/tanagerstall_cost_leases.hpp"
-#include "tanagerstall/request/tanagerstall_prompt_crash_detector.hpp"
+#include "tanagerstall/request/tanagerstall_request_log.hpp"
 #include "tanagerstall/request/tanagerstall_usage_counter.hpp"
 
 #include <algorithm>
@@ -87,7 +88,7 @@
           [this](const std::string& aControl, const ControlAnswer& aAnswer) {
             view_.ApplyReport(aControl, aAnswer.replicas_, clock_.Now());
             AdoptDepartures(aAnswer.replicas_);
-            readsCompressed_[aControl] = aAnswer.readsCompressed_;
+            members_.RecordCapability(aControl, aAnswer.readsCompressed_);
           } })
     , control_(threads_,
                HttpLimits(),
@@ -111,10 +112,9 @@
   Gauges ReadGauges()
   {
     const Raft& core = member_.Group(GroupName::Configuration).Core();
-    std::size_t voters = 0;
-    for (const auto& member : core.Log().Members()) {
-      voters += member.isVoter_ ? 1 : 0;
-    }
+    auto voters = std::count_if(core.Log().Members().begin(),
+                                core.Log().Members().end(),
+                                [](const auto& aIt) { return aIt.isVoter_; });
     auto now = clock_.Now();
     return {
       { "leads", core.Role() == RaftRole::Leader ? 1.0 : 0.0 },
@@ -203,13 +203,7 @@
       return;
     }
     for (const auto& decision : detector_.TakeDecisions()) {
-      LogEvent(Severity::Warning,
-               "prompt part quarantined",
-               { { "part", ToHex(decision.part_) },
-                 { "crashes", decision.crashes_ },
-                 { "answered", decision.answered_ },
-                 { "lost", decision.lost_ },
-                 { "for_s", decision.duration_.count() } });
+      LogQuarantined(decision);
     }
     entriesServer_.Notify();
   }
@@ -269,7 +263,7 @@
     if (LacksVerdicts(aReport)) {
       answer.promptVerdicts_ = detector_.Verdicts(clock_.Now());
     }
-    answer.members_ = memberAddresses_;
+    answer.members_ = members_.Addresses();
     answer.readsCompressed_ = true;
     answer.shareDivisor_ = workingSet_.ShareDivisor(aReport.entry_.id_);
     answer.isStandby_ =
@@ -282,36 +276,6 @@
     return answer;
   }
 
-  /// Caches the parts of an answer that are the same for all entries, since
-  /// many answers are made between two ticks.
-  void UpdateMembers()
-  {
-    const Raft& core = member_.Group(GroupName::Configuration).Core();
-    memberAddresses_.clear();
-    for (const auto& member : core.Log().Members()) {
-      if (auto address = ParseAddress(member.memberAddress_)) {
-        // All members serve entries at the same port.
-        memberAddresses_.push_back(
-          Address{ address->host_, settings_.entriesAddress_.port_ }
-            .ToString());
-      }
-    }
-  }
-
-  /// Compressed if all members are known to apply compressed declarations.
-  DocumentEncoding CommandEncoding() const
-  {
-    bool canAllRead =
-      !memberAddresses_.empty() &&
-      std::all_of(memberAddresses_.begin(),
-                  memberAddresses_.end(),
-                  [this](const std::string& aMember) {
-                    auto it = readsCompressed_.find(aMember);
-                    return it != readsCompressed_.end() && it->second;
-                  });
-    return canAllRead ? DocumentEncoding::Compressed : DocumentEncoding::Plain;
-  }
-
   std::vector<EntryInfo> ServingEntries() const
   {
     auto present = entries_.Present(clock_.Now());
@@ -330,7 +294,9 @@
       if (stamp != replicas_.Stamp()) {
         entriesServer_.Notify();
       }
-      UpdateMembers();
+      members_.Update(
+        member_.Group(GroupName::Configuration).Core().Log().Members(),
+        settings_.entriesAddress_.port_);
       auto serving = ServingEntries();
       loads_.KeepOnly(serving);
       workingSet_.Update(serving, loads_.Rates(), now);
@@ -372,24 +338,10 @@
 
   std::vector<PlacementInput> ReadServices()
   {
-    std::vector<PlacementInput> inputs;
     if (!plan_) {
-      return inputs;
-    }
-    TimePoint now = clock_.Now();
-    auto present = view_.Present(now);
-    for (const auto& [name, service] : plan_->services_) {
-      auto replicas = present->find(name);
-      if (!service.scaling_ || replicas == present->end()) {
-        continue;
-      }
-      PlacementInput input{ name, *service.scaling_, {}, 0, 0 };
-      input.slots_ = LeastSlots(replicas->second);
-      input.domains_ = CountByDomain(replicas->second, *service.scaling_);
-      input.running_ = loads_.Running(name);
-      inputs.push_back(std::move(input));
+      return {};
     }
-    return inputs;
+    return MakePlacementInputs(*plan_, *view_.Present(clock_.Now()), loads_);
   }
 
   FleetControlSettings settings_;
@@ -407,9 +359,7 @@
   ReplicaTable replicas_;
   EntryDirectory entries_;
   EntryWorkingSet workingSet_;
-  std::vector<std::string> memberAddresses_;
-  /// Whether a member applies compressed declarations, by its address.
-  std::map<std::string, bool> readsCompressed_;
+  MemberDirectory members_;
   CostLeases leases_;
   PromptCrashDetector detector_{ runId_ };
   bool isLeading_ = false;
@@ -445,8 +395,8 @@
   auto result = aFiber.Await<GroupResult>(
     [&](const std::function<void(GroupResult)>& aDone) {
       state_->loop_.Post([this, aDeclaration, aDone] {
-        Bytes command =
-          FleetState::EncodeDeclare(aDeclaration, state_->CommandEncoding());
+        Bytes command = FleetState::EncodeDeclare(
+          aDeclaration, state_->members_.CommandEncoding());
         state_->member_.Propose(GroupName::Configuration, command, aDone);
       });
     });
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -99,6 +99,18 @@
              { "detail", aResult.detail_ } });
 }
 
+void
+LogQuarantined(const QuarantineDecision& aDecision)
+{
+  LogEvent(Severity::Warning,
+           "prompt part quarantined",
+           { { "part", ToHex(aDecision.part_) },
+             { "crashes", aDecision.crashes_ },
+             { "answered", aDecision.answered_ },
+             { "lost", aDecision.lost_ },
+             { "for_s", aDecision.duration_.count() } });
+}
+
 void
 LogFailure(std::string_view aEvent,
            const ForwardedRequest& aRequest,
--- a/src/tanagerstall/request/tanagerstall_request_log.hpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
 #include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
+#include "tanagerstall/request/tanagerstall_prompt_crash_detector.hpp"
 
 #include <string_view>
 
@@ -31,6 +32,10 @@
                  const AttemptResult& aResult,
                  bool aMayHaveRun);
 
+/// Logs that requests with a prompt part are refused from now on.
+void
+LogQuarantined(const QuarantineDecision& aDecision);
+
 /// Logs that the request ended without a whole answer. `aEvent` is the name of
 /// the log event.
 void
--- /dev/null
+++ b/tests/member_directory_tests.cpp
@@ -0,0 +1,78 @@
+// What a leader may write to the log while members of several builds run.
+#define BOOST_TEST_MODULE member_directory
+#include "tanagerstall/process/tanagerstall_member_directory.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <vector>
+
+using namespace tanagerstall;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+struct Case
+{
+  const char* name_;
+  std::vector<std::string> members_;
+  std::map<std::string, bool> readsCompressed_;
+  DocumentEncoding encoding_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const Case& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+constexpr auto kPlain = DocumentEncoding::Plain;
+constexpr auto kCompressed = DocumentEncoding::Compressed;
+constexpr std::uint16_t kPort = 7601;
+
+const std::vector<Case> kCases = {
+  { "no member", {}, {}, kPlain },
+  { "nothing known", { "10.0.0.1:7600" }, {}, kPlain },
+  { "all can",
+    { "10.0.0.1:7600", "10.0.0.2:7600" },
+    { { "10.0.0.1:7601", true }, { "10.0.0.2:7601", true } },
+    kCompressed },
+  { "one is of an older build",
+    { "10.0.0.1:7600", "10.0.0.2:7600" },
+    { { "10.0.0.1:7601", true }, { "10.0.0.2:7601", false } },
+    kPlain },
+  { "one was never heard of",
+    { "10.0.0.1:7600", "10.0.0.2:7600" },
+    { { "10.0.0.1:7601", true } },
+    kPlain },
+  { "one that has left is of an older build",
+    { "10.0.0.1:7600" },
+    { { "10.0.0.1:7601", true }, { "10.0.0.2:7601", false } },
+    kCompressed },
+};
+
+} // namespace
+
+// Guards against a declaration in the log that a member of an older build can't
+// apply.
+BOOST_TEST_DECORATOR(*boost::unit_test::label("configuration"))
+BOOST_DATA_TEST_CASE(Declarations_are_compressed_once_all_members_can_read_them,
+                     data::make(kCases),
+                     row)
+{
+  Membership members;
+  for (const auto& address : row.members_) {
+    Member member;
+    member.memberAddress_ = address;
+    members.push_back(member);
+  }
+  MemberDirectory directory;
+  directory.Update(members, kPort);
+  for (const auto& [address, canRead] : row.readsCompressed_) {
+    directory.RecordCapability(address, !canRead);
+    directory.RecordCapability(address, canRead);
+  }
+  BOOST_TEST((directory.CommandEncoding() == row.encoding_));
+  BOOST_TEST(directory.Addresses().size() == row.members_.size());
+}
