A prompt part that appears with the crashes of all replicas is found without answers

Cause: both criteria compare the part's losses with what was answered meanwhile, and nothing is answered while all replicas are down. Besides, an entry remembers 64 crashes, one for each part of a lost request, and a second of such a storm brings more: the oldest were forgotten before they were reported.

Fix: a part also convinces if no request with it was ever answered, though by its share of the lost ones some of those answered before should have had it, and nearly each loss of a replica had it, at four moments or more. An entry forgets crashes of parts first that were answered before. The decision is a function of its own (CrashEvidence) with a table of its cases.

Ruled out: the share of crash moments that a part explains (a moment has 27 lost requests, so that any frequent part is present at it); whether the answer had begun (heads arrive before the first token).

--- a/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
@@ -1,7 +1,7 @@
 #include "tanagerstall/request/tanagerstall_prompt_crash_detector.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <numeric>
 #include <tuple>
 #include <utility>
 
@@ -11,18 +11,8 @@
 
 /// With fewer crashes a part is not suspected.
 constexpr std::size_t kMinCrashes = 3;
-/// With fewer replicas, the fault may be theirs.
-constexpr std::size_t kMinReplicas = 2;
 /// Replicas that are lost within this time are lost at the same moment.
 constexpr Duration kMoment = std::chrono::milliseconds(50);
-/// The probability below which chance no longer explains that all requests
-/// with a part were lost.
-constexpr double kMaxChance = 1e-3;
-/// Of the part that was present at most crashes, and at more than this share of
-/// all, a higher probability of chance convinces.
-constexpr double kMinCoverage = 0.9;
-constexpr std::size_t kMinCoveredCrashes = 5;
-constexpr double kMaxChanceWithCoverage = 1e-2;
 /// The time in which entries report successes of a suspected part.
 constexpr Duration kConfirmation = std::chrono::milliseconds(400);
 /// The time within which entries report what they have counted.
@@ -116,11 +106,11 @@
 PromptCrashDetector::FindMoment(TimePoint aTime)
 {
   auto it = crashes_.lower_bound(aTime - kMoment);
-  if (it != crashes_.end() && *it <= aTime + kMoment) {
-    return *it;
+  if (it != crashes_.end() && it->first <= aTime + kMoment) {
+    return it->first;
   }
   ++totals_.crashes_;
-  crashes_.insert(aTime);
+  crashes_[aTime] = {};
   return aTime;
 }
 
@@ -129,6 +119,7 @@
 {
   Totals before = totals_;
   TimePoint at = FindMoment(aNow - aCrash.age_);
+  crashes_[at].insert(aCrash.replica_);
   if (IsQuarantined(aCrash.part_, aNow)) {
     Explain(at);
     return;
@@ -145,7 +136,6 @@
   if (suspicion.crashes_.empty()) {
     suspicion.before_ = before;
     suspicion.requests_ = 0;
-    suspicion.replicas_.clear();
     suspicion.firstAt_ = aNow;
   }
   if (aNow - suspicion.firstAt_ < kReportDelay) {
@@ -153,8 +143,7 @@
     suspicion.before_.answered_ = totals_.answered_;
   }
   ++suspicion.requests_;
-  suspicion.crashes_.insert(at);
-  suspicion.replicas_.insert(aCrash.replica_);
+  suspicion.crashes_[at].insert(aCrash.replica_);
   suspicion.latest_ = totals_;
   suspicion.changedAt_ = aNow;
 }
@@ -288,40 +277,50 @@
   listedSince_ = std::move(listed);
 }
 
-/// Whether chance no longer explains that all requests with the part were lost.
 /// Only the time from its first to its last crash counts: later there may have
-/// been no request with it.
-bool
-PromptCrashDetector::IsConvincing(std::uint64_t aPart,
-                                  const Suspicion& aSuspicion,
-                                  bool aIsFirst) const
+/// been no request with the part.
+CrashEvidence
+PromptCrashDetector::EvidenceOf(const Suspicion& aSuspicion,
+                                bool aIsFirst) const
 {
-  if (quarantines_.contains(aPart)) {
-    return true;
+  Totals totals = aSuspicion.latest_ - aSuspicion.before_;
+  CrashEvidence evidence;
+  evidence.crashes_ = aSuspicion.crashes_.size();
+  evidence.allCrashes_ = totals.crashes_;
+  std::set<std::uint64_t> replicas;
+  for (const auto& [at, lost] : aSuspicion.crashes_) {
+    replicas.insert(lost.begin(), lost.end());
+    evidence.replicaLosses_ += lost.size();
   }
-  if (aSuspicion.replicas_.size() < kMinReplicas) {
-    return false;
+  evidence.replicas_ = replicas.size();
+  if (!aSuspicion.crashes_.empty()) {
+    evidence.allReplicaLosses_ = CountUnexplainedLosses(
+      aSuspicion.crashes_.begin()->first, aSuspicion.crashes_.rbegin()->first);
   }
-  Totals totals = aSuspicion.latest_ - aSuspicion.before_;
-  auto crashes = static_cast<double>(aSuspicion.crashes_.size());
-  auto allCrashes = std::max(1.0, static_cast<double>(totals.crashes_));
-  auto answered = static_cast<double>(totals.answered_);
-  auto lost = static_cast<double>(totals.lost_);
-  double lostOthers =
-    std::max(1.0, lost - static_cast<double>(aSuspicion.requests_));
-  // Each crash is one trial, since requests at one replica are lost together.
-  double chance = std::pow(lostOthers / (lostOthers + answered), crashes);
-  if (chance < kMaxChance) {
-    return true;
+  evidence.requests_ = aSuspicion.requests_;
+  evidence.lost_ = totals.lost_;
+  evidence.answered_ = totals.answered_;
+  for (const auto& [run, entry] : entries_) {
+    evidence.answeredEver_ += entry.answered_;
   }
-  // A part that is present at nearly all crashes has a large share of the
-  // requests, so that some of those that were answered should have had it.
-  double lostPerCrash = std::max(1.0, lostOthers / allCrashes);
-  double chanceOfAbsence =
-    std::pow(1.0 - kMinCoverage, answered / lostPerCrash);
-  return aIsFirst && aSuspicion.crashes_.size() >= kMinCoveredCrashes &&
-         crashes >= kMinCoverage * allCrashes &&
-         chanceOfAbsence < kMaxChanceWithCoverage;
+  evidence.wasAnswered_ = aSuspicion.lastSuccess_ != TimePoint();
+  evidence.isFirst_ = aIsFirst;
+  return evidence;
+}
+
+/// Counts the losses of one replica at one moment, without those at which a
+/// quarantined part was present.
+std::size_t
+PromptCrashDetector::CountUnexplainedLosses(TimePoint aFrom,
+                                            TimePoint aTo) const
+{
+  return std::accumulate(crashes_.lower_bound(aFrom),
+                         crashes_.upper_bound(aTo),
+                         std::size_t{ 0 },
+                         [this](std::size_t aSum, const auto& aIt) {
+                           bool isExplained = explained_.contains(aIt.first);
+                           return aSum + (isExplained ? 0 : aIt.second.size());
+                         });
 }
 
 /// Whether the evidence has been convincing for a while in which entries could
@@ -333,8 +332,9 @@
 {
   Suspicion& suspicion = suspicions_.at(aPart);
   auto listed = listedSince_.find(aPart);
-  if (listed == listedSince_.end() ||
-      !IsConvincing(aPart, suspicion, aIsFirst)) {
+  bool isConvincing = quarantines_.contains(aPart) ||
+                      IsConvincing(EvidenceOf(suspicion, aIsFirst));
+  if (listed == listedSince_.end() || !isConvincing) {
     suspicion.convincingSince_ = std::nullopt;
     return false;
   }
@@ -362,8 +362,8 @@
                          totals.answered_,
                          totals.lost_,
                          quarantine.duration_ });
-  for (TimePoint crash : std::set<TimePoint>(found.crashes_)) {
-    Explain(crash);
+  for (const auto& [at, replicas] : Crashes(found.crashes_)) {
+    Explain(at);
   }
   hasChanged_ = true;
 }
--- a/src/tanagerstall/request/tanagerstall_prompt_crash_detector.hpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_crash_detector.hpp
@@ -1,6 +1,7 @@
 #ifndef TANAGERSTALL_PROMPT_CRASH_DETECTOR_HPP_INCLUDED
 #define TANAGERSTALL_PROMPT_CRASH_DETECTOR_HPP_INCLUDED
 
+#include "tanagerstall/request/tanagerstall_crash_evidence.hpp"
 #include "tanagerstall/request/tanagerstall_prompt_evidence.hpp"
 
 #include <cstdint>
@@ -72,10 +73,12 @@
     TimePoint reportedAt_;
   };
 
+  /// The replicas that were lost at each moment.
+  using Crashes = std::map<TimePoint, std::set<std::uint64_t>>;
+
   struct Suspicion
   {
-    std::set<TimePoint> crashes_;
-    std::set<std::uint64_t> replicas_;
+    Crashes crashes_;
     /// Requests with the part that were lost.
     std::uint64_t requests_ = 0;
     TimePoint firstAt_;
@@ -106,9 +109,8 @@
   std::vector<std::uint64_t> Candidates(TimePoint aNow) const;
   void List(const std::vector<std::uint64_t>& aCandidates, TimePoint aNow);
   bool IsQuarantined(std::uint64_t aPart, TimePoint aNow) const;
-  bool IsConvincing(std::uint64_t aPart,
-                    const Suspicion& aSuspicion,
-                    bool aIsFirst) const;
+  CrashEvidence EvidenceOf(const Suspicion& aSuspicion, bool aIsFirst) const;
+  std::size_t CountUnexplainedLosses(TimePoint aFrom, TimePoint aTo) const;
   bool IsConfirmed(std::uint64_t aPart, bool aIsFirst, TimePoint aNow);
   void StartQuarantine(std::uint64_t aPart, TimePoint aNow);
 
@@ -117,9 +119,8 @@
   bool hasChanged_ = false;
   Totals totals_;
   std::map<std::string, EntryTotals> entries_;
-  /// The moments at which replicas were lost, and those of them at which a
-  /// quarantined part was present.
-  std::set<TimePoint> crashes_;
+  Crashes crashes_;
+  /// The moments at which a quarantined part was present.
   std::set<TimePoint> explained_;
   std::map<std::uint64_t, Suspicion> suspicions_;
   /// The parts of which entries report successes, and since when.
--- a/src/tanagerstall/request/tanagerstall_prompt_quarantine.cpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_quarantine.cpp
@@ -68,10 +68,22 @@
     crashes_.push_back({ part, lost_, replica, aNow });
   }
   while (crashes_.size() > kMaxCrashes) {
-    crashes_.pop_front();
+    ForgetOneCrash();
   }
 }
 
+/// Forgets the oldest crash of a part that was answered earlier, or the oldest
+/// of all: a part that never was is the likelier cause.
+void
+PromptQuarantine::ForgetOneCrash()
+{
+  auto it =
+    std::find_if(crashes_.begin(), crashes_.end(), [&](const auto& aIt) {
+      return lastSuccess_.contains(aIt.part_);
+    });
+  crashes_.erase(it == crashes_.end() ? crashes_.begin() : it);
+}
+
 PromptEvidence
 PromptQuarantine::Report(TimePoint aNow)
 {
--- a/src/tanagerstall/request/tanagerstall_prompt_quarantine.hpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_quarantine.hpp
@@ -55,6 +55,7 @@
   };
 
   void ForgetOldSuccesses(TimePoint aNow);
+  void ForgetOneCrash();
 
   std::uint64_t answered_ = 0;
   std::uint64_t lost_ = 0;
--- a/tests/tanagerstall_prompt_crash_simulation.hpp
+++ b/tests/tanagerstall_prompt_crash_simulation.hpp
@@ -53,6 +53,7 @@
 {
 public:
   static constexpr std::uint64_t kDeadlyPart = 666;
+  static constexpr std::uint64_t kNewPart = 777;
 
   PromptCrashSimulation(const CrashingFleet& aFleet, unsigned aSeed)
     : fleet_(aFleet)
@@ -79,6 +80,8 @@
   TimePoint Now() const { return events_.Now(); }
 
   void SetDeadlyShare(double aShare) { deadlyShare_ = aShare; }
+  /// From now on this share of the sound requests has a part that none had.
+  void SetNewPartShare(double aShare) { newPartShare_ = aShare; }
 
   /// Crashes this share of the replicas at the same moment.
   void CrashReplicas(double aShare)
@@ -90,6 +93,14 @@
     }
   }
 
+  /// Crashes each replica once, one after the other.
+  void CrashReplicasInTurn(Duration aPause)
+  {
+    for (std::size_t i = 0; i < replicas_.size(); ++i) {
+      events_.At(events_.Now() + aPause * i, [this, i] { Crash(i); });
+    }
+  }
+
   /// Another control process leads and knows nothing yet.
   void ReplaceLeader()
   {
@@ -236,6 +247,9 @@
       request->parts_.push_back(kDeadlyPart);
     } else if (request->isDeadly_) {
       request->parts_[fleet_.deadlyPosition_] = kDeadlyPart;
+    } else if (newPartShare_ > 0.0 &&
+               std::bernoulli_distribution(newPartShare_)(random_)) {
+      request->parts_.back() = kNewPart;
     }
     return request;
   }
@@ -436,6 +450,7 @@
   std::vector<std::unique_ptr<Entry>> entries_;
   std::uint64_t runs_ = 0;
   double deadlyShare_ = 0.0;
+  double newPartShare_ = 0.0;
   std::vector<std::shared_ptr<Request>> sound_;
   std::vector<TimePoint> deadlySends_;
   std::vector<TimePoint> deadlyCrashes_;
