Chance is weighed over all prompt parts that were present at crashes

Cause: the probability that all requests with a part are lost by chance was held against 1 in 1000 for each part by itself, but hundreds of parts are weighed at once, so that one of them always looks guilty.

Fix: the probability is multiplied by the number of parts that were present at crashes in the last minute.

--- a/src/tanagerstall/request/tanagerstall_crash_evidence.cpp
+++ b/src/tanagerstall/request/tanagerstall_crash_evidence.cpp
@@ -9,7 +9,8 @@
 
 /// With fewer replicas, the fault may be theirs.
 constexpr std::size_t kMinReplicas = 2;
-/// The probability below which chance is no explanation.
+/// The probability below which chance is no explanation for any of the parts
+/// that were present at crashes.
 constexpr double kMaxChance = 1e-3;
 /// Of the part that was present at most crashes, and at more than this share of
 /// all, a higher probability of chance convinces.
@@ -30,14 +31,16 @@
                     static_cast<double>(aEvidence.requests_));
 }
 
-/// The probability that all requests with the part are lost like others. Each
-/// crash is one trial, since requests at one replica are lost together.
+/// The probability that all requests with one of the parts are lost like
+/// others. Each crash is one trial, since requests at one replica are lost
+/// together.
 double
 ChanceOfLosses(const CrashEvidence& aEvidence)
 {
   double lost = LostOthers(aEvidence);
   double share = lost / (lost + static_cast<double>(aEvidence.answered_));
-  return std::pow(share, static_cast<double>(aEvidence.crashes_));
+  return static_cast<double>(aEvidence.parts_) *
+         std::pow(share, static_cast<double>(aEvidence.crashes_));
 }
 
 /// Whether the part was present at nearly all crashes. It has a large share of
--- a/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
@@ -303,6 +303,7 @@
   for (const auto& [run, entry] : entries_) {
     evidence.answeredEver_ += entry.answered_;
   }
+  evidence.parts_ = suspicions_.size();
   evidence.wasAnswered_ = aSuspicion.lastSuccess_ != TimePoint();
   evidence.isFirst_ = aIsFirst;
   return evidence;
--- a/tests/prompt_crash_tests.cpp
+++ b/tests/prompt_crash_tests.cpp
@@ -149,6 +149,56 @@
 
 namespace {
 
+struct TurnCase
+{
+  const char* name_;
+  CrashingFleet fleet_;
+  std::chrono::milliseconds pause_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const TurnCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<TurnCase> kTurns = {
+  { "18 replicas", { 7, 18, 160.0, 400, 2 }, std::chrono::milliseconds(100) },
+  { "72 replicas", { 54, 72, 600.0, 200, 2 }, std::chrono::milliseconds(60) },
+  { "72 replicas, slower",
+    { 54, 72, 600.0, 200, 2 },
+    std::chrono::milliseconds(100) },
+  { "63 replicas", { 191, 63, 500.0, 200, 2 }, std::chrono::milliseconds(60) },
+  { "63 replicas, slower",
+    { 191, 63, 500.0, 200, 2 },
+    std::chrono::milliseconds(100) },
+};
+
+constexpr unsigned kTurnSeeds = 6;
+
+} // namespace
+
+// Guards against a frequent part that is accused because one of many parts is
+// always lost several times in a row by chance.
+BOOST_TEST_DECORATOR(*boost::unit_test::label("prompt crash"))
+BOOST_DATA_TEST_CASE(Replicas_that_crash_in_turn_put_no_part_in_quarantine,
+                     data::make(kTurns),
+                     row)
+{
+  for (unsigned seed = 1; seed <= kTurnSeeds; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      PromptCrashSimulation simulation(row.fleet_, seed);
+      simulation.RunFor(kBefore);
+      simulation.CrashReplicasInTurn(row.pause_);
+      simulation.RunFor(kBefore);
+      BOOST_TEST(simulation.Quarantined().empty());
+    }
+  }
+}
+
+namespace {
+
 struct ChangeCase
 {
   const char* name_;
