A stream without a length that ends before its first event has been broken off

Cause: for such a body the end of the connection is the end of the answer, and only a stream that ended inside an event was taken for broken.

Evidence: two rows of 'A faulty upstream never causes a false answer' and one of 'Lost replicas and whole answers are evidence' failed before and pass now. Rows of whole streams, unframed and without events but with chunks, passed before and after.

Ruled out: to tell a stream that ends between two events from a whole one; nothing in the answer says so.

--- a/src/tanagerstall/connection/tanagerstall_http_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.cpp
@@ -245,6 +245,12 @@
   return response;
 }
 
+bool
+HttpConnection::EndsWithConnection() const
+{
+  return state_->parser_->need_eof();
+}
+
 bool
 HttpConnection::IsReusable() const
 {
--- a/src/tanagerstall/connection/tanagerstall_http_client.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.hpp
@@ -60,6 +60,9 @@
   Result<HttpResponse> ReadWhole(const ReadTimeout& aTimeout,
                                  std::uint64_t aMaxBytes);
 
+  /// Whether only the end of the connection marks the end of the response's
+  /// body. Call it after ReadHead().
+  bool EndsWithConnection() const;
   /// Whether the last response has been read to its end and the connection can
   /// carry another request.
   bool IsReusable() const;
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -343,6 +343,11 @@
     return MakeFailure(
       { TransportFault::ConnectionLost, "the last event is incomplete" }, true);
   }
+  if (!begunAt_ && connection_->EndsWithConnection()) {
+    // A replica that crashed looks the same as one that has nothing to say.
+    return MakeFailure(
+      { TransportFault::ConnectionLost, "the stream has no event" }, true);
+  }
   if (!exchange_.HasStarted()) {
     hooks_.onFirstPart_();
     exchange_.StartStream(MakeCallerResponse(aHead));
