Of prompt parts that crash together the one that was answered earlier is spared

Cause: parts with the same crashes were ranked by the number of lost requests, which a sound subject may exceed, and the leader knows of earlier successes only once entries have answered its list of suspects.

Fix: an entry says with each crash whether it has seen the part answered. A part that was answered earlier isn't put in quarantine while one that never was came along at nine tenths of its crashes.

--- a/src/tanagerstall/connection/tanagerstall_prompt_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_prompt_codec.cpp
@@ -49,6 +49,7 @@
     crashes[i].setLoss(aFrom.crashes_[i].loss_);
     crashes[i].setReplica(aFrom.crashes_[i].replica_);
     crashes[i].setAgeMs(ToWire(aFrom.crashes_[i].age_));
+    crashes[i].setWasAnswered(aFrom.crashes_[i].wasAnswered_);
   }
   auto successes = aTo.initSuccesses(aFrom.successes_.size());
   for (unsigned i = 0; i < aFrom.successes_.size(); ++i) {
@@ -66,11 +67,11 @@
   evidence.answered_ = aFrom.getAnswered();
   evidence.lost_ = aFrom.getLost();
   for (auto crash : aFrom.getCrashes()) {
-    evidence.crashes_.push_back(
-      { crash.getPart(),
-        crash.getLoss(),
-        crash.getReplica(),
-        std::chrono::milliseconds(crash.getAgeMs()) });
+    evidence.crashes_.push_back({ crash.getPart(),
+                                  crash.getLoss(),
+                                  crash.getReplica(),
+                                  std::chrono::milliseconds(crash.getAgeMs()),
+                                  crash.getWasAnswered() });
   }
   for (auto success : aFrom.getSuccesses()) {
     evidence.successes_.push_back(
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -81,6 +81,8 @@
   # The entry's number of the lost request.
   replica @2 :UInt64;
   ageMs @3 :UInt32;
+  wasAnswered @4 :Bool;
+  # Whether the entry has seen a request with the part answered.
 }
 
 struct PromptPart {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -1158,6 +1158,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline bool getWasAnswered() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1198,6 +1200,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline bool getWasAnswered();
+  inline void setWasAnswered(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2966,6 +2971,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PromptCrash::Reader::getWasAnswered() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+
+inline bool PromptCrash::Builder::getWasAnswered() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+inline void PromptCrash::Builder::setWasAnswered(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PromptPart::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t kMinCrashes = 3;
 /// Replicas that are lost within this time are lost at the same moment.
 constexpr Duration kMoment = std::chrono::milliseconds(50);
+/// A part that was present at this share of another one's crashes came along
+/// with it.
+constexpr double kMinCompanionShare = 0.9;
 /// The time in which entries report successes of a suspected part.
 constexpr Duration kConfirmation = std::chrono::milliseconds(400);
 /// The time within which entries report what they have counted.
@@ -130,6 +133,7 @@
     return;
   }
   Suspicion& suspicion = suspicions_[aCrash.part_];
+  suspicion.wasAnswered_ = suspicion.wasAnswered_ || aCrash.wasAnswered_;
   if (at <= suspicion.lastSuccess_) {
     return;
   }
@@ -173,6 +177,7 @@
   Suspicion& suspicion = it->second;
   TimePoint at = aNow - aSuccess.age_;
   suspicion.lastSuccess_ = std::max(suspicion.lastSuccess_, at);
+  suspicion.wasAnswered_ = true;
   suspicion.crashes_.erase(suspicion.crashes_.begin(),
                            suspicion.crashes_.upper_bound(at));
   if (!IsQuarantined(aSuccess.part_, aNow)) {
@@ -201,7 +206,7 @@
   }
   bool isFirst = true;
   for (std::uint64_t part : candidates) {
-    if (IsConfirmed(part, isFirst, aNow)) {
+    if (!HasLikelierCause(part) && IsConfirmed(part, isFirst, aNow)) {
       StartQuarantine(part, aNow);
       break;
     }
@@ -247,6 +252,7 @@
     const Suspicion& suspicion = suspicions_.at(aPart);
     return std::tuple(suspicion.crashes_.size(),
                       suspicion.requests_,
+                      !suspicion.wasAnswered_,
                       -suspicion.lastSuccess_.time_since_epoch());
   };
   std::sort(parts.begin(), parts.end(), [&](auto aLeft, auto aRight) {
@@ -277,6 +283,30 @@
   listedSince_ = std::move(listed);
 }
 
+/// Whether the part was answered earlier, and one that never was came along at
+/// nearly all of its crashes.
+bool
+PromptCrashDetector::HasLikelierCause(std::uint64_t aPart) const
+{
+  const Suspicion& suspicion = suspicions_.at(aPart);
+  if (!suspicion.wasAnswered_ || quarantines_.contains(aPart)) {
+    return false;
+  }
+  double needed =
+    kMinCompanionShare * static_cast<double>(suspicion.crashes_.size());
+  return std::any_of(
+    suspicions_.begin(), suspicions_.end(), [&](const auto& aIt) {
+      const Suspicion& other = aIt.second;
+      auto shared =
+        std::count_if(suspicion.crashes_.begin(),
+                      suspicion.crashes_.end(),
+                      [&](const auto& aCrash) {
+                        return other.crashes_.contains(aCrash.first);
+                      });
+      return !other.wasAnswered_ && static_cast<double>(shared) >= needed;
+    });
+}
+
 /// Only the time from its first to its last crash counts: later there may have
 /// been no request with the part.
 CrashEvidence
@@ -304,7 +334,7 @@
     evidence.answeredEver_ += entry.answered_;
   }
   evidence.parts_ = suspicions_.size();
-  evidence.wasAnswered_ = aSuspicion.lastSuccess_ != TimePoint();
+  evidence.wasAnswered_ = aSuspicion.wasAnswered_;
   evidence.isFirst_ = aIsFirst;
   return evidence;
 }
--- a/src/tanagerstall/request/tanagerstall_prompt_crash_detector.hpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_crash_detector.hpp
@@ -83,6 +83,8 @@
     std::uint64_t requests_ = 0;
     TimePoint firstAt_;
     TimePoint lastSuccess_;
+    /// Whether any request with the part was ever answered.
+    bool wasAnswered_ = false;
     TimePoint changedAt_;
     /// The totals before the first and at the last of the crashes.
     Totals before_;
@@ -109,6 +111,7 @@
   std::vector<std::uint64_t> Candidates(TimePoint aNow) const;
   void List(const std::vector<std::uint64_t>& aCandidates, TimePoint aNow);
   bool IsQuarantined(std::uint64_t aPart, TimePoint aNow) const;
+  bool HasLikelierCause(std::uint64_t aPart) const;
   CrashEvidence EvidenceOf(const Suspicion& aSuspicion, bool aIsFirst) const;
   std::size_t CountUnexplainedLosses(TimePoint aFrom, TimePoint aTo) const;
   bool IsConfirmed(std::uint64_t aPart, bool aIsFirst, TimePoint aNow);
--- a/src/tanagerstall/request/tanagerstall_prompt_evidence.hpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_evidence.hpp
@@ -21,6 +21,8 @@
   /// Identifies the replica.
   std::uint64_t replica_ = 0;
   std::chrono::milliseconds age_{ 0 };
+  /// Whether the entry has seen a request with the part answered.
+  bool wasAnswered_ = false;
 };
 
 /// The last request whose prompt contains this part and that was answered
--- a/src/tanagerstall/request/tanagerstall_prompt_quarantine.cpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_quarantine.cpp
@@ -99,7 +99,8 @@
     evidence.crashes_.push_back({ crash.part_,
                                   crash.loss_,
                                   crash.replica_,
-                                  ToMilliseconds(aNow - crash.at_) });
+                                  ToMilliseconds(aNow - crash.at_),
+                                  lastSuccess_.contains(crash.part_) });
   }
   for (std::uint64_t part : suspects_) {
     if (auto it = lastSuccess_.find(part); it != lastSuccess_.end()) {
--- a/tests/prompt_crash_tests.cpp
+++ b/tests/prompt_crash_tests.cpp
@@ -295,3 +295,58 @@
   BOOST_REQUIRE(quarantined.size() == 1U);
   BOOST_TEST(quarantined.front().part_ == kDeadlyPart);
 }
+
+namespace {
+
+struct SubjectCase
+{
+  const char* name_;
+  /// Lost requests per crash that have the subject but not the deadly part.
+  std::uint64_t others_;
+  bool wasAnswered_;
+  std::uint64_t quarantined_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const SubjectCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<SubjectCase> kSubjects = {
+  { "answered earlier", 0, true, kDeadlyPart },
+  { "answered earlier, in more of the lost requests", 1, true, kDeadlyPart },
+  { "never answered, in more of the lost requests", 1, false, kCompanion },
+};
+
+} // namespace
+
+// Guards against a sound subject that is refused in place of the deadly part
+// that always comes with it.
+BOOST_TEST_DECORATOR(*boost::unit_test::label("prompt crash"))
+BOOST_DATA_TEST_CASE(Of_parts_that_crash_together_the_answered_one_is_spared,
+                     data::make(kSubjects),
+                     row)
+{
+  PromptCrashDetector detector(1);
+  TimePoint now{ std::chrono::hours(1) };
+  PromptEvidence evidence;
+  detector.RecordReport("entry", evidence, now);
+  for (std::uint64_t crash = 1; crash <= kCrashCount; ++crash) {
+    now += std::chrono::milliseconds(300);
+    evidence.answered_ += 100;
+    evidence.crashes_.clear();
+    for (std::uint64_t request = 0; request <= row.others_; ++request) {
+      ++evidence.lost_;
+      evidence.crashes_.push_back(
+        { kCompanion, evidence.lost_, crash, {}, row.wasAnswered_ });
+    }
+    evidence.crashes_.push_back(
+      { kDeadlyPart, evidence.lost_, crash, {}, false });
+    detector.RecordReport("entry", evidence, now);
+    detector.Update(now);
+  }
+  auto quarantined = detector.Verdicts(now).quarantined_;
+  BOOST_REQUIRE(quarantined.size() == 1U);
+  BOOST_TEST(quarantined.front().part_ == row.quarantined_);
+}
