A prompt part is weighed against the parts of its kind that may still be the cause

Fix: parts that a success has cleared of all crashes no longer count, and a part that was never answered is weighed only against others that never were; there are few.

--- a/src/tanagerstall/request/tanagerstall_crash_evidence.hpp
+++ b/src/tanagerstall/request/tanagerstall_crash_evidence.hpp
@@ -25,7 +25,8 @@
   std::uint64_t answered_ = 0;
   /// The same since the entries started.
   std::uint64_t answeredEver_ = 0;
-  /// The parts that were present at crashes lately, this one included.
+  /// The parts like this one that no success has cleared of their crashes, this
+  /// one included.
   std::size_t parts_ = 1;
   /// Whether any request with the part was ever answered.
   bool wasAnswered_ = false;
--- a/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
@@ -307,6 +307,18 @@
     });
 }
 
+/// Counts the parts that no success has cleared of their crashes. One that was
+/// never answered is weighed against its like only, since there are few.
+std::size_t
+PromptCrashDetector::CountAccused(bool aWasAnswered) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(suspicions_.begin(), suspicions_.end(), [&](const auto& aIt) {
+      return !aIt.second.crashes_.empty() &&
+             aIt.second.wasAnswered_ == aWasAnswered;
+    }));
+}
+
 /// Only the time from its first to its last crash counts: later there may have
 /// been no request with the part.
 CrashEvidence
@@ -333,7 +345,7 @@
   for (const auto& [run, entry] : entries_) {
     evidence.answeredEver_ += entry.answered_;
   }
-  evidence.parts_ = suspicions_.size();
+  evidence.parts_ = CountAccused(aSuspicion.wasAnswered_);
   evidence.wasAnswered_ = aSuspicion.wasAnswered_;
   evidence.isFirst_ = aIsFirst;
   return evidence;
