Entries heed what replicas say of themselves: that they leave, or want a pause

What callers and replicas saw: a replica that says in its answers that it leaves went on getting requests until its announcement reached the entry, and one that turned requests away with 503 and a time was asked again after 60 ms.

Each head that a connection brings counts, also of a late copy and of an answer that isn't passed on. Not read: answers that would come after their caller has left, since the connection is closed then. - RequestedBackoff keeps marks by incarnation, at the entry that was told. Before each send, after any connect, the entry checks that the replica is still present, open and the same (the presence was not looked up again before). - Returning replicas share a token bucket at each entry (ReturnLimit). - If all pause, requests are refused at once as not run, with a Retry-After that follows the earliest replica and spreads callers over as long a time again.

--- a/src/tanagerstall/process/commands/tanagerstall_log_timeline.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_log_timeline.cpp
@@ -28,7 +28,9 @@
                                                          "no longer leads",
                                                          "members change" };
 const std::set<std::string, std::less<>> kReplicaEvents{ "replica announced",
-                                                         "replica left" };
+                                                         "replica left",
+                                                         "replica leaves",
+                                                         "replica backs off" };
 
 std::string
 TextOf(const json::object& aFields, std::string_view aName)
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -80,10 +80,27 @@
                      static_cast<double>(callers_.ActiveExchanges()) },
                    { "declaration",
                      static_cast<double>(appliedDeclaration_) } };
+    AddReplicaGauges(
+      gauges, "replicas_backing_off", ReplicaAvailability::BackingOff);
+    AddReplicaGauges(gauges, "replicas_leaving", ReplicaAvailability::Leaving);
     aExchange.Respond(MetricsResponse(
       aExchange.Request(), forwarder_.GetMetrics().Collect(), gauges));
   }
 
+  /// Adds a gauge for each service. Runs on the traffic thread, as the server
+  /// of metrics does.
+  void AddReplicaGauges(Gauges& aGauges,
+                        const std::string& aName,
+                        ReplicaAvailability aAvailability) const
+  {
+    for (const auto& [service, count] :
+         forwarder_.CountReplicas(aAvailability)) {
+      std::string name = aName;
+      name.append("{service=\"").append(service).append("\"}");
+      aGauges[name] = static_cast<double>(count);
+    }
+  }
+
   bool IsReady() const { return hasPlan_ && !isStopping_; }
 
   EntryReport MakeReport(const std::string& aControl, bool aIsLeader)
--- a/src/tanagerstall/request/tanagerstall_caller_protocol.hpp
+++ b/src/tanagerstall/request/tanagerstall_caller_protocol.hpp
@@ -1,13 +1,17 @@
 #ifndef TANAGERSTALL_CALLER_PROTOCOL_HPP_INCLUDED
 #define TANAGERSTALL_CALLER_PROTOCOL_HPP_INCLUDED
 
+#include "tanagerstall/connection/tanagerstall_http_message.hpp"
+#include "tanagerstall/request/tanagerstall_replica_notice.hpp"
+
+#include <functional>
 #include <string>
 #include <vector>
 
 namespace tanagerstall {
 
-/// The names of the header fields that callers, entries and upstreams exchange.
-/// The deployment chooses the names; the members describe the contents.
+/// The header fields that callers, entries and upstreams exchange. The
+/// deployment chooses the names; the members describe the contents.
 struct CallerProtocol
 {
   /// The id of one request by a caller. Upstreams return it in the response.
@@ -34,6 +38,8 @@
   std::string notRun_;
   /// Other fields that callers may not set.
   std::vector<std::string> reserved_;
+  /// Reads what an upstream's response says of the upstream.
+  std::function<ReplicaNotice(const HttpResponse&)> readNotice_;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -38,6 +38,15 @@
   return result;
 }
 
+AttemptResult
+MakeWithdrawn()
+{
+  AttemptResult result;
+  result.outcome_ = AttemptOutcome::Withdrawn;
+  result.detail_ = "the replica takes no requests any more";
+  return result;
+}
+
 /// Returns the id of a server-sent event, or "" if it has none.
 std::string_view
 EventIdOf(std::string_view aEvent)
@@ -160,6 +169,21 @@
     TransportFault::TooLarge, "the body to discard is too large" });
 }
 
+/// Passes on what the replica says of itself, also in a late response to
+/// another request.
+void
+ForwardAttempt::ReadNotice(const HttpResponse& aHead)
+{
+  if (!resources_.protocol_.readNotice_) {
+    return;
+  }
+  ReplicaNotice notice = resources_.protocol_.readNotice_(aHead);
+  isLeaving_ = isLeaving_ || notice.isLeaving_;
+  if (!notice.IsEmpty()) {
+    hooks_.onNotice_(notice);
+  }
+}
+
 /// Reads the head of the response to this request and skips the responses that
 /// precede it: interim ones, and on a pooled connection late ones to earlier
 /// requests.
@@ -171,6 +195,7 @@
     if (!head) {
       return head;
     }
+    ReadNotice(*head);
     bool isInterim = head->status_ < 200;
     if (!isInterim && IsForThisRequest(*head, aIsReused)) {
       return head;
@@ -198,6 +223,9 @@
       aReplica.id_, std::move(lease->connection_), std::chrono::seconds(1));
     return MakeAbandoned(false);
   }
+  if (!hooks_.maySend_()) {
+    return MakeWithdrawn();
+  }
   connection_ = lease->connection_.get();
   exchange_.OnCallerDisconnect([this] { connection_->Cancel(); });
   ++request_.sends_;
@@ -216,7 +244,7 @@
   result.hasHead_ = hasHead;
   result.begunAt_ = begunAt_;
   exchange_.OnCallerDisconnect(nullptr);
-  if (connection_->IsReusable()) {
+  if (connection_->IsReusable() && !isLeaving_) {
     resources_.pool_.Keep(aReplica.id_, std::move(lease->connection_), keepFor);
   }
   connection_ = nullptr;
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
@@ -56,6 +56,10 @@
     std::function<void()> onFirstPart_;
     /// Called for each event of a stream, with the time since the first one.
     std::function<void(Duration)> onEvent_;
+    /// Called for each response of the replica that says something of it.
+    std::function<void(const ReplicaNotice&)> onNotice_;
+    /// Returns whether the request may still be sent to the replica.
+    std::function<bool()> maySend_;
   };
 
   ForwardAttempt(ForwardResources aResources,
@@ -74,6 +78,7 @@
     const Replica& aReplica);
   HttpConnection::Result<std::optional<std::string>> ReadBodyPart();
   HttpConnection::Result<void> SkipBody();
+  void ReadNotice(const HttpResponse& aHead);
   HttpConnection::Result<HttpResponse> ReadMatchingHead(bool aIsReused);
   bool IsForThisRequest(const HttpResponse& aHead, bool aIsReused) const;
   AttemptResult HandleResponse(HttpResponse aHead, bool aReturnsFailures);
@@ -87,6 +92,8 @@
   Hooks hooks_;
   HttpConnection* connection_ = nullptr;
   EventStream events_;
+  /// Whether the replica has said that it leaves.
+  bool isLeaving_ = false;
   std::optional<TimePoint> begunAt_;
 };
 
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
@@ -35,6 +35,9 @@
                                    "unavailable",
                                    "no replica took it",
                                    kDefaultRetryAfter };
+const ForwardRefusal kBackingOff{ 503,
+                                  "backing_off",
+                                  "all replicas asked for a back-off" };
 const ForwardRefusal kQuarantined{ 503,
                                    "prompt_quarantined",
                                    "a prompt part crashes replicas" };
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
@@ -23,6 +23,7 @@
 extern const ForwardRefusal kUnknownKey;
 extern const ForwardRefusal kOverRate;
 extern const ForwardRefusal kUnavailable;
+extern const ForwardRefusal kBackingOff;
 extern const ForwardRefusal kQuarantined;
 
 /// Returns the response that refuses a request.
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -3,6 +3,7 @@
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
 #include "tanagerstall/request/tanagerstall_forward_refusal.hpp"
 #include "tanagerstall/request/tanagerstall_request_log.hpp"
+#include "tanagerstall/request/tanagerstall_request_work.hpp"
 
 #include <algorithm>
 
@@ -24,28 +25,6 @@
 constexpr double kRetrySlackShare = 0.7;
 /// Memory for whole responses in progress, in bytes.
 constexpr std::size_t kMaxBufferedBytes = 32UL << 20U;
-/// The cost of an output token relative to a prompt token: every output token
-/// takes a decoding step of its own.
-constexpr double kOutputWeight = 10.0;
-/// An answer counts as long if its weighted output tokens exceed the prompt
-/// tokens by this factor.
-constexpr double kLongAnswerFactor = 1.5;
-
-bool
-IsLongAnswer(const PromptFacts& aPrompt)
-{
-  return kOutputWeight * static_cast<double>(aPrompt.maxOutputTokens_) >
-         kLongAnswerFactor * static_cast<double>(aPrompt.promptTokens_);
-}
-
-WorkClass
-WorkClassOf(const ForwardedRequest& aRequest)
-{
-  if (aRequest.route_->kind_ != RequestKind::Stream) {
-    return WorkClass::Plain;
-  }
-  return IsLongAnswer(aRequest.prompt_) ? WorkClass::Long : WorkClass::Short;
-}
 
 } // namespace
 
@@ -251,10 +230,7 @@
   if (auto refusal = CheckPrompt(request)) {
     return tl::make_unexpected(*refusal);
   }
-  request.cost_ = std::max(
-    1.0,
-    static_cast<double>(request.prompt_.promptTokens_) +
-      kOutputWeight * static_cast<double>(request.prompt_.maxOutputTokens_));
+  request.cost_ = EstimateWork(request.prompt_);
   Milliseconds wait = request.route_->timeout_;
   if (auto remaining = ReadTimeRemaining(http, settings_.protocol_)) {
     wait = std::min(wait, *remaining);
@@ -328,6 +304,32 @@
   }
 }
 
+void
+Forwarder::RecordNotice(const Replica& aReplica, const ReplicaNotice& aNotice)
+{
+  if (chooser_.RecordNotice(aReplica, aNotice, clock_.Now())) {
+    LogReplicaNotice(aReplica, aNotice);
+  }
+}
+
+/// Returns the refusal of a request that no replica took. If all replicas have
+/// asked for a back-off, callers are told to come back after the shortest of
+/// them, spread over as long a time again, since new ones come as well.
+ForwardRefusal
+Forwarder::UnavailableRefusal(const std::string& aService)
+{
+  auto untilOpen = chooser_.TimeUntilOpen(aService, clock_.Now());
+  if (!untilOpen) {
+    return kUnavailable;
+  }
+  std::uniform_real_distribution<double> part(0.0, 1.0);
+  Duration spread = std::max(RequestedBackoff::kReturnTime, *untilOpen);
+  ForwardRefusal refusal = kBackingOff;
+  refusal.retryAfter_ =
+    *untilOpen + std::chrono::duration_cast<Duration>(spread * part(random_));
+  return refusal;
+}
+
 /// Returns whether the request may be sent again, and takes the retry from the
 /// budget. An attempt that sent nothing is not charged.
 bool
@@ -387,7 +389,9 @@
             isSuccessCounted = true;
             quarantine_.RecordSuccess(parts, clock_.Now());
           }
-        } });
+        },
+        [&](const ReplicaNotice& aNotice) { RecordNotice(*replica, aNotice); },
+        [&] { return chooser_.MaySend(*replica, clock_.Now()); } });
     last = attempt.Run(*replica, mayRunAgain && !failure);
     RecordAttempt(aRequest, *replica, last, startedAt);
     RecordEvidence(aRequest, *replica, last, isSuccessCounted);
@@ -447,7 +451,7 @@
     auto refusal = CheckPrompt(aRequest);
     if (!refusal) {
       ++loads_[aRequest.service_].refused_;
-      refusal = Refuse(aRequest, kUnavailable);
+      refusal = Refuse(aRequest, UnavailableRefusal(aRequest.service_));
     }
     aExchange.Respond(*refusal);
     return;
@@ -472,11 +476,17 @@
   return report;
 }
 
+std::map<std::string, std::size_t>
+Forwarder::CountReplicas(ReplicaAvailability aAvailability) const
+{
+  return chooser_.CountReplicas(aAvailability, clock_.Now());
+}
+
 void
 Forwarder::TrimConnections()
 {
   pool_.Trim([this](const std::string& aReplica) {
-    return chooser_.IsPresent(aReplica);
+    return chooser_.IsWanted(aReplica, clock_.Now());
   });
 }
 
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -9,6 +9,7 @@
 #include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
+#include "tanagerstall/request/tanagerstall_forward_refusal.hpp"
 #include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
 #include "tanagerstall/request/tanagerstall_prompt_quarantine.hpp"
 #include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
@@ -22,8 +23,6 @@
 
 namespace tanagerstall {
 
-struct ForwardRefusal;
-
 /// Settings of an entry's request forwarding.
 struct ForwarderSettings
 {
@@ -79,6 +78,10 @@
   void Handle(HttpExchange& aExchange);
 
   TrafficReport Report();
+  /// Counts the present replicas that have asked this entry for a back-off, or
+  /// have told it that they leave, by service.
+  std::map<std::string, std::size_t> CountReplicas(
+    ReplicaAvailability aAvailability) const;
   /// Closes pooled connections that are idle for too long or whose replicas are
   /// no longer present.
   void TrimConnections();
@@ -102,6 +105,8 @@
                      ForwardedRequest& aRequest,
                      const AttemptResult& aLast,
                      const std::optional<HttpResponse>& aFailure);
+  void RecordNotice(const Replica& aReplica, const ReplicaNotice& aNotice);
+  ForwardRefusal UnavailableRefusal(const std::string& aService);
   bool TakeRetry(const ForwardedRequest& aRequest, bool aIsSent);
   HttpResponse Refuse(const ForwardedRequest& aRequest,
                       const ForwardRefusal& aRefusal);
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -75,7 +75,7 @@
   for (const auto& [service, replicas] : *replicas_) {
     PartitionReplicas(replicas);
     for (const auto& replica : replicas) {
-      present_.insert(replica.id_);
+      present_[replica.id_] = &replica;
     }
   }
   std::erase_if(stats_, [this](const auto& aIt) {
@@ -105,9 +105,93 @@
 }
 
 bool
-ReplicaChooser::IsPresent(const std::string& aId) const
+ReplicaChooser::RecordNotice(const Replica& aReplica,
+                             const ReplicaNotice& aNotice,
+                             TimePoint aNow)
 {
-  return present_.contains(aId);
+  return backoff_.Record(aReplica, aNotice, aNow);
+}
+
+bool
+ReplicaChooser::MaySend(const Replica& aReplica, TimePoint aNow) const
+{
+  auto it = present_.find(aReplica.id_);
+  bool isCurrent =
+    it != present_.end() && it->second->startTimeMs_ == aReplica.startTimeMs_;
+  auto availability = backoff_.AvailabilityOf(aReplica, aNow);
+  return isCurrent && (availability == ReplicaAvailability::Open ||
+                       availability == ReplicaAvailability::Returning);
+}
+
+std::optional<Duration>
+ReplicaChooser::TimeUntilOpen(const std::string& aService, TimePoint aNow) const
+{
+  std::optional<Duration> shortest;
+  auto it = replicas_->find(aService);
+  if (it == replicas_->end()) {
+    return shortest;
+  }
+  for (const auto& replica : it->second) {
+    auto availability = backoff_.AvailabilityOf(replica, aNow);
+    if (availability == ReplicaAvailability::Open) {
+      return std::nullopt;
+    }
+    if (availability != ReplicaAvailability::Leaving) {
+      Duration wait =
+        std::max(Duration::zero(), backoff_.BackoffEnd(replica) - aNow);
+      shortest = std::min(shortest.value_or(wait), wait);
+    }
+  }
+  return shortest;
+}
+
+std::map<std::string, std::size_t>
+ReplicaChooser::CountReplicas(ReplicaAvailability aAvailability,
+                              TimePoint aNow) const
+{
+  std::map<std::string, std::size_t> counts;
+  for (const auto& [service, replicas] : *replicas_) {
+    counts[service] = static_cast<std::size_t>(
+      std::count_if(replicas.begin(), replicas.end(), [&](const auto& aIt) {
+        return backoff_.AvailabilityOf(aIt, aNow) == aAvailability;
+      }));
+  }
+  return counts;
+}
+
+bool
+ReplicaChooser::IsWanted(const std::string& aId, TimePoint aNow) const
+{
+  auto it = present_.find(aId);
+  return it != present_.end() && backoff_.AvailabilityOf(*it->second, aNow) !=
+                                   ReplicaAvailability::Leaving;
+}
+
+ReturnLimit&
+ReplicaChooser::ReturnLimitOf(const std::string& aService)
+{
+  auto it = returnLimits_.find(aService);
+  if (it == returnLimits_.end()) {
+    double tokens = std::uniform_real_distribution<double>()(random_);
+    it = returnLimits_.try_emplace(aService, tokens).first;
+  }
+  return it->second;
+}
+
+/// Whether replicas of the service that return from a back-off may be chosen
+/// for a request now.
+bool
+ReplicaChooser::MayUseReturning(const std::vector<Replica>& aReplicas,
+                                TimePoint aNow)
+{
+  auto returning = static_cast<std::size_t>(
+    std::count_if(aReplicas.begin(), aReplicas.end(), [&](const auto& aIt) {
+      return backoff_.AvailabilityOf(aIt, aNow) ==
+             ReplicaAvailability::Returning;
+    }));
+  ReturnLimit& limit = ReturnLimitOf(aReplicas.front().service_);
+  limit.Update(returning, aReplicas.size(), aNow);
+  return limit.HasToken();
 }
 
 std::size_t
@@ -208,10 +292,16 @@
   if (it == replicas_->end()) {
     return healthy;
   }
+  bool mayUseReturning = MayUseReturning(it->second, aNow);
+  auto isOffered = [&](const Replica& aReplica) {
+    auto availability = backoff_.AvailabilityOf(aReplica, aNow);
+    return availability == ReplicaAvailability::Open ||
+           (availability == ReplicaAvailability::Returning && mayUseReturning);
+  };
   for (const auto& replica : it->second) {
     TimePoint avoidUntil = StatsOf(replica).avoidUntil_;
     if (aRequest.excluded_.contains(replica.id_) ||
-        avoidUntil == TimePoint::max()) {
+        avoidUntil == TimePoint::max() || !isOffered(replica)) {
       continue;
     }
     bool isAvoided = aNow < avoidUntil;
@@ -290,11 +380,17 @@
 std::optional<Replica>
 ReplicaChooser::Choose(const ChoiceRequest& aRequest, TimePoint aNow)
 {
+  ReturnLimit& limit = ReturnLimitOf(aRequest.service_);
+  limit.OnRequest(aNow);
   auto candidates = Candidates(aRequest, aNow);
   if (candidates.empty()) {
     return std::nullopt;
   }
   const Replica* chosen = Pick(candidates, aRequest, aNow);
+  if (backoff_.AvailabilityOf(*chosen, aNow) ==
+      ReplicaAvailability::Returning) {
+    limit.TakeToken();
+  }
   ReplicaStats& stats = StatsOf(*chosen);
   ++stats.running_;
   stats.work_ += aRequest.cost_;
@@ -341,7 +437,8 @@
   } else if (aOutcome == AttemptOutcome::Refused) {
     // The replica is full rather than faulty.
     stats.avoidUntil_ = aNow + kRefusedAvoidance;
-  } else if (aOutcome != AttemptOutcome::Abandoned) {
+  } else if (aOutcome != AttemptOutcome::Abandoned &&
+             aOutcome != AttemptOutcome::Withdrawn) {
     auto pause = kMinAvoidance * (1U << std::min(stats.failures_, 4U));
     stats.avoidUntil_ = aNow + std::min<Duration>(pause, kMaxAvoidance);
     ++stats.failures_;
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
@@ -3,6 +3,8 @@
 
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 #include "tanagerstall/process/tanagerstall_work_class.hpp"
+#include "tanagerstall/request/tanagerstall_requested_backoff.hpp"
+#include "tanagerstall/request/tanagerstall_return_limit.hpp"
 
 #include <map>
 #include <optional>
@@ -42,7 +44,9 @@
   /// The connection broke or the response was malformed.
   Broken,
   /// The caller disconnected or the deadline passed.
-  Abandoned
+  Abandoned,
+  /// The replica stopped taking requests before this one was sent.
+  Withdrawn
 };
 
 /// Chooses a replica for each attempt by the work that this entry runs there,
@@ -52,7 +56,8 @@
 /// pause while the replica reads long prompts; all entries reserve the same
 /// ones without coordination. The work of a slow replica is weighted by the
 /// delay of its first parts; one that fails more of its requests than the
-/// others is avoided for a while. Does no I/O and reads no clock; not
+/// others is avoided for a while; one that has said that it leaves, or that it
+/// wants no requests, gets none. Does no I/O and reads no clock; not
 /// thread-safe.
 class ReplicaChooser
 {
@@ -81,8 +86,24 @@
   void ObserveFirstPart(const Replica& aReplica,
                         Duration aWait,
                         TimePoint aNow);
-  /// Whether a replica is among those that can be chosen.
-  bool IsPresent(const std::string& aId) const;
+  /// Records what a replica said of itself. Returns whether that is news.
+  bool RecordNotice(const Replica& aReplica,
+                    const ReplicaNotice& aNotice,
+                    TimePoint aNow);
+  /// Whether a request may be sent to the replica now, although it was chosen
+  /// earlier.
+  bool MaySend(const Replica& aReplica, TimePoint aNow) const;
+  /// Returns how long it takes until a replica of the service takes requests
+  /// again, if all that are present have asked for a back-off or leave; nullopt
+  /// otherwise.
+  std::optional<Duration> TimeUntilOpen(const std::string& aService,
+                                        TimePoint aNow) const;
+  /// Counts the present replicas with this availability, by service.
+  std::map<std::string, std::size_t> CountReplicas(
+    ReplicaAvailability aAvailability,
+    TimePoint aNow) const;
+  /// Whether kept connections to the replica may be used again.
+  bool IsWanted(const std::string& aId, TimePoint aNow) const;
   std::size_t CountReplicas(const std::string& aService) const;
   /// The number of this entry's requests that run at a replica.
   std::uint32_t RunningAt(const Replica& aReplica) const;
@@ -111,6 +132,8 @@
                       ReplicaStats& aStats,
                       bool aIsError,
                       TimePoint aNow);
+  ReturnLimit& ReturnLimitOf(const std::string& aService);
+  bool MayUseReturning(const std::vector<Replica>& aReplicas, TimePoint aNow);
   double SlownessOf(const Replica& aReplica, TimePoint aNow) const;
   bool IsInRegion(const Replica& aReplica) const;
   const Replica* Pick(const std::vector<const Replica*>& aFrom,
@@ -126,7 +149,10 @@
   Settings settings_;
   std::mt19937_64 random_;
   std::shared_ptr<const ReplicasByService> replicas_;
-  std::set<std::string> present_;
+  RequestedBackoff backoff_;
+  std::map<std::string, ReturnLimit> returnLimits_;
+  /// The replicas that can be chosen, by id; owned by `replicas_`.
+  std::map<std::string, const Replica*> present_;
   /// Replicas of this region that are reserved for long responses, and the
   /// others. Both are empty if there are too few replicas to split.
   std::set<std::string> forLongAnswers_;
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -111,6 +111,17 @@
              { "for_s", aDecision.duration_.count() } });
 }
 
+void
+LogReplicaNotice(const Replica& aReplica, const ReplicaNotice& aNotice)
+{
+  LogEvent(Severity::Info,
+           aNotice.isLeaving_ ? "replica leaves" : "replica backs off",
+           { { "replica", aReplica.id_ },
+             { "service", aReplica.service_ },
+             { "start_ms", aReplica.startTimeMs_ },
+             { "for_ms", WholeMilliseconds(aNotice.backoff_) } });
+}
+
 void
 LogFailure(std::string_view aEvent,
            const ForwardedRequest& aRequest,
--- a/src/tanagerstall/request/tanagerstall_request_log.hpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.hpp
@@ -36,6 +36,10 @@
 void
 LogQuarantined(const QuarantineDecision& aDecision);
 
+/// Logs that a replica said that it leaves or wants no requests for a while.
+void
+LogReplicaNotice(const Replica& aReplica, const ReplicaNotice& aNotice);
+
 /// Logs that the request ended without a whole answer. `aEvent` is the name of
 /// the log event.
 void
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -866,3 +866,147 @@
   BOOST_TEST(environment.Fetch("/safe/x", "8:1,7:1")->status_ == 502);
   BOOST_TEST(first.Requests() + second.Requests() == 3);
 }
+
+namespace {
+
+const std::string kLeaving = "Server-Leaving: 1\r\n";
+
+/// Inserts a header field before the end of a response's head.
+std::string
+WithHeader(std::string aResponse, const std::string& aHeader)
+{
+  return aResponse.insert(aResponse.find("\r\n\r\n") + 2, aHeader);
+}
+
+struct LeavingCase
+{
+  const char* name_;
+  const char* path_;
+  Script script_;
+  int status_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const LeavingCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<LeavingCase> kLeavingCases{
+  { "success", "/safe/x", { WithHeader(kWhole, kLeaving) }, 200 },
+  { "failure", "/once/x", { WithHeader(kFailed, kLeaving) }, 500 },
+  { "refusal", "/once/x", { WithHeader(kNotRun, kLeaving) }, 503 },
+  { "misdirected", "/once/x", { WithHeader(kMisdirected, kLeaving) }, 503 },
+  { "stream",
+    "/stream/x",
+    { WithHeader(kStreamHead, kLeaving) + Chunk(kEvent1) + "0\r\n\r\n" },
+    200 },
+  { "stream that breaks off",
+    "/stream/x",
+    { WithHeader(kStreamHead, kLeaving) + Chunk(kEvent1), After::Close },
+    kBroken },
+  { "answer to another request",
+    "/once/x",
+    { WithHeader(kForeign, kLeaving), After::Close },
+    502 },
+  { "answer without a seal",
+    "/once/x",
+    { WithHeader(kUnsealed, kLeaving), After::Close },
+    502 },
+};
+
+} // namespace
+
+// Guards against requests to a replica that has said in an answer that it
+// leaves, while its announcement still says that it is ready.
+BOOST_DATA_TEST_CASE(A_replica_that_leaves_gets_no_further_request,
+                     data::make(kLeavingCases),
+                     sample)
+{
+  ScriptedUpstream upstream(sample.script_);
+  Environment environment({ &upstream });
+  auto first = environment.Fetch(sample.path_);
+  BOOST_TEST((first ? first->status_ : kBroken) == sample.status_);
+  int before = upstream.Requests();
+  auto second = environment.Fetch("/safe/x");
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST(second->status_ == 503);
+  BOOST_TEST(upstream.Requests() == before);
+}
+
+BOOST_AUTO_TEST_CASE(A_late_copy_also_says_that_its_replica_leaves)
+{
+  ScriptedUpstream upstream(
+    { kWhole, After::Keep, "", 0ms, WithHeader(kForeign, kLeaving) + kWhole });
+  Environment environment({ &upstream });
+  BOOST_TEST(environment.Fetch("/safe/x")->status_ == 200);
+  BOOST_TEST(environment.Fetch("/safe/x")->status_ == 200);
+  BOOST_TEST(environment.Fetch("/safe/x")->status_ == 503);
+  BOOST_TEST(upstream.Requests() == 2);
+}
+
+namespace {
+
+struct BackoffCase
+{
+  const char* name_;
+  std::string response_;
+  /// Whether the entry backs off.
+  bool isBackingOff_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const BackoffCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::string kShortBackoff = "Retry-After: 0.4\r\n";
+const std::string kUnavailableRun =
+  Head("503 Service Unavailable") + "Content-Length: 0\r\n\r\n";
+
+const std::vector<BackoffCase> kBackoffs{
+  { "not run", WithHeader(kNotRun, kShortBackoff), true },
+  { "may have run", WithHeader(kUnavailableRun, kShortBackoff), true },
+  { "without a time", kNotRun, false },
+  { "with another status", WithHeader(kFailed, kShortBackoff), false },
+  { "a date",
+    WithHeader(kNotRun, "Retry-After: Sat, 05 Dec 2026 10:00:00 GMT\r\n"),
+    false },
+};
+
+} // namespace
+
+// Guards against requests to a replica that has asked for none for a while, and
+// against callers that wait for it.
+BOOST_DATA_TEST_CASE(A_replica_that_asks_for_a_back_off_gets_no_request,
+                     data::make(kBackoffs),
+                     sample)
+{
+  ScriptedUpstream upstream({ sample.response_, After::Close });
+  Environment environment({ &upstream });
+  (void)environment.Fetch("/once/x");
+  int before = upstream.Requests();
+  std::this_thread::sleep_for(100ms);
+  auto second = environment.Fetch("/once/x");
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST(upstream.Requests() == before + (sample.isBackingOff_ ? 0 : 1));
+  if (sample.isBackingOff_) {
+    BOOST_TEST(second->status_ == 503);
+    BOOST_TEST(second->body_.find("backing_off") != std::string::npos);
+    double retryAfter = std::stod(std::string(second->Header("Retry-After")));
+    BOOST_TEST(retryAfter > 0.0);
+    BOOST_TEST(retryAfter <= 1.4);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(A_request_refused_with_a_back_off_goes_to_another_replica)
+{
+  ScriptedUpstream full({ WithHeader(kNotRun, "Retry-After: 5\r\n") });
+  ScriptedUpstream free({ kWhole, After::Close });
+  Environment environment({ &full, &free });
+  for (int i = 0; i < 8; ++i) {
+    BOOST_TEST(environment.Fetch("/once/x")->status_ == 200);
+  }
+  BOOST_TEST(full.Requests() <= 1);
+}
