Requests are refused before limits while all replicas pause

What callers saw: while all replicas of a service had asked for a back-off, a request was first charged to its organisation's limit, waited up to 250 ms for control to grant more, and was told 429 though the limit was not the reason.

--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -22,7 +22,6 @@
 constexpr Duration kGrantPollInterval = std::chrono::milliseconds(15);
 /// The work of a refused request relative to that of a forwarded one.
 constexpr double kRefusalWork = 0.2;
-constexpr double kRetrySlackShare = 0.7;
 /// Memory for whole responses in progress, in bytes.
 constexpr std::size_t kMaxBufferedBytes = 32UL << 20U;
 
@@ -38,6 +37,7 @@
              std::random_device()())
   , limits_(std::random_device()())
   , usage_(settings_.usageWindow_, hooks_.wallClock_)
+  , retries_(settings_.retryRatio_, settings_.retrySlack_)
   , random_(std::random_device()())
 {
 }
@@ -94,29 +94,10 @@
   quarantine_.Apply(aVerdicts, clock_.Now());
 }
 
-/// Returns this entry's share of the retry slack. It is less than the full
-/// share because one time window can contain both the retries that an entry
-/// saved up and the initial budget of the entry after a restart.
-double
-Forwarder::RetryBurst() const
-{
-  return kRetrySlackShare * settings_.retrySlack_ / shareDivisor_;
-}
-
 void
 Forwarder::SetShareDivisor(std::uint32_t aDivisor)
 {
-  shareDivisor_ = std::max(aDivisor, 1U);
-  for (auto& [service, budget] : budgets_) {
-    budget.SetBurst(RetryBurst());
-  }
-}
-
-AttemptBudget&
-Forwarder::BudgetOf(const std::string& aService)
-{
-  return budgets_.try_emplace(aService, settings_.retryRatio_, RetryBurst())
-    .first->second;
+  retries_.SetShareDivisor(aDivisor);
 }
 
 std::optional<HttpResponse>
@@ -169,6 +150,21 @@
   return Refuse(aRequest, refusal);
 }
 
+/// Refuses a request that no replica of its service takes now, before it is
+/// charged to a limit or waits for one.
+std::optional<HttpResponse>
+Forwarder::CheckBackoff(const ForwardedRequest& aRequest)
+{
+  auto untilOpen = chooser_.TimeUntilOpen(aRequest.service_, clock_.Now());
+  if (!untilOpen || *untilOpen == Duration::zero()) {
+    return std::nullopt;
+  }
+  ServiceLoad& load = loads_[aRequest.service_];
+  ++load.arrivals_;
+  ++load.refused_;
+  return Refuse(aRequest, UnavailableRefusal(aRequest.service_));
+}
+
 /// Takes the cost from the organisation's limit, waiting for control to grant
 /// more if the entry holds too little.
 CostDecision
@@ -236,16 +232,26 @@
     wait = std::min(wait, *remaining);
   }
   request.deadline_ = request.arrivedAt_ + wait;
+  request.service_ = PickService(*request.route_);
+  if (auto refusal = CheckBackoff(request)) {
+    return tl::make_unexpected(*refusal);
+  }
   if (auto refusal = CheckRate(aExchange, request)) {
     return tl::make_unexpected(*refusal);
   }
+  return request;
+}
+
+/// Draws one of the route's services by their weights.
+const std::string&
+Forwarder::PickService(const Route& aRoute)
+{
   std::vector<double> weights;
-  for (const auto& target : request.route_->services_) {
+  for (const auto& target : aRoute.services_) {
     weights.push_back(target.weight_);
   }
   std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
-  request.service_ = request.route_->services_[pick(random_)].service_;
-  return request;
+  return aRoute.services_[pick(random_)].service_;
 }
 
 void
@@ -260,7 +266,7 @@
   ServiceLoad& load = loads_[request->service_];
   ++load.arrivals_;
   metrics_.Count(Counter::Requests);
-  BudgetOf(request->service_).OnRequest();
+  retries_.OnRequest(request->service_);
   Run(aExchange, *request);
 }
 
@@ -341,7 +347,7 @@
   if (!aIsSent) {
     return true;
   }
-  bool isTaken = BudgetOf(aRequest.service_).Take();
+  bool isTaken = retries_.Take(aRequest.service_);
   metrics_.Count(Counter::Retries, isTaken ? 1 : 0);
   return isTaken;
 }
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -5,7 +5,6 @@
 #include "tanagerstall/connection/tanagerstall_fleet_messages.hpp"
 #include "tanagerstall/connection/tanagerstall_http_server.hpp"
 #include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
-#include "tanagerstall/request/tanagerstall_attempt_budget.hpp"
 #include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
@@ -14,6 +13,7 @@
 #include "tanagerstall/request/tanagerstall_prompt_quarantine.hpp"
 #include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
 #include "tanagerstall/request/tanagerstall_request_rate.hpp"
+#include "tanagerstall/request/tanagerstall_retry_budgets.hpp"
 #include "tanagerstall/request/tanagerstall_usage_counter.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
@@ -87,10 +87,6 @@
   void TrimConnections();
 
 private:
-  /// The divisor that is assumed until control reports it.
-  static constexpr std::uint32_t kAssumedShareDivisor = 20;
-
-  double RetryBurst() const;
   tl::expected<ForwardedRequest, HttpResponse> Admit(HttpExchange& aExchange);
   std::optional<HttpResponse> CheckOrganisation(ForwardedRequest& aRequest,
                                                 const HttpRequest& aHttp);
@@ -99,7 +95,9 @@
   CostDecision AwaitCost(HttpExchange& aExchange,
                          const PlanOrganisation& aOrganisation,
                          double aCost);
+  std::optional<HttpResponse> CheckBackoff(const ForwardedRequest& aRequest);
   std::optional<HttpResponse> CheckPrompt(const ForwardedRequest& aRequest);
+  const std::string& PickService(const Route& aRoute);
   void Run(HttpExchange& aExchange, ForwardedRequest& aRequest);
   void EndUnanswered(HttpExchange& aExchange,
                      ForwardedRequest& aRequest,
@@ -119,7 +117,6 @@
                       const Replica& aReplica,
                       const AttemptResult& aResult,
                       bool aIsCounted);
-  AttemptBudget& BudgetOf(const std::string& aService);
 
   ForwarderSettings settings_;
   Clock clock_;
@@ -132,8 +129,7 @@
   PromptQuarantine quarantine_;
   Metrics metrics_;
   UsageCounter usage_;
-  std::map<std::string, AttemptBudget> budgets_;
-  std::uint32_t shareDivisor_ = kAssumedShareDivisor;
+  RetryBudgets retries_;
   RequestRate arrivals_;
   std::map<std::string, ServiceLoad> loads_;
   std::mt19937_64 random_;
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -204,7 +204,8 @@
 /// An HTTP server with an entry's forwarder and scripted upstreams.
 struct Environment
 {
-  explicit Environment(const std::vector<const ScriptedUpstream*>& aUpstreams)
+  explicit Environment(const std::vector<const ScriptedUpstream*>& aUpstreams,
+                       const std::string& aDocument = kDocument)
     : threads_(1)
     , forwarder_({ platform::MakeCallerProtocol(), "a", {}, 0.2, 100.0, 5s },
                  Clock(),
@@ -222,7 +223,7 @@
       replica.failureDomain_ = "a";
       (*replicas)["s"].push_back(replica);
     }
-    auto plan = std::make_shared<TrafficPlan>(*platform::DecodePlan(kDocument));
+    auto plan = std::make_shared<TrafficPlan>(*platform::DecodePlan(aDocument));
     std::promise<void> ready;
     threads_.Post([&] {
       forwarder_.SetPlan(plan);
@@ -239,7 +240,8 @@
   /// Sends a request as a caller and returns what the caller receives.
   tl::expected<HttpResponse, TransportError> Fetch(
     const std::string& aPath,
-    const std::string& aPromptParts = "")
+    const std::string& aPromptParts = "",
+    const std::string& aKey = "")
   {
     std::promise<tl::expected<HttpResponse, TransportError>> promise;
     threads_.Spawn([&](Fiber& aFiber) {
@@ -253,6 +255,9 @@
         request.headers_.push_back(
           { "Tanagerstall-Prompt-Prefix", aPromptParts });
       }
+      if (!aKey.empty()) {
+        request.headers_.push_back({ "Tanagerstall-Key", aKey });
+      }
       promise.set_value(FetchHttp(aFiber, address_, request, 3s));
     });
     return promise.get_future().get();
@@ -1010,3 +1015,29 @@
   }
   BOOST_TEST(full.Requests() <= 1);
 }
+
+// Guards against callers whose requests wait for their organisation's limit,
+// and are charged to it, although no replica takes any.
+BOOST_AUTO_TEST_CASE(
+  Requests_are_refused_before_limits_while_all_replicas_pause)
+{
+  constexpr const char* kKey = "k1";
+  std::string document = kDocument;
+  document.insert(
+    document.size() - 1,
+    R"(,"tenants":[{"name":"o","apiKeys":["k1"],"unit":"requests",)"
+    R"("ratePerS":1,"burst":1}])");
+  ScriptedUpstream upstream({ WithHeader(kNotRun, "Retry-After: 5\r\n") });
+  Environment environment({ &upstream }, document);
+  environment.forwarder_.Limits().ApplyGrants({ { "o", 1.0 } }, 1);
+  auto first = environment.Fetch("/once/x", "", kKey);
+  BOOST_TEST(first->body_.find("backing_off") != std::string::npos);
+  // The only grant is spent: another request would wait for the limit.
+  Clock clock;
+  TimePoint begin = clock.Now();
+  auto second = environment.Fetch("/once/x", "", kKey);
+  BOOST_TEST(second->status_ == 503);
+  BOOST_TEST(second->body_.find("backing_off") != std::string::npos);
+  BOOST_TEST((clock.Now() - begin < 200ms));
+  BOOST_TEST(upstream.Requests() == 1);
+}
