--- a/src/tanagerstall/process/standin/tanagerstall_standin.cpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin.cpp
@@ -52,7 +52,9 @@
     } else if (target == "/faults") {
       ChangeFaults(aExchange);
     } else if (work_.Faults().refuses_) {
-      aExchange.Respond(JsonResponse(503, R"({"error":"refused"})"));
+      ++refused_;
+      aExchange.Respond(
+        WithAnswerHeader(JsonResponse(503, R"({"error":"refused"})")));
     } else {
       work_.AcquireSlot(aExchange.GetFiber());
       Run(aExchange, work_.DrawBreak());
@@ -60,6 +62,16 @@
     }
   }
 
+  HttpResponse WithAnswerHeader(HttpResponse aResponse)
+  {
+    const std::string& header = work_.Faults().answerHeader_;
+    if (auto colon = header.find(": "); colon != std::string::npos) {
+      aResponse.headers_.push_back(
+        { header.substr(0, colon), header.substr(colon + 2) });
+    }
+    return aResponse;
+  }
+
   void Run(HttpExchange& aExchange, StandinBreak aBreak)
   {
     work_.Wait(aExchange.GetFiber(), {});
@@ -75,8 +87,8 @@
     }
   }
 
-  /// Reports the runs of each idempotency key and each body, and the number of
-  /// tokens generated.
+  /// Reports the runs of each idempotency key and each body, and the numbers of
+  /// tokens generated and of requests refused.
   void ReportExecutions(HttpExchange& aExchange)
   {
     json::object keys;
@@ -89,7 +101,8 @@
     }
     json::object report{ { "keys", keys },
                          { "bodies", bodies },
-                         { "tokens", tokens_ } };
+                         { "tokens", tokens_ },
+                         { "refused", refused_ } };
     aExchange.Respond(JsonResponse(200, json::serialize(report)));
   }
 
@@ -208,7 +221,7 @@
       return;
     }
     if (aBreak == StandinBreak::None) {
-      aExchange.Respond(JsonResponse(200, aBody));
+      aExchange.Respond(WithAnswerHeader(JsonResponse(200, aBody)));
       return;
     }
     aExchange.StartStream(
@@ -324,6 +337,7 @@
   std::map<std::string, PlainRun> runs_;
   std::map<std::string, unsigned> bodies_;
   std::uint64_t tokens_ = 0;
+  std::uint64_t refused_ = 0;
   HttpServer server_;
 };
 
--- a/src/tanagerstall/process/standin/tanagerstall_standin_faults.cpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin_faults.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <functional>
 #include <map>
+#include <stdexcept>
 
 namespace tanagerstall {
 
@@ -38,6 +39,19 @@
   };
 }
 
+/// Throws if the value is no text of the form "NAME: VALUE", or "".
+void
+SetAnswerHeader(StandinFaults& aFaults, const json::value& aValue)
+{
+  auto header = json::value_to<std::string>(aValue);
+  auto colon = header.find(": ");
+  bool isHeader = colon != std::string::npos && colon > 0;
+  if (!header.empty() && !isHeader) {
+    throw std::invalid_argument("a header field is expected");
+  }
+  aFaults.answerHeader_ = std::move(header);
+}
+
 void
 SetBreak(StandinFaults& aFaults, const json::value& aValue)
 {
@@ -72,6 +86,7 @@
     { "batch_slowdown", Number(&Faults::batchSlowdown_) },
     { "deduplicates", Flag(&Faults::deduplicates_) },
     { "refuses", Flag(&Faults::refuses_) },
+    { "answer_header", SetAnswerHeader },
     { "holds", Flag(&Faults::holds_) }
   };
   return kSetters;
--- a/src/tanagerstall/process/standin/tanagerstall_standin_faults.hpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin_faults.hpp
@@ -54,6 +54,9 @@
   bool deduplicates_ = false;
   /// Whether every request is answered with status 503 and does not run.
   bool refuses_ = false;
+  /// A header field, "NAME: VALUE", that refusals and answers which are not
+  /// streamed carry; empty for none.
+  std::string answerHeader_;
   /// While this is true, running requests do not produce their first token.
   bool holds_ = false;
 };
--- /dev/null
+++ b/tests/processes/replica_notice_test.sh
@@ -0,0 +1,110 @@
+#!/usr/bin/env bash
+# Runs the platform's daemons and a stand-in for a replica that asks entries for
+# a back-off and then says that it leaves: no request may reach it meanwhile,
+# also from an entry that was frozen and wakes within the back-off. An entry
+# that was restarted may ask it once more.
+set -euo pipefail
+run=$(mktemp -d)
+source tools/scripts/lib.sh
+trap 'kill_all; rm -rf "$run"' EXIT
+net=127.$((RANDOM % 200 + 20)).$((RANDOM % 200 + 20))
+controls=("$net.1" "$net.2" "$net.3")
+replica=$net.50:8080
+source tests/processes/platform_lib.sh
+
+for i in 1 2 3; do
+  control_settings $i true
+  start_platform control-$i controld
+done
+start_entry() { start_platform "entry-$1" entryd; }
+for i in 1 2; do
+  settings entry-$i "$net.1$i" "listen.front=$net.1$i:8221" "listen.ready=$net.1$i:8224"
+  start_entry $i
+done
+build/src/tanagerstall-standin --service s --address "$replica" --entries "$net.99:1" \
+  2>"$run/standin.log" &
+pids+=($!)
+
+# announce_forever START: announces the incarnation that began at START.
+announce_forever() {
+  local sequence=0
+  while true; do
+    sequence=$((sequence + 1))
+    curl -s -o /dev/null -m 1 -X PUT -d "{\"service\":\"s\",\"address\":\"$replica\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":$sequence,\"born\":$1}" \
+      "http://${controls[0]}:8229/tanagerstall/instances/r1" || true
+    sleep 0.5
+  done
+}
+# send ENTRY BODY: sends a request through an entry and prints the status.
+send() {
+  curl -s -o /dev/null -w '%{http_code}' -m 10 -X POST -H 'Host: h' \
+    -H "Tanagerstall-Request-Id: $RANDOM$RANDOM" -d "$2" "http://$net.1$1:8221/a/x"
+}
+set_faults() { curl -sf -o /dev/null -X POST -d "$1" "http://$replica/faults"; }
+refused() { curl -sf "http://$replica/executions" | jq .refused; }
+ran() { curl -sf "http://$replica/executions" | jq ".bodies[\"$1\"] // 0"; }
+reaches() { send "$1" probe >/dev/null; [ "$(ran probe)" -gt "$2" ]; }
+expect_sends() { [ "$2" -le "$3" ] || { echo "$1: $2 requests reached the replica, at most $3 may"; exit 1; }; }
+
+announce_forever 1 &
+announcer=$!
+pids+=($announcer)
+wait_until accepts "${controls[0]}" 5
+for i in 1 2; do
+  wait_until reaches $i "$(ran probe)"
+done
+
+# Both entries are asked for a back-off once and send nothing more.
+set_faults '{"refuses":true,"answer_header":"Retry-After: 30"}'
+for i in 1 2; do
+  [ "$(send $i x)" = 503 ]
+done
+for n in 1 2 3 4 5; do
+  [ "$(send 1 x)" = 503 ]
+done
+expect_sends "within the back-off" "$(refused)" 2
+
+# Requests that wait at a frozen entry are not sent when it wakes.
+kill -STOP "$(pid_of entry-2)"
+senders=()
+for n in 1 2 3; do
+  send 2 frozen >/dev/null &
+  senders+=($!)
+done
+sleep 1
+kill -CONT "$(pid_of entry-2)"
+for sender in "${senders[@]}"; do
+  wait "$sender"
+done
+expect_sends "after a freeze" "$(refused)" 2
+
+# A restarted entry knows nothing and is told once.
+kill -KILL "$(pid_of entry-1)"
+start_entry 1
+is_told() { send 1 x >/dev/null; [ "$(refused)" -ge 3 ]; }
+wait_until is_told
+for n in 1 2 3 4 5; do
+  [ "$(send 1 x)" = 503 ]
+done
+expect_sends "after a restart" "$(refused)" 3
+
+# The back-off belongs to the incarnation: another one is used at once. It says
+# that it leaves and gets no request after that, though its announcements go on.
+set_faults '{"refuses":false,"answer_header":"Server-Leaving: 1"}'
+kill "$announcer"
+announce_forever 2 &
+pids+=($!)
+before=$(ran probe)
+for i in 1 2; do
+  wait_until reaches $i "$(ran probe)"
+done
+[ "$(ran probe)" -le $((before + 2)) ]
+for n in 1 2 3; do
+  [ "$(send 1 leaving)" = 503 ]
+  [ "$(send 2 leaving)" = 503 ]
+done
+expect_sends "after it said that it leaves" "$(ran leaving)" 0
+grep -q '"event":"replica leaves"' "$run/entry-1.log"
+grep -q '"event":"replica backs off"' "$run/entry-1.log"
+curl -sf "http://$net.11:9464/metrics" | grep -q '^tanagerstall_replicas_leaving{service="s"} 1'
+echo "passed"
--- a/tests/standin_tests.cpp
+++ b/tests/standin_tests.cpp
@@ -81,7 +81,9 @@
                                   R"({"stal_ms":1})",
                                   R"({"stall_ms":-1})",
                                   R"({"break":"sometimes"})",
-                                  R"({"refuses":1})" }),
+                                  R"({"refuses":1})",
+                                  R"({"answer_header":"X"})",
+                                  R"({"answer_header":": 1"})" }),
                      text)
 {
   BOOST_TEST(!ReadStandinFaults(text, {}));
@@ -90,12 +92,14 @@
 BOOST_AUTO_TEST_CASE(Omitted_faults_keep_their_values,
                      *boost::unit_test::label("standin"))
 {
-  auto first = ReadStandinFaults(R"({"slots":4,"refuses":true})", {});
+  auto first = ReadStandinFaults(
+    R"({"slots":4,"refuses":true,"answer_header":"X: 1"})", {});
   BOOST_REQUIRE(first);
   auto second = ReadStandinFaults(
     R"({"refuses":false,"break":"reset_mid_answer"})", *first);
   BOOST_REQUIRE(second);
   BOOST_TEST(second->slots_ == 4U);
+  BOOST_TEST(second->answerHeader_ == "X: 1");
   BOOST_TEST(!second->refuses_);
   BOOST_TEST((second->break_ == StandinBreak::ResetMidAnswer));
 }
