--- a/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
@@ -310,7 +310,7 @@
 /// Counts the parts that no success has cleared of their crashes. One that was
 /// never answered is weighed against its like only, since there are few.
 std::size_t
-PromptCrashDetector::CountAccused(bool aWasAnswered) const
+PromptCrashDetector::CountSuspected(bool aWasAnswered) const
 {
   return static_cast<std::size_t>(
     std::count_if(suspicions_.begin(), suspicions_.end(), [&](const auto& aIt) {
@@ -345,7 +345,7 @@
   for (const auto& [run, entry] : entries_) {
     evidence.answeredEver_ += entry.answered_;
   }
-  evidence.parts_ = CountAccused(aSuspicion.wasAnswered_);
+  evidence.parts_ = CountSuspected(aSuspicion.wasAnswered_);
   evidence.wasAnswered_ = aSuspicion.wasAnswered_;
   evidence.isFirst_ = aIsFirst;
   return evidence;
--- a/src/tanagerstall/request/tanagerstall_prompt_crash_detector.hpp
+++ b/src/tanagerstall/request/tanagerstall_prompt_crash_detector.hpp
@@ -112,7 +112,7 @@
   void List(const std::vector<std::uint64_t>& aCandidates, TimePoint aNow);
   bool IsQuarantined(std::uint64_t aPart, TimePoint aNow) const;
   bool HasLikelierCause(std::uint64_t aPart) const;
-  std::size_t CountAccused(bool aWasAnswered) const;
+  std::size_t CountSuspected(bool aWasAnswered) const;
   CrashEvidence EvidenceOf(const Suspicion& aSuspicion, bool aIsFirst) const;
   std::size_t CountUnexplainedLosses(TimePoint aFrom, TimePoint aTo) const;
   bool IsConfirmed(std::uint64_t aPart, bool aIsFirst, TimePoint aNow);
--- a/tests/crash_evidence_tests.cpp
+++ b/tests/crash_evidence_tests.cpp
@@ -111,7 +111,7 @@
 
 } // namespace
 
-// Guards against parts that are accused by chance, or never found.
+// Guards against parts that are suspected by chance, or never found.
 BOOST_TEST_DECORATOR(*boost::unit_test::label("prompt crash"))
 BOOST_DATA_TEST_CASE(Only_what_chance_cannot_explain_convinces,
                      data::make(kCases),
--- a/tests/prompt_crash_tests.cpp
+++ b/tests/prompt_crash_tests.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <vector>
 
 using namespace tanagerstall;
@@ -178,7 +179,7 @@
 
 } // namespace
 
-// Guards against a frequent part that is accused because one of many parts is
+// Guards against a frequent part that is suspected because one of many parts is
 // always lost several times in a row by chance.
 BOOST_TEST_DECORATOR(*boost::unit_test::label("prompt crash"))
 BOOST_DATA_TEST_CASE(Replicas_that_crash_in_turn_put_no_part_in_quarantine,
@@ -262,6 +263,28 @@
 constexpr std::uint64_t kCompanion = 7;
 constexpr std::uint64_t kCrashCount = 14;
 
+/// Reports crashes of one replica each to a leader, among many answers, and
+/// returns what it has put in quarantine then. `aAddRequests` adds the requests
+/// that were lost at a crash, by its number from 1, which is also its replica.
+std::vector<QuarantinedPart>
+QuarantinedAfterCrashes(
+  const std::function<void(PromptEvidence&, std::uint64_t)>& aAddRequests)
+{
+  PromptCrashDetector detector(1);
+  TimePoint now{ std::chrono::hours(1) };
+  PromptEvidence evidence;
+  detector.RecordReport("entry", evidence, now);
+  for (std::uint64_t crash = 1; crash <= kCrashCount; ++crash) {
+    now += std::chrono::milliseconds(300);
+    evidence.answered_ += 100;
+    evidence.crashes_.clear();
+    aAddRequests(evidence, crash);
+    detector.RecordReport("entry", evidence, now);
+    detector.Update(now);
+  }
+  return detector.Verdicts(now).quarantined_;
+}
+
 const std::vector<CompanionCase> kCompanions = {
   { "from the third crash on", 3 },
   { "only after the deadly part was found", 8 },
@@ -276,22 +299,14 @@
                      data::make(kCompanions),
                      row)
 {
-  PromptCrashDetector detector(1);
-  TimePoint now{ std::chrono::hours(1) };
-  PromptEvidence evidence;
-  detector.RecordReport("entry", evidence, now);
-  for (std::uint64_t crash = 1; crash <= kCrashCount; ++crash) {
-    now += std::chrono::milliseconds(300);
-    evidence.answered_ += 100;
-    evidence.lost_ = crash;
-    evidence.crashes_ = { { kDeadlyPart, crash, crash, {} } };
-    if (crash >= row.firstCrash_) {
-      evidence.crashes_.push_back({ kCompanion, crash, crash, {} });
-    }
-    detector.RecordReport("entry", evidence, now);
-    detector.Update(now);
-  }
-  auto quarantined = detector.Verdicts(now).quarantined_;
+  auto quarantined =
+    QuarantinedAfterCrashes([&](PromptEvidence& aTo, std::uint64_t aCrash) {
+      aTo.lost_ = aCrash;
+      aTo.crashes_.push_back({ kDeadlyPart, aCrash, aCrash, {} });
+      if (aCrash >= row.firstCrash_) {
+        aTo.crashes_.push_back({ kCompanion, aCrash, aCrash, {} });
+      }
+    });
   BOOST_REQUIRE(quarantined.size() == 1U);
   BOOST_TEST(quarantined.front().part_ == kDeadlyPart);
 }
@@ -328,25 +343,15 @@
                      data::make(kSubjects),
                      row)
 {
-  PromptCrashDetector detector(1);
-  TimePoint now{ std::chrono::hours(1) };
-  PromptEvidence evidence;
-  detector.RecordReport("entry", evidence, now);
-  for (std::uint64_t crash = 1; crash <= kCrashCount; ++crash) {
-    now += std::chrono::milliseconds(300);
-    evidence.answered_ += 100;
-    evidence.crashes_.clear();
-    for (std::uint64_t request = 0; request <= row.others_; ++request) {
-      ++evidence.lost_;
-      evidence.crashes_.push_back(
-        { kCompanion, evidence.lost_, crash, {}, row.wasAnswered_ });
-    }
-    evidence.crashes_.push_back(
-      { kDeadlyPart, evidence.lost_, crash, {}, false });
-    detector.RecordReport("entry", evidence, now);
-    detector.Update(now);
-  }
-  auto quarantined = detector.Verdicts(now).quarantined_;
+  auto quarantined =
+    QuarantinedAfterCrashes([&](PromptEvidence& aTo, std::uint64_t aCrash) {
+      for (std::uint64_t request = 0; request <= row.others_; ++request) {
+        ++aTo.lost_;
+        aTo.crashes_.push_back(
+          { kCompanion, aTo.lost_, aCrash, {}, row.wasAnswered_ });
+      }
+      aTo.crashes_.push_back({ kDeadlyPart, aTo.lost_, aCrash, {}, false });
+    });
   BOOST_REQUIRE(quarantined.size() == 1U);
   BOOST_TEST(quarantined.front().part_ == row.quarantined_);
 }
