Log why an organisation's limit refused a request, and control threads that fall behind

A refusal for the rate didn't say whether the leader found the limit exhausted or didn't answer in time, and nothing said that a control thread has more work than its share of the processor. No decision changes.

--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -10,6 +10,7 @@
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
 #include "tanagerstall/process/tanagerstall_leader_tasks.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
+#include "tanagerstall/process/tanagerstall_loop_delay.hpp"
 #include "tanagerstall/process/tanagerstall_member_directory.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
 #include "tanagerstall/request/tanagerstall_cost_leases.hpp"
@@ -25,7 +26,7 @@
 
 namespace {
 
-constexpr auto kTickInterval = 100 * kj::MILLISECONDS;
+constexpr std::chrono::milliseconds kTickInterval{ 100 };
 constexpr Duration kSettingsInterval = std::chrono::seconds(2);
 /// The number of usage windows before the last summed one that are retained.
 constexpr std::int64_t kRetainedWindows = 8;
@@ -175,6 +176,7 @@
 
   void HandleReport(const EntryReport& aReport)
   {
+    loopDelay_.CountReport();
     entries_.Observe(aReport.entry_, clock_.Now());
     usageTotals_.Merge(RunOf(aReport.entry_), aReport.usage_);
     loads_.Record(aReport);
@@ -287,33 +289,37 @@
 
   kj::Promise<void> TickPeriodically()
   {
-    return timer_.afterDelay(kTickInterval).then([this] {
-      TimePoint now = clock_.Now();
-      auto stamp = replicas_.Stamp();
-      replicas_.Tick(now);
-      if (stamp != replicas_.Stamp()) {
-        entriesServer_.Notify();
-      }
-      members_.Update(
-        member_.Group(GroupName::Configuration).Core().Log().Members(),
-        settings_.entriesAddress_.port_);
-      auto serving = ServingEntries();
-      loads_.KeepOnly(serving);
-      workingSet_.Update(serving, loads_.Rates(), now);
-      leaderTasks_.Observe(now);
-      bool wasLeading =
-        std::exchange(isLeading_, leaderTasks_.IsSteadyLeader(now));
-      if (isLeading_ && !wasLeading) {
-        leases_.StartLeading(now);
-        detector_.StartLeading();
-        entriesServer_.Notify();
-      }
-      DecideOnPrompts(now);
-      if (now >= nextSettingsReadAt_) {
-        Reload(false);
-      }
-      return TickPeriodically();
-    });
+    return timer_.afterDelay(kTickInterval.count() * kj::MILLISECONDS)
+      .then([this] {
+        TimePoint now = clock_.Now();
+        if (auto lag = loopDelay_.Observe(now)) {
+          LogLag(*lag);
+        }
+        auto stamp = replicas_.Stamp();
+        replicas_.Tick(now);
+        if (stamp != replicas_.Stamp()) {
+          entriesServer_.Notify();
+        }
+        members_.Update(
+          member_.Group(GroupName::Configuration).Core().Log().Members(),
+          settings_.entriesAddress_.port_);
+        auto serving = ServingEntries();
+        loads_.KeepOnly(serving);
+        workingSet_.Update(serving, loads_.Rates(), now);
+        leaderTasks_.Observe(now);
+        bool wasLeading =
+          std::exchange(isLeading_, leaderTasks_.IsSteadyLeader(now));
+        if (isLeading_ && !wasLeading) {
+          leases_.StartLeading(now);
+          detector_.StartLeading();
+          entriesServer_.Notify();
+        }
+        DecideOnPrompts(now);
+        if (now >= nextSettingsReadAt_) {
+          Reload(false);
+        }
+        return TickPeriodically();
+      });
   }
 
   void Reload(bool aIsRequested)
@@ -363,6 +369,7 @@
   CostLeases leases_;
   PromptCrashDetector detector_{ runId_ };
   bool isLeading_ = false;
+  LoopDelay loopDelay_{ kTickInterval };
   UsageTotals usageTotals_;
   /// The replicas that the other control processes report.
   ReplicaView view_;
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -5,6 +5,7 @@
 #include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 #include "tanagerstall/process/tanagerstall_drain.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
+#include "tanagerstall/process/tanagerstall_loop_delay.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
 #include "tanagerstall/version/tanagerstall_declaration_source.hpp"
 
@@ -16,7 +17,7 @@
 
 namespace {
 
-constexpr auto kTickInterval = 100 * kj::MILLISECONDS;
+constexpr std::chrono::milliseconds kTickInterval{ 100 };
 constexpr Duration kReportInterval = std::chrono::milliseconds(250);
 /// The part of the grace period that is reserved for shutting down.
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(300);
@@ -160,6 +161,7 @@
   void HandleAnswer(const std::string& aControl, const ControlAnswer& aAnswer)
   {
     TimePoint now = clock_.Now();
+    loopDelay_.CountReport();
     view_.ApplyReport(aControl, aAnswer.replicas_, now);
     LogDownload(aControl, aAnswer, now);
     source_.OnUpdate(aControl,
@@ -267,19 +269,23 @@
 
   kj::Promise<void> TickPeriodically()
   {
-    return timer_.afterDelay(kTickInterval).then([this]() -> kj::Promise<void> {
-      TimePoint now = clock_.Now();
-      PublishReplicas(now);
-      ApplyConfirmed(now);
-      if (now >= nextSettingsReadAt_) {
-        Reload(false);
-      }
-      if (AdvanceDrain(now)) {
-        loop_.Stop();
-        return kj::READY_NOW;
-      }
-      return TickPeriodically();
-    });
+    return timer_.afterDelay(kTickInterval.count() * kj::MILLISECONDS)
+      .then([this]() -> kj::Promise<void> {
+        TimePoint now = clock_.Now();
+        if (auto lag = loopDelay_.Observe(now)) {
+          LogLag(*lag);
+        }
+        PublishReplicas(now);
+        ApplyConfirmed(now);
+        if (now >= nextSettingsReadAt_) {
+          Reload(false);
+        }
+        if (AdvanceDrain(now)) {
+          loop_.Stop();
+          return kj::READY_NOW;
+        }
+        return TickPeriodically();
+      });
   }
 
   void Reload(bool aIsRequested)
@@ -376,6 +382,7 @@
   /// The control process that sent the latest verdicts on prompt parts.
   std::string verdictsFrom_;
   std::uint64_t verdictsRevision_ = 0;
+  LoopDelay loopDelay_{ kTickInterval };
   Drain drain_;
   std::atomic<bool> hasPlan_{ false };
   std::atomic<bool> isStopping_{ false };
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
@@ -31,6 +31,10 @@
                                 "over_rate",
                                 "over the organisation's rate",
                                 kOverRateRetryAfter };
+const ForwardRefusal kNoGrant{ 429,
+                               "over_rate",
+                               "no grant of the organisation's rate in time",
+                               kOverRateRetryAfter };
 const ForwardRefusal kUnavailable{ 503,
                                    "unavailable",
                                    "no replica took it",
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
@@ -22,6 +22,9 @@
 extern const ForwardRefusal kNoRoute;
 extern const ForwardRefusal kUnknownKey;
 extern const ForwardRefusal kOverRate;
+/// The leader has not granted the request's cost in time, although the limit
+/// may have room.
+extern const ForwardRefusal kNoGrant;
 extern const ForwardRefusal kUnavailable;
 extern const ForwardRefusal kBackingOff;
 extern const ForwardRefusal kQuarantined;
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -54,7 +54,8 @@
   LogRefused(aRequest,
              aRefusal.status_,
              aRefusal.reason_,
-             chooser_.CountReplicas(aRequest.service_));
+             chooser_.CountReplicas(aRequest.service_),
+             clock_.Now());
   return RefusalResponse(aRefusal);
 }
 
@@ -133,7 +134,8 @@
   if (decision == CostDecision::Admitted) {
     return std::nullopt;
   }
-  return Refuse(aRequest, kOverRate);
+  return Refuse(aRequest,
+                decision == CostDecision::Exhausted ? kOverRate : kNoGrant);
 }
 
 /// Refuses a request that would crash its replica.
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -67,7 +67,8 @@
 LogRefused(const ForwardedRequest& aRequest,
            int aStatus,
            std::string_view aReason,
-           std::size_t aReplicas)
+           std::size_t aReplicas,
+           TimePoint aNow)
 {
   LogEvent(Severity::Info,
            "request refused",
@@ -80,6 +81,7 @@
              { "cost", aRequest.limitCost_ },
              { "service", aRequest.service_ },
              { "sends", aRequest.sends_ },
+             { "waited_ms", WholeMilliseconds(aNow - aRequest.arrivedAt_) },
              { "replicas", aReplicas } });
 }
 
--- a/src/tanagerstall/request/tanagerstall_request_log.hpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.hpp
@@ -24,7 +24,8 @@
 LogRefused(const ForwardedRequest& aRequest,
            int aStatus,
            std::string_view aReason,
-           std::size_t aReplicas);
+           std::size_t aReplicas,
+           TimePoint aNow);
 
 /// Logs that an attempt at one replica failed.
 void
