The leader's work for a report or a grant doesn't depend on the number of entries

With 191 entries a report that asks for four organisations cost 195 us; some 500 a second filled its 0.15 of a core, grants came after the 250 ms that a request waits, and it was refused with 429.

Class: work per message that grows with the number of senders. What is summed over all entries is now summed ten times a second; what unreachable entries may have taken follows from how long they were unreachable.

--- a/src/tanagerstall/request/tanagerstall_cost_leases.cpp
+++ b/src/tanagerstall/request/tanagerstall_cost_leases.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kReportTimeout = std::chrono::milliseconds(1200);
 /// How long an unreachable entry is assumed to keep admitting requests.
 constexpr Duration kReservationTime = std::chrono::seconds(30);
+/// The interval at which all entries are looked at.
+constexpr Duration kSumInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -39,9 +41,11 @@
 {
   leaderSince_ = aNow;
   contacts_.clear();
+  unreachableShare_ = 0.0;
   for (auto& [organisation, bucket] : buckets_) {
     bucket.isFilled_ = false;
     bucket.shares_.clear();
+    bucket.held_ = 0.0;
   }
 }
 
@@ -52,6 +56,12 @@
                          TimePoint aNow)
 {
   bool isKnown = contacts_.contains(aEntry);
+  Contact& contact = contacts_[aEntry];
+  if (isKnown) {
+    contact.unreachableTime_ +=
+      std::max(Duration::zero(), aNow - contact.at_ - kReportTimeout);
+  }
+  contact.at_ = aNow;
   for (const auto& [organisation, request] : aRequests) {
     auto it = buckets_.find(organisation);
     if (it == buckets_.end()) {
@@ -64,49 +74,91 @@
     // What an entry took before its first report to this leader was taken
     // without a leader and is no part of this leader's bucket.
     if (isKnown) {
-      bucket.level_ -= std::max(0.0, request.taken_ - share.reserved_);
+      double reserved = ReservedFor(contact, share, bucket.limit_);
+      bucket.level_ -= std::max(0.0, request.taken_ - reserved);
     }
+    bucket.held_ +=
+      request.held_ - (IsCurrent(share, aNow) ? share.held_ : 0.0);
     share.held_ = request.held_;
     share.reportedAt_ = aNow;
     // Only a request for a grant reports what the entry took.
-    share.reserved_ = request.HasDemand() ? 0.0 : share.reserved_;
+    if (request.HasDemand()) {
+      share.settledTime_ = contact.unreachableTime_;
+    }
+  }
+  contact.shareDivisor_ = std::max(aShareDivisor, 1U);
+}
+
+/// Sums the shares of the unreachable entries, and forgets those that have been
+/// for long.
+void
+CostLeases::SumUnreachable(TimePoint aNow)
+{
+  if (aNow - summedAt_ < kSumInterval) {
+    return;
   }
-  contacts_[aEntry] = { aNow, std::max(aShareDivisor, 1U) };
+  summedAt_ = aNow;
   std::erase_if(contacts_, [&](const auto& aIt) {
     return aNow - aIt.second.at_ > kReservationTime;
   });
+  unreachableShare_ = 0.0;
+  for (const auto& [entry, contact] : contacts_) {
+    bool isUnreachable = aNow - contact.at_ > kReportTimeout;
+    unreachableShare_ += isUnreachable ? 1.0 / contact.shareDivisor_ : 0.0;
+  }
 }
 
-/// Reserves and returns the cost that unreachable entries may take without a
-/// grant between the last refill and now.
+/// Returns the cost that unreachable entries may have taken without a grant
+/// since the last refill.
 double
-CostLeases::ReserveForUnreachable(Bucket& aBucket, TimePoint aNow) const
+CostLeases::ReservedSince(const Bucket& aBucket, TimePoint aNow) const
 {
-  double reserved = 0.0;
-  double rate = aBucket.limit_.ratePerSecond_ * kLeaderLostShare;
-  for (const auto& [entry, contact] : contacts_) {
-    TimePoint from =
-      std::max(aBucket.refilledAt_, contact.at_ + kReportTimeout);
-    if (aNow > from) {
-      double part = rate / contact.shareDivisor_ * InSeconds(aNow - from);
-      aBucket.shares_[entry].reserved_ += part;
-      reserved += part;
-    }
-  }
-  return reserved;
+  return aBucket.limit_.ratePerSecond_ * kLeaderLostShare * unreachableShare_ *
+         InSeconds(aNow - aBucket.refilledAt_);
 }
 
-/// Refills the bucket up to its size less what the entries hold.
-void
-CostLeases::Refill(Bucket& aBucket, TimePoint aNow) const
+/// Returns the cost that was withheld from the others while the entry was
+/// unreachable, and that it may have taken.
+double
+CostLeases::ReservedFor(const Contact& aContact,
+                        const Share& aShare,
+                        const CostLimit& aLimit)
+{
+  return aLimit.ratePerSecond_ * kLeaderLostShare / aContact.shareDivisor_ *
+         InSeconds(aContact.unreachableTime_ - aShare.settledTime_);
+}
+
+/// Whether the entry's last report still says what it holds.
+bool
+CostLeases::IsCurrent(const Share& aShare, TimePoint aNow)
+{
+  return aNow - aShare.reportedAt_ <= kHeldReportLifetime;
+}
+
+/// Returns what all entries hold.
+double
+CostLeases::Held(Bucket& aBucket, TimePoint aNow) const
 {
-  double held = 0.0;
+  if (aNow - aBucket.heldAt_ < kSumInterval) {
+    return aBucket.held_;
+  }
+  aBucket.heldAt_ = aNow;
+  aBucket.held_ = 0.0;
   std::erase_if(aBucket.shares_, [this](const auto& aIt) {
     return !contacts_.contains(aIt.first);
   });
   for (const auto& [entry, share] : aBucket.shares_) {
-    held += aNow - share.reportedAt_ > kHeldReportLifetime ? 0.0 : share.held_;
+    aBucket.held_ += IsCurrent(share, aNow) ? share.held_ : 0.0;
   }
+  return aBucket.held_;
+}
+
+/// Refills the bucket up to its size less what the entries hold.
+void
+CostLeases::Refill(Bucket& aBucket, TimePoint aNow)
+{
+  SumUnreachable(aNow);
+  double held = Held(aBucket, aNow);
   double size = aBucket.limit_.burst_ + aBucket.slack_;
   if (!aBucket.isFilled_) {
     aBucket.isFilled_ = true;
@@ -116,7 +168,7 @@
   } else {
     aBucket.level_ +=
       aBucket.limit_.ratePerSecond_ * InSeconds(aNow - aBucket.refilledAt_) -
-      ReserveForUnreachable(aBucket, aNow);
+      ReservedSince(aBucket, aNow);
   }
   aBucket.refilledAt_ = aNow;
   aBucket.level_ = std::min(aBucket.level_, std::max(0.0, size - held));
@@ -142,6 +194,7 @@
     bucket.level_ -= grant;
     // What is due is spent by waiting requests as soon as it arrives.
     bucket.shares_[aEntry].held_ += grant - due;
+    bucket.held_ += grant - due;
     grants[organisation] = grant;
   }
   return grants;
--- a/src/tanagerstall/request/tanagerstall_cost_leases.hpp
+++ b/src/tanagerstall/request/tanagerstall_cost_leases.hpp
@@ -9,7 +9,9 @@
 namespace tanagerstall {
 
 /// Enforces the organisations' limits over all entries at the leader: one token
-/// bucket per organisation, from which entries get grants.
+/// bucket per organisation, from which entries get grants. The work of a report
+/// or a grant doesn't depend on the number of entries: what is summed over all
+/// of them is summed at intervals.
 class CostLeases
 {
 public:
@@ -38,14 +40,17 @@
   {
     double held_ = 0.0;
     TimePoint reportedAt_;
-    /// Cost withheld from the others while the entry was unreachable.
-    double reserved_ = 0.0;
+    /// The part of the entry's unreachable time for which it has reported the
+    /// cost that it took.
+    Duration settledTime_{ 0 };
   };
 
   struct Contact
   {
     TimePoint at_;
     std::uint32_t shareDivisor_ = 1;
+    /// How long the entry was unreachable before its last report, in total.
+    Duration unreachableTime_{ 0 };
   };
 
   struct Bucket
@@ -58,14 +63,26 @@
     /// Whether the level was initialised for this leadership.
     bool isFilled_ = false;
     std::map<std::string, Share> shares_;
+    /// What all entries hold: their sum at `heldAt_`, and the changes since.
+    double held_ = 0.0;
+    TimePoint heldAt_;
   };
 
-  void Refill(Bucket& aBucket, TimePoint aNow) const;
-  double ReserveForUnreachable(Bucket& aBucket, TimePoint aNow) const;
+  static bool IsCurrent(const Share& aShare, TimePoint aNow);
+  void Refill(Bucket& aBucket, TimePoint aNow);
+  double Held(Bucket& aBucket, TimePoint aNow) const;
+  double ReservedSince(const Bucket& aBucket, TimePoint aNow) const;
+  static double ReservedFor(const Contact& aContact,
+                            const Share& aShare,
+                            const CostLimit& aLimit);
+  void SumUnreachable(TimePoint aNow);
 
   TimePoint leaderSince_;
   /// The last report of each entry to this leader.
   std::map<std::string, Contact> contacts_;
+  /// The sum of the shares of the entries that were unreachable at `summedAt_`.
+  double unreachableShare_ = 0.0;
+  TimePoint summedAt_;
   std::map<std::string, Bucket> buckets_;
 };
 
