Requests are admitted first and granted afterwards while much of a limit is left

What callers saw: requests of organisations far below their limits were refused with 429, in the region far from the leader a tenth of them even when the leader had time.

Cause: unless its entry held enough, each request waited for a call to the leader, and all entries together may make 300 a second. A small organisation's bucket is less than one large request for each entry, so holding more in advance can't cure it.

The leader says with each answer whose limits are nearly exhausted; requests of all others are admitted at once and their cost is asked for with the next report, at most 150 ms later.

Class: a decision on each request that waits for another machine. Looked for elsewhere: retries, working set and verdicts on prompts are decided from what the entry holds.

--- a/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
@@ -69,7 +69,8 @@
   {
     auto request = aLink->capability_.syncRequest();
     bool isToLeader = aAddress == leader_;
-    EntryReport report = hooks_.report_(aAddress, isToLeader);
+    EntryReport report =
+      hooks_.report_(aAddress, isToLeader, aWait.count() == 0);
     report.isToLeader_ = isToLeader;
     bool lacksDeclaration = report.newestDeclaration_ > report.entry_.revision_;
     report.wait_ =
@@ -79,8 +80,10 @@
                      ? kDeclarationTimeout
                      : (MaxWait() + kAnswerDelay).count() * kj::MILLISECONDS;
     return timer_.timeoutAfter(timeout, request.send())
-      .then([this, aLink, aAddress](auto aResponse) {
-        OnAnswer(aAddress, ReadAnswer(aResponse.getReply()));
+      .then([this, aLink, aAddress, madeAt = report.madeAt_](auto aResponse) {
+        ControlAnswer answer = ReadAnswer(aResponse.getReply());
+        answer.reportedAt_ = madeAt;
+        OnAnswer(aAddress, answer);
       });
   }
 
--- a/src/tanagerstall/connection/tanagerstall_fleet_client.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.hpp
@@ -19,8 +19,10 @@
   struct Hooks
   {
     /// Returns the report for the control process at this address; `aLeads` is
-    /// set if it was the leader when it last answered.
-    std::function<EntryReport(const std::string& aControl, bool aLeads)>
+    /// set if it was the leader when it last answered, `aIsImmediate` if it
+    /// answers without waiting for a change.
+    std::function<
+      EntryReport(const std::string& aControl, bool aLeads, bool aIsImmediate)>
       report_;
     std::function<void(const std::string& aControl, const ControlAnswer&)>
       onAnswer_;
--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -155,6 +155,12 @@
     grants[next].setCost(cost);
     ++next;
   }
+  aTo.setAllowsAdvance(aFrom.allowsAdvance_);
+  auto nearlyExhausted = aTo.initNearlyExhausted(aFrom.nearlyExhausted_.size());
+  next = 0;
+  for (const auto& organisation : aFrom.nearlyExhausted_) {
+    nearlyExhausted.set(next++, ToText(organisation));
+  }
   aTo.setLeads(aFrom.isLeader_);
   aTo.setReadsCompressed(aFrom.readsCompressed_);
   if (aFrom.promptVerdicts_) {
@@ -187,6 +193,10 @@
   for (auto grant : aFrom.getGrants()) {
     answer.grants_[ToString(grant.getOrganisation())] = grant.getCost();
   }
+  answer.allowsAdvance_ = aFrom.getAllowsAdvance();
+  for (auto organisation : aFrom.getNearlyExhausted()) {
+    answer.nearlyExhausted_.insert(ToString(organisation));
+  }
   answer.isLeader_ = aFrom.getLeads();
   answer.readsCompressed_ = aFrom.getReadsCompressed();
   if (aFrom.hasPromptVerdicts()) {
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
 /// An entry's request to a control process.
 struct EntryReport
 {
+  /// When the report was made, by the entry's clock; not transmitted.
+  TimePoint madeAt_;
   /// `revision_` is the number of the declaration in force at the entry;
   /// `weight_` is 0 while callers must not be routed to it.
   EntryInfo entry_;
@@ -60,6 +63,9 @@
 /// The answer of a control process.
 struct ControlAnswer
 {
+  /// When the report that it answers was made, by the entry's clock; not
+  /// transmitted.
+  TimePoint reportedAt_;
   ReplicaReport replicas_;
   /// The control process's region.
   std::string region_;
@@ -76,6 +82,10 @@
   bool isStandby_ = false;
   /// Cost granted for the entry's grant requests, by organisation.
   CostByName grants_;
+  /// Whether requests may be admitted before their cost is granted, but for
+  /// those of nearly exhausted organisations.
+  bool allowsAdvance_ = false;
+  std::set<std::string> nearlyExhausted_;
   bool isLeader_ = false;
   /// Whether the control process applies compressed declarations.
   bool readsCompressed_ = false;
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -159,6 +159,10 @@
   # Whether the sender applies compressed declarations.
   promptVerdicts @14 :PromptVerdicts;
   # Set only if they differ from the revision in the request.
+  allowsAdvance @15 :Bool;
+  # Whether requests may be admitted before their cost is granted.
+  nearlyExhausted @16 :List(Text);
+  # The organisations for which they may not.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -276,7 +276,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 5, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1830,6 +1830,11 @@
   inline bool hasPromptVerdicts() const;
   inline  ::tanagerstall::wire::PromptVerdicts::Reader getPromptVerdicts() const;
 
+  inline bool getAllowsAdvance() const;
+
+  inline bool hasNearlyExhausted() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNearlyExhausted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1928,6 +1933,17 @@
   inline void adoptPromptVerdicts(::capnp::Orphan< ::tanagerstall::wire::PromptVerdicts>&& value);
   inline ::capnp::Orphan< ::tanagerstall::wire::PromptVerdicts> disownPromptVerdicts();
 
+  inline bool getAllowsAdvance();
+  inline void setAllowsAdvance(bool value);
+
+  inline bool hasNearlyExhausted();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNearlyExhausted();
+  inline void setNearlyExhausted( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setNearlyExhausted(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNearlyExhausted(unsigned int size);
+  inline void adoptNearlyExhausted(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNearlyExhausted();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3936,6 +3952,58 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool SyncReply::Reader::getAllowsAdvance() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<227>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncReply::Builder::getAllowsAdvance() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<227>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setAllowsAdvance(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<227>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncReply::Reader::hasNearlyExhausted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasNearlyExhausted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader SyncReply::Reader::getNearlyExhausted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SyncReply::Builder::getNearlyExhausted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setNearlyExhausted( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void SyncReply::Builder::setNearlyExhausted(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SyncReply::Builder::initNearlyExhausted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptNearlyExhausted(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> SyncReply::Builder::disownNearlyExhausted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -83,7 +83,7 @@
           [this](const EntryReport& aReport) { return MakeAnswer(aReport); } })
     , peerClient_(
         loop_,
-        { [this](const std::string& aControl, bool) {
+        { [this](const std::string& aControl, bool, bool) {
            return MakePeerReport(aControl);
          },
           [this](const std::string& aControl, const ControlAnswer& aAnswer) {
@@ -272,8 +272,11 @@
       aReport.entry_.weight_ > 0 && !workingSet_.IsActive(aReport.entry_.id_);
     answer.isLeader_ = leaderTasks_.IsSteadyLeader(clock_.Now());
     if (answer.isLeader_) {
+      TimePoint now = clock_.Now();
       answer.grants_ =
-        leases_.Grant(aReport.entry_.id_, aReport.grantRequests_, clock_.Now());
+        leases_.Grant(aReport.entry_.id_, aReport.grantRequests_, now);
+      answer.allowsAdvance_ = true;
+      answer.nearlyExhausted_ = leases_.NearlyExhausted(now);
     }
     return answer;
   }
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -18,7 +18,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{ 100 };
-constexpr Duration kReportInterval = std::chrono::milliseconds(250);
+/// An entry with more requests per second is busy: it reports to the leader at
+/// intervals, rather than whenever it lacks a grant.
+constexpr double kBusyRequestRate = 0.5;
 /// The part of the grace period that is reserved for shutting down.
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(300);
 /// Interval at which the settings are read again without a signal.
@@ -41,8 +43,10 @@
     , timer_(loop_.Io().provider->getTimer())
     , client_(
         loop_,
-        { [this](const std::string& aControl, bool aIsLeader) {
-           return MakeReport(aControl, aIsLeader);
+        { [this](const std::string& aControl,
+                 bool aIsLeader,
+                 bool aIsImmediate) {
+           return MakeReport(aControl, aIsLeader, aIsImmediate);
          },
           [this](const std::string& aControl, const ControlAnswer& aAnswer) {
             HandleAnswer(aControl, aAnswer);
@@ -104,17 +108,24 @@
 
   bool IsReady() const { return hasPlan_ && !isStopping_; }
 
-  EntryReport MakeReport(const std::string& aControl, bool aIsLeader)
+  bool IsBusy() const { return traffic_.requestRate_ > kBusyRequestRate; }
+
+  EntryReport MakeReport(const std::string& aControl,
+                         bool aIsLeader,
+                         bool aIsImmediate)
   {
     EntryReport report;
+    report.madeAt_ = clock_.Now();
     report.entry_ = self_;
     auto [run, stamp] = view_.Position(aControl);
     report.controlRun_ = run;
     report.stamp_ = stamp;
     report.usage_ = traffic_.usage_;
-    if (aIsLeader) {
+    if (aIsLeader && (aIsImmediate || !IsBusy())) {
       report.grantRequests_ =
         forwarder_.Limits().NextGrantRequests(clock_.Now());
+    }
+    if (aIsLeader) {
       report.promptEvidence_ = traffic_.promptEvidence_;
       report.promptRevision_ =
         aControl == verdictsFrom_ ? verdictsRevision_ : 0;
@@ -174,7 +185,13 @@
     }
     ApplyConfirmed(now);
     if (aAnswer.isLeader_) {
-      forwarder_.Limits().ApplyGrants(aAnswer.grants_, aAnswer.shareDivisor_);
+      AdvanceAdmission advance;
+      if (aAnswer.allowsAdvance_) {
+        advance = { aAnswer.reportedAt_ + kAdvanceTime,
+                    aAnswer.nearlyExhausted_ };
+      }
+      forwarder_.Limits().ApplyGrants(
+        aAnswer.grants_, aAnswer.shareDivisor_, advance);
       threads_.Post([this, divisor = aAnswer.shareDivisor_] {
         forwarder_.SetShareDivisor(divisor);
       });
@@ -340,21 +357,22 @@
   void ReportPeriodically(Fiber& aFiber)
   {
     while (true) {
-      aFiber.Sleep(kReportInterval);
+      aFiber.Sleep(kBusyReportInterval);
       forwarder_.TrimConnections();
       PostReport(false);
     }
   }
 
   /// Passes the traffic report to the control thread. The leader gets it at
-  /// once if that is urgent or if requests were lost with their replicas.
+  /// once if the entry is busy, if that is urgent, or if requests were lost
+  /// with their replicas.
   void PostReport(bool aIsUrgent)
   {
     loop_.Post([this, aIsUrgent, report = forwarder_.Report()] {
       bool hasLosses =
         report.promptEvidence_.lost_ > traffic_.promptEvidence_.lost_;
       traffic_ = report;
-      if (aIsUrgent || hasLosses) {
+      if (aIsUrgent || hasLosses || IsBusy()) {
         client_.RefreshLeader();
       }
     });
--- a/src/tanagerstall/request/tanagerstall_cost_leases.cpp
+++ b/src/tanagerstall/request/tanagerstall_cost_leases.cpp
@@ -9,6 +9,10 @@
 /// The largest part of the remaining level that is granted to one entry in
 /// advance of requests.
 constexpr double kMaxAdvanceGrant = 0.25;
+/// Requests are admitted in advance of grants while the level is above this
+/// part of a full bucket. What all entries admit until they learn that it isn't
+/// has to fit into that level.
+constexpr double kAdvanceLevel = 0.8;
 /// The part of the limit that a new leader assumes to be unused.
 constexpr double kInitialLevel = 0.35;
 /// The time over which the grants of an earlier leader lose their effect on a
@@ -128,6 +132,13 @@
          InSeconds(aContact.unreachableTime_ - aShare.settledTime_);
 }
 
+/// Returns the level of a full bucket.
+double
+CostLeases::SizeOf(const Bucket& aBucket)
+{
+  return aBucket.limit_.burst_ + aBucket.slack_;
+}
+
 /// Whether the entry's last report still says what it holds.
 bool
 CostLeases::IsCurrent(const Share& aShare, TimePoint aNow)
@@ -159,7 +170,7 @@
 {
   SumUnreachable(aNow);
   double held = Held(aBucket, aNow);
-  double size = aBucket.limit_.burst_ + aBucket.slack_;
+  double size = SizeOf(aBucket);
   if (!aBucket.isFilled_) {
     aBucket.isFilled_ = true;
     double led =
@@ -174,6 +185,19 @@
   aBucket.level_ = std::min(aBucket.level_, std::max(0.0, size - held));
 }
 
+std::set<std::string>
+CostLeases::NearlyExhausted(TimePoint aNow)
+{
+  std::set<std::string> organisations;
+  for (auto& [organisation, bucket] : buckets_) {
+    Refill(bucket, aNow);
+    if (bucket.level_ < kAdvanceLevel * SizeOf(bucket)) {
+      organisations.insert(organisation);
+    }
+  }
+  return organisations;
+}
+
 CostByName
 CostLeases::Grant(const std::string& aEntry,
                   const CostGrantRequests& aRequests,
--- a/src/tanagerstall/request/tanagerstall_cost_leases.hpp
+++ b/src/tanagerstall/request/tanagerstall_cost_leases.hpp
@@ -4,6 +4,7 @@
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace tanagerstall {
@@ -33,6 +34,9 @@
   CostByName Grant(const std::string& aEntry,
                    const CostGrantRequests& aRequests,
                    TimePoint aNow);
+  /// Returns the organisations of whose limits so little is left that requests
+  /// must not be admitted before their cost is granted.
+  std::set<std::string> NearlyExhausted(TimePoint aNow);
 
 private:
   /// An entry's part of a limit, as last reported.
@@ -68,6 +72,7 @@
     TimePoint heldAt_;
   };
 
+  static double SizeOf(const Bucket& aBucket);
   static bool IsCurrent(const Share& aShare, TimePoint aNow);
   void Refill(Bucket& aBucket, TimePoint aNow);
   double Held(Bucket& aBucket, TimePoint aNow) const;
--- a/src/tanagerstall/request/tanagerstall_cost_limits.cpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.cpp
@@ -33,11 +33,26 @@
 
 } // namespace
 
+bool
+CostLimits::AdmitsInAdvance(const std::string& aOrganisation,
+                            const Account& aAccount,
+                            TimePoint aNow) const
+{
+  return aNow < advance_.until_ && !aAccount.isExhausted_ &&
+         !advance_.nearlyExhausted_.contains(aOrganisation);
+}
+
 /// The cost that an entry wants to hold. It holds nothing in advance that would
-/// hardly ever suffice for a request, as others could use it.
+/// hardly ever suffice for a request, as others could use it, or that it
+/// doesn't need.
 double
-CostLimits::TargetOf(const Account& aAccount)
+CostLimits::TargetOf(const std::string& aOrganisation,
+                     const Account& aAccount,
+                     TimePoint aNow) const
 {
+  if (AdmitsInAdvance(aOrganisation, aAccount, aNow)) {
+    return aAccount.waiting_;
+  }
   double ahead = aAccount.rate_ * kHeldDemandSeconds;
   bool isUseful = ahead >= kMinHeldRequests * aAccount.requestCost_;
   return (isUseful ? ahead : 0.0) + aAccount.waiting_;
@@ -95,9 +110,13 @@
 /// admitted at a random part of it then, and the account goes into debt, so
 /// that all entries together still admit what their shares add up to.
 bool
-CostLimits::Suffices(Account& aAccount, double aCost, TimePoint aNow)
+CostLimits::Suffices(const std::string& aOrganisation,
+                     Account& aAccount,
+                     double aCost,
+                     TimePoint aNow)
 {
-  if (aAccount.held_ >= aCost) {
+  if (aAccount.held_ >= aCost ||
+      AdmitsInAdvance(aOrganisation, aAccount, aNow)) {
     return true;
   }
   bool isAdmitted = LeaderLostAt(aAccount, aNow) && aAccount.held_ > 0.0 &&
@@ -145,7 +164,7 @@
   Account& account = accounts_[aOrganisation];
   account.limit_ = aLimit;
   RefillWithoutLeader(account, aNow);
-  if (Suffices(account, aCost, aNow)) {
+  if (Suffices(aOrganisation, account, aCost, aNow)) {
     account.held_ -= aCost;
     return CostDecision::Admitted;
   }
@@ -187,7 +206,7 @@
       account.recent_ = 0.0;
       account.recentSince_ = aNow;
     }
-    double target = TargetOf(account);
+    double target = TargetOf(organisation, account, aNow);
     bool isPending = IsPending(account, aNow);
     bool isLow = account.held_ < account.waiting_ ||
                  account.held_ < target * kRequestBelow;
@@ -211,8 +230,8 @@
       }
       account.requestedDue_ = std::max(0.0, account.waiting_ - account.held_);
       account.reportedTaken_ = account.taken_;
-      account.reportedHeld_ = account.held_;
-      requests[organisation] = { account.held_,
+      account.reportedHeld_ = std::max(0.0, account.held_);
+      requests[organisation] = { account.reportedHeld_,
                                  account.requestedDue_,
                                  target - account.held_,
                                  account.taken_,
@@ -223,9 +242,15 @@
 }
 
 void
-CostLimits::ApplyGrants(const CostByName& aGrants, std::uint32_t aShareDivisor)
+CostLimits::ApplyGrants(const CostByName& aGrants,
+                        std::uint32_t aShareDivisor,
+                        const AdvanceAdmission& aAdvance)
 {
   std::scoped_lock lock(mutex_);
+  // Answers can overtake each other.
+  if (aAdvance.until_ >= advance_.until_) {
+    advance_ = aAdvance;
+  }
   shareDivisor_ = std::max(aShareDivisor, 1U);
   unansweredSince_.reset();
   for (const auto& [organisation, grant] : aGrants) {
--- a/src/tanagerstall/request/tanagerstall_cost_limits.hpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.hpp
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 namespace tanagerstall {
@@ -47,6 +48,24 @@
 using CostByName = std::map<std::string, double>;
 using CostGrantRequests = std::map<std::string, CostGrantRequest>;
 
+/// How long after an entry's report the permission of the leader's answer to it
+/// holds. It is longer than the time between two reports of a busy entry and
+/// their way.
+inline constexpr Duration kAdvanceTime = std::chrono::milliseconds(250);
+/// The time between two reports of a busy entry to the leader.
+inline constexpr Duration kBusyReportInterval = std::chrono::milliseconds(150);
+
+/// The leader's permission to admit requests before their cost is granted. An
+/// entry asks for the cost with its next report.
+struct AdvanceAdmission
+{
+  /// When the permission ends.
+  TimePoint until_;
+  /// The organisations that are excepted, because little of their limits is
+  /// left.
+  std::set<std::string> nearlyExhausted_;
+};
+
 /// Whether a request may be admitted.
 enum class CostDecision
 {
@@ -58,8 +77,10 @@
 };
 
 /// Admits requests at an entry against grants from the leader, which enforces
-/// the limit over all entries. Designed for organisations that send many times
-/// their usual load and for small ones with large requests. Thread-safe.
+/// the limit over all entries. While much of a limit is left, requests are
+/// admitted first and granted afterwards. Designed for organisations that send
+/// many times their usual load and for small ones with large requests.
+/// Thread-safe.
 class CostLimits
 {
 public:
@@ -88,12 +109,15 @@
   CostGrantRequests NextGrantRequests(TimePoint aNow);
   /// Applies the leader's answer. `aShareDivisor` is the number by which this
   /// entry divides what all entries share.
-  void ApplyGrants(const CostByName& aGrants, std::uint32_t aShareDivisor);
+  void ApplyGrants(const CostByName& aGrants,
+                   std::uint32_t aShareDivisor,
+                   const AdvanceAdmission& aAdvance = {});
 
 private:
   struct Account
   {
     CostLimit limit_;
+    /// Negative for cost that was admitted before it was granted.
     double held_ = 0.0;
     /// Smoothed demand, in cost per second.
     double rate_ = 0.0;
@@ -124,18 +148,27 @@
     bool isExhausted_ = false;
   };
 
-  static double TargetOf(const Account& aAccount);
+  bool AdmitsInAdvance(const std::string& aOrganisation,
+                       const Account& aAccount,
+                       TimePoint aNow) const;
+  double TargetOf(const std::string& aOrganisation,
+                  const Account& aAccount,
+                  TimePoint aNow) const;
   static bool IsPending(const Account& aAccount, TimePoint aNow);
   std::optional<TimePoint> LeaderLostAt(const Account& aAccount,
                                         TimePoint aNow) const;
   static bool ShouldRequest(const Account& aAccount, TimePoint aNow);
   void RefillWithoutLeader(Account& aAccount, TimePoint aNow) const;
-  bool Suffices(Account& aAccount, double aCost, TimePoint aNow);
+  bool Suffices(const std::string& aOrganisation,
+                Account& aAccount,
+                double aCost,
+                TimePoint aNow);
 
   std::mutex mutex_;
   std::mt19937_64 random_;
   std::map<std::string, Account> accounts_;
   std::uint32_t shareDivisor_ = 1;
+  AdvanceAdmission advance_;
   /// When the first request was sent that no answer of the leader followed.
   std::optional<TimePoint> unansweredSince_;
   /// Tokens for immediate requests to the leader, as of `requestTokensAt_`.
--- a/tests/cost_limits_tests.cpp
+++ b/tests/cost_limits_tests.cpp
@@ -25,7 +25,7 @@
 constexpr Duration kLength = 40s;
 constexpr Duration kSecondLoss = 5s;
 /// The interval of an entry's reports, and the offset between two entries.
-constexpr Duration kReportPause = 800ms;
+constexpr Duration kReportPause = kBusyReportInterval;
 constexpr Duration kReportOffset = 130ms;
 /// With at least this delay, an entry is cut off from the leader.
 constexpr Duration kCutOff = 1min;
@@ -291,6 +291,7 @@
     TimePoint at_;
     std::size_t entry_;
     CostByName grants_;
+    AdvanceAdmission advance_;
   };
 
   void Arrive()
@@ -345,7 +346,8 @@
         answers_.push_back(
           { now_ + kAnswerTime + delay,
             i,
-            leases_.Grant(std::to_string(i), requests, now_) });
+            leases_.Grant(std::to_string(i), requests, now_),
+            { now_ + kAdvanceTime, leases_.NearlyExhausted(now_) } });
       }
     }
     std::erase_if(answers_, [this](const Answer& aIt) {
@@ -353,7 +355,7 @@
         return false;
       }
       entries_[aIt.entry_]->ApplyGrants(
-        aIt.grants_, static_cast<std::uint32_t>(entries_.size()));
+        aIt.grants_, static_cast<std::uint32_t>(entries_.size()), aIt.advance_);
       return true;
     });
   }
