Entries send the leader one brief report at a time

Cause: an entry sent its reports to the leader whether or not the ones before had been answered, each with its usage of the last four windows. A leader that falls behind got ever more. Class: calls without a bound on those in flight.

Now one brief report to a leader is in flight at an entry; what is wanted meanwhile is sent once, when it is answered (SingleFlight). A brief report leaves out usage and loads, which the others bring. Busy entries report every 200 ms.

--- a/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall/connection/tanagerstall_fleet_client.hpp"
 
 #include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
+#include "tanagerstall/connection/tanagerstall_single_flight.hpp"
 #include "tanagerstall/internal/tanagerstall_logged_tasks.hpp"
 #include "tanagerstall/internal/tanagerstall_rpc_connection.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
@@ -28,8 +29,10 @@
 /// The time beyond the requested wait within which an answer arrives: a round
 /// trip and the delay of a busy control process.
 constexpr std::chrono::milliseconds kAnswerDelay{ 1000 };
+/// The time within which a brief report is answered, or another one is sent.
+constexpr std::chrono::milliseconds kBriefTimeout{ 500 };
 /// Covers a declaration of several megabytes over a slow link.
-constexpr auto kDeclarationTimeout = 6 * kj::SECONDS;
+constexpr std::chrono::milliseconds kDeclarationTimeout{ 6000 };
 /// Batches changes that occur close together into one answer.
 constexpr auto kSyncDelay = 60 * kj::MILLISECONDS;
 constexpr auto kRetryDelay = 120 * kj::MILLISECONDS;
@@ -63,22 +66,30 @@
     return timer_.timeoutAfter(kConnectTimeout, kj::mv(opening));
   }
 
+  std::chrono::milliseconds TimeoutFor(const EntryReport& aReport) const
+  {
+    if (aReport.isBrief_) {
+      return kBriefTimeout;
+    }
+    return aReport.wantsDeclaration_ ? kDeclarationTimeout
+                                     : MaxWait() + kAnswerDelay;
+  }
+
   kj::Promise<void> Sync(SharedLink aLink,
                          std::string aAddress,
-                         std::chrono::milliseconds aWait)
+                         std::chrono::milliseconds aWait,
+                         bool aIsBrief = false)
   {
     auto request = aLink->capability_.syncRequest();
     bool isToLeader = aAddress == leader_;
-    EntryReport report =
-      hooks_.report_(aAddress, isToLeader, aWait.count() == 0);
+    EntryReport report = hooks_.report_(aAddress, isToLeader, aIsBrief);
+    report.isBrief_ = aIsBrief;
     report.isToLeader_ = isToLeader;
     bool lacksDeclaration = report.newestDeclaration_ > report.entry_.revision_;
     report.wait_ =
       lacksDeclaration ? std::min(aWait, kMaxDeclarationWait) : aWait;
     WriteReport(request.initRequest(), report);
-    auto timeout = report.wantsDeclaration_
-                     ? kDeclarationTimeout
-                     : (MaxWait() + kAnswerDelay).count() * kj::MILLISECONDS;
+    auto timeout = TimeoutFor(report).count() * kj::MILLISECONDS;
     return timer_.timeoutAfter(timeout, request.send())
       .then([this, aLink, aAddress, madeAt = report.madeAt_](auto aResponse) {
         ControlAnswer answer = ReadAnswer(aResponse.getReply());
@@ -148,6 +159,29 @@
       });
   }
 
+  void RefreshLeader()
+  {
+    auto it = links_.find(leader_);
+    if (it == links_.end()) {
+      return;
+    }
+    if (!briefReports_.Start(leader_)) {
+      return;
+    }
+    auto onEnd = [this, address = leader_] {
+      if (briefReports_.Finish(address)) {
+        RefreshLeader();
+      }
+    };
+    tasks_.Add(Sync(it->second, it->first, std::chrono::milliseconds(0), true)
+                 .then(onEnd, [onEnd](kj::Exception&& aError) {
+                   LogEvent(Severity::Debug,
+                            "brief report not answered",
+                            { { "error", aError.getDescription().cStr() } });
+                   onEnd();
+                 }));
+  }
+
   void Follow(const std::string& aAddress)
   {
     if (!aAddress.empty() && followed_.insert(aAddress).second) {
@@ -168,6 +202,7 @@
   /// Addresses with a running SyncForever().
   std::set<std::string> followed_;
   std::set<std::string> unreachable_;
+  SingleFlight briefReports_;
   std::map<std::string, SharedLink> links_;
   LoggedTasks tasks_;
 };
@@ -192,11 +227,7 @@
 void
 FleetClient::RefreshLeader()
 {
-  State* state = state_.get();
-  if (auto it = state->links_.find(state->leader_); it != state->links_.end()) {
-    state->tasks_.Add(
-      state->Sync(it->second, it->first, std::chrono::milliseconds(0)));
-  }
+  state_->RefreshLeader();
 }
 
 void
--- a/src/tanagerstall/connection/tanagerstall_fleet_client.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.hpp
@@ -19,10 +19,10 @@
   struct Hooks
   {
     /// Returns the report for the control process at this address; `aLeads` is
-    /// set if it was the leader when it last answered, `aIsImmediate` if it
-    /// answers without waiting for a change.
+    /// set if it was the leader when it last answered, `aIsBrief` if only what
+    /// it answers at once is to be reported.
     std::function<
-      EntryReport(const std::string& aControl, bool aLeads, bool aIsImmediate)>
+      EntryReport(const std::string& aControl, bool aLeads, bool aIsBrief)>
       report_;
     std::function<void(const std::string& aControl, const ControlAnswer&)>
       onAnswer_;
@@ -36,7 +36,9 @@
   void SetSeeds(const std::vector<Address>& aSeeds);
   /// Sends a report to every connected control process immediately.
   void Refresh();
-  /// Sends a report to the leader immediately, if it is known and connected.
+  /// Sends a brief report to the leader, if it is known and connected: at once,
+  /// or when the last one is answered, so that a leader that falls behind isn't
+  /// sent more and more of them.
   void RefreshLeader();
 
 private:
--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -55,6 +55,7 @@
   aTo.setWantsDocument(aFrom.wantsDeclaration_);
   aTo.setRequestRate(aFrom.requestRate_);
   aTo.setToLeader(aFrom.isToLeader_);
+  aTo.setBrief(aFrom.isBrief_);
   aTo.setReadsCompressed(aFrom.canRestore_.readsCompressed_);
   aTo.setBase(aFrom.canRestore_.base_);
   aTo.setPromptRevision(aFrom.promptRevision_);
@@ -100,6 +101,7 @@
   report.wantsDeclaration_ = aFrom.getWantsDocument();
   report.requestRate_ = aFrom.getRequestRate();
   report.isToLeader_ = aFrom.getToLeader();
+  report.isBrief_ = aFrom.getBrief();
   report.canRestore_ = { aFrom.getReadsCompressed(), aFrom.getBase() };
   report.promptRevision_ = aFrom.getPromptRevision();
   if (aFrom.hasPromptEvidence()) {
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -39,6 +39,8 @@
   std::uint64_t stamp_ = 0;
   /// How long the control process may delay its answer until a change occurs.
   std::chrono::milliseconds wait_{ 0 };
+  /// Whether the usage, loads and rates of requests are left out.
+  bool isBrief_ = false;
   std::vector<UsageWindow> usage_;
   /// Whether the sender takes the receiver for the leader.
   bool isToLeader_ = false;
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -128,6 +128,8 @@
   # Sent to the leader.
   promptRevision @14 :UInt64;
   # The revision of the receiver's verdicts that the entry has.
+  brief @15 :Bool;
+  # Whether usage, services and requestRate are left out.
 }
 
 struct CostGrant {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -1570,6 +1570,8 @@
 
   inline  ::uint64_t getPromptRevision() const;
 
+  inline bool getBrief() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1663,6 +1665,9 @@
   inline  ::uint64_t getPromptRevision();
   inline void setPromptRevision( ::uint64_t value);
 
+  inline bool getBrief();
+  inline void setBrief(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3565,6 +3570,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncRequest::Reader::getBrief() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<163>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncRequest::Builder::getBrief() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<163>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setBrief(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<163>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CostGrant::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -178,8 +178,10 @@
   {
     loopDelay_.CountReport();
     entries_.Observe(aReport.entry_, clock_.Now());
-    usageTotals_.Merge(RunOf(aReport.entry_), aReport.usage_);
-    loads_.Record(aReport);
+    if (!aReport.isBrief_) {
+      usageTotals_.Merge(RunOf(aReport.entry_), aReport.usage_);
+      loads_.Record(aReport);
+    }
     if (aReport.entry_.weight_ > 0) {
       leases_.RecordReport(aReport.entry_.id_,
                            workingSet_.ShareDivisor(aReport.entry_.id_),
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -43,10 +43,8 @@
     , timer_(loop_.Io().provider->getTimer())
     , client_(
         loop_,
-        { [this](const std::string& aControl,
-                 bool aIsLeader,
-                 bool aIsImmediate) {
-           return MakeReport(aControl, aIsLeader, aIsImmediate);
+        { [this](const std::string& aControl, bool aIsLeader, bool aIsBrief) {
+           return MakeReport(aControl, aIsLeader, aIsBrief);
          },
           [this](const std::string& aControl, const ControlAnswer& aAnswer) {
             HandleAnswer(aControl, aAnswer);
@@ -112,7 +110,7 @@
 
   EntryReport MakeReport(const std::string& aControl,
                          bool aIsLeader,
-                         bool aIsImmediate)
+                         bool aIsBrief)
   {
     EntryReport report;
     report.madeAt_ = clock_.Now();
@@ -120,8 +118,12 @@
     auto [run, stamp] = view_.Position(aControl);
     report.controlRun_ = run;
     report.stamp_ = stamp;
-    report.usage_ = traffic_.usage_;
-    if (aIsLeader && (aIsImmediate || !IsBusy())) {
+    if (!aIsBrief) {
+      report.usage_ = traffic_.usage_;
+      report.services_ = traffic_.services_;
+      report.requestRate_ = traffic_.requestRate_;
+    }
+    if (aIsLeader && (aIsBrief || !IsBusy())) {
       report.grantRequests_ =
         forwarder_.Limits().NextGrantRequests(clock_.Now());
     }
@@ -130,8 +132,6 @@
       report.promptRevision_ =
         aControl == verdictsFrom_ ? verdictsRevision_ : 0;
     }
-    report.services_ = traffic_.services_;
-    report.requestRate_ = traffic_.requestRate_;
     report.newestDeclaration_ = source_.NewestNumber();
     std::uint64_t held = received_.number_;
     report.canRestore_ = { true, needsWhole_ ? 0 : held };
--- a/src/tanagerstall/request/tanagerstall_cost_limits.hpp
+++ b/src/tanagerstall/request/tanagerstall_cost_limits.hpp
@@ -51,9 +51,9 @@
 /// How long after an entry's report the permission of the leader's answer to it
 /// holds. It is longer than the time between two reports of a busy entry and
 /// their way.
-inline constexpr Duration kAdvanceTime = std::chrono::milliseconds(250);
+inline constexpr Duration kAdvanceTime = std::chrono::milliseconds(300);
 /// The time between two reports of a busy entry to the leader.
-inline constexpr Duration kBusyReportInterval = std::chrono::milliseconds(150);
+inline constexpr Duration kBusyReportInterval = std::chrono::milliseconds(200);
 
 /// The leader's permission to admit requests before their cost is granted. An
 /// entry asks for the cost with its next report.
--- a/tests/fleet_limits_tests.cpp
+++ b/tests/fleet_limits_tests.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE fleet_limits
 #include "tanagerstall_event_queue.hpp"
 
+#include "tanagerstall/connection/tanagerstall_single_flight.hpp"
 #include "tanagerstall/request/tanagerstall_cost_leases.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
 
@@ -47,8 +48,8 @@
 
 const std::vector<FleetCase> kFleets{
   { 8, 170.0, 30ms, 0ms },     { 57, 1'250.0, 30ms, 0ms },
-  { 57, 1'250.0, 30ms, 1ms },  { 191, 4'300.0, 30ms, 0ms },
-  { 380, 8'700.0, 30ms, 0ms },
+  { 57, 1'250.0, 30ms, 1ms },  { 57, 1'250.0, 30ms, 3ms },
+  { 191, 4'300.0, 30ms, 0ms }, { 380, 8'700.0, 30ms, 0ms },
 };
 
 constexpr std::uint32_t kLargeFleet = 191;
@@ -93,6 +94,7 @@
 public:
   explicit FleetSimulation(const FleetCase& aCase)
     : case_(aCase)
+    , flights_(aCase.entries_)
   {
     double mean = 0.0;
     for (const auto& kind : kKinds) {
@@ -162,6 +164,7 @@
   }
 
 private:
+  static constexpr const char* kLeader = "leader";
   static constexpr int kOrganisations = 19;
   /// An organisation's limit relative to its usual cost.
   static constexpr double kLimitOfUsual = 1.8;
@@ -258,6 +261,9 @@
 
   void Report(std::uint32_t aEntry)
   {
+    if (!flights_[aEntry].Start(kLeader)) {
+      return;
+    }
     TimePoint now = events_.Now();
     auto requests = entries_[aEntry]->NextGrantRequests(now);
     Duration delay = DelayOf(aEntry);
@@ -272,6 +278,9 @@
                                 leases_.NearlyExhausted(at) };
       events_.At(at + delay, [=, this] {
         entries_[aEntry]->ApplyGrants(grants, case_.entries_, advance);
+        if (flights_[aEntry].Finish(kLeader)) {
+          Report(aEntry);
+        }
       });
     });
   }
@@ -295,6 +304,8 @@
     kOrganisations
   };
   std::vector<std::unique_ptr<CostLimits>> entries_;
+  /// Each entry's reports to the leader.
+  std::vector<SingleFlight> flights_;
   /// When the leader has handled the reports sent so far.
   TimePoint handledAt_;
   std::size_t arrived_ = 0;
