A brief report's continuation is owned by its promise

Class: a reference to a local kept by a library; no other then() in src gets a named object. fleet_client_tests crashes without the change.

--- a/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
@@ -174,12 +174,14 @@
       }
     };
     tasks_.Add(Sync(it->second, it->first, std::chrono::milliseconds(0), true)
-                 .then(onEnd, [onEnd](kj::Exception&& aError) {
-                   LogEvent(Severity::Debug,
-                            "brief report not answered",
-                            { { "error", aError.getDescription().cStr() } });
-                   onEnd();
-                 }));
+                 .then([onEnd] { onEnd(); },
+                       [onEnd](kj::Exception&& aError) {
+                         LogEvent(
+                           Severity::Debug,
+                           "brief report not answered",
+                           { { "error", aError.getDescription().cStr() } });
+                         onEnd();
+                       }));
   }
 
   void Follow(const std::string& aAddress)
