--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -205,7 +205,8 @@
 struct Environment
 {
   explicit Environment(const std::vector<const ScriptedUpstream*>& aUpstreams,
-                       const std::string& aDocument = kDocument)
+                       const std::string& aDocument = kDocument,
+                       std::uint32_t aShareDivisor = 1)
     : threads_(1)
     , forwarder_({ platform::MakeCallerProtocol(), "a", {}, 0.2, 100.0, 5s },
                  Clock(),
@@ -227,7 +228,7 @@
     std::promise<void> ready;
     threads_.Post([&] {
       forwarder_.SetPlan(plan);
-      forwarder_.SetShareDivisor(1);
+      forwarder_.SetShareDivisor(aShareDivisor);
       forwarder_.SetReplicas(replicas);
       ready.set_value();
     });
@@ -1041,3 +1042,65 @@
   BOOST_TEST((clock.Now() - begin < 200ms));
   BOOST_TEST(upstream.Requests() == 1);
 }
+
+namespace {
+
+const std::string kRate = "Server-Limit: 2\r\n";
+
+struct RateCase
+{
+  const char* name_;
+  const char* path_;
+  std::string response_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const RateCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<RateCase> kRates{
+  { "success", "/safe/x", WithHeader(kWhole, kRate) },
+  { "failure", "/once/x", WithHeader(kFailed, kRate) },
+  { "refusal", "/once/x", WithHeader(kNotRun, kRate) },
+  { "stream",
+    "/stream/x",
+    WithHeader(kStreamHead, kRate) + Chunk(kEvent1) + "0\r\n\r\n" },
+};
+
+/// Requests that one entry of many sends in a short time.
+constexpr int kManyRequests = 8;
+constexpr std::uint32_t kManyEntries = 1000;
+
+} // namespace
+
+// Guards against many entries that each send a replica in need as many requests
+// as all of them together may.
+BOOST_DATA_TEST_CASE(A_replica_gets_no_more_than_the_rate_that_it_named,
+                     data::make(kRates),
+                     sample)
+{
+  ScriptedUpstream upstream({ sample.response_, After::Close });
+  Environment environment({ &upstream }, kDocument, kManyEntries);
+  (void)environment.Fetch(sample.path_);
+  int before = upstream.Requests();
+  for (int i = 0; i < kManyRequests; ++i) {
+    auto answer = environment.Fetch("/safe/x");
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->status_ == 503);
+    BOOST_TEST(!answer->Header("Retry-After").empty());
+  }
+  BOOST_TEST(upstream.Requests() == before);
+}
+
+BOOST_AUTO_TEST_CASE(Requests_beyond_a_named_rate_go_to_other_replicas)
+{
+  ScriptedUpstream limited({ WithHeader(kWhole, kRate), After::Close });
+  ScriptedUpstream free({ kWhole, After::Close });
+  Environment environment({ &limited, &free }, kDocument, kManyEntries);
+  for (int i = 0; i < kManyRequests; ++i) {
+    BOOST_TEST(environment.Fetch("/safe/x")->status_ == 200);
+  }
+  BOOST_TEST(limited.Requests() <= 1);
+}
