Entries together keep the rate that a replica names

Cause: nothing read the header field. Class: a bound on a sum over all entries, of which each sees a part.

Entries tell the leader what they learn and the leader tells all, so that a limit that falls, rises or ends is known everywhere. The choice of a replica leaves out those without room; what no replica has room for is refused at once, before it is charged to a limit.

--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -42,6 +42,35 @@
            std::chrono::milliseconds(aFrom.getColdMs()) };
 }
 
+void
+WriteRates(capnp::List<wire::NamedRate>::Builder aTo, const NamedRates& aFrom)
+{
+  for (unsigned i = 0; i < aFrom.size(); ++i) {
+    aTo[i].setReplica(ToText(aFrom[i].replica_));
+    aTo[i].setStartMs(aFrom[i].startTimeMs_);
+    aTo[i].setHasEnded(!aFrom[i].perSecond_);
+    aTo[i].setPerSecond(aFrom[i].perSecond_.value_or(0.0));
+    aTo[i].setAgeMs(static_cast<std::uint64_t>(aFrom[i].age_.count()));
+  }
+}
+
+NamedRates
+ReadRates(capnp::List<wire::NamedRate>::Reader aFrom)
+{
+  NamedRates rates;
+  for (auto from : aFrom) {
+    NamedRate rate{ ToString(from.getReplica()),
+                    from.getStartMs(),
+                    std::nullopt,
+                    std::chrono::milliseconds(from.getAgeMs()) };
+    if (!from.getHasEnded()) {
+      rate.perSecond_ = from.getPerSecond();
+    }
+    rates.push_back(std::move(rate));
+  }
+  return rates;
+}
+
 } // namespace
 
 void
@@ -62,6 +91,8 @@
   if (aFrom.promptEvidence_) {
     WriteEvidence(aTo.initPromptEvidence(), *aFrom.promptEvidence_);
   }
+  WriteRates(aTo.initNamedRates(aFrom.namedRates_.size()), aFrom.namedRates_);
+  aTo.setRateRevision(aFrom.rateRevision_);
   auto usage = aTo.initUsage(aFrom.usage_.size());
   for (unsigned i = 0; i < aFrom.usage_.size(); ++i) {
     WriteUsage(usage[i], aFrom.usage_[i]);
@@ -107,6 +138,8 @@
   if (aFrom.hasPromptEvidence()) {
     report.promptEvidence_ = ReadEvidence(aFrom.getPromptEvidence());
   }
+  report.namedRates_ = ReadRates(aFrom.getNamedRates());
+  report.rateRevision_ = aFrom.getRateRevision();
   for (auto usage : aFrom.getUsage()) {
     report.usage_.push_back(ReadUsage(usage));
   }
@@ -165,6 +198,11 @@
   }
   aTo.setLeads(aFrom.isLeader_);
   aTo.setReadsCompressed(aFrom.readsCompressed_);
+  if (aFrom.namedRates_) {
+    WriteRates(aTo.initNamedRates(aFrom.namedRates_->size()),
+               *aFrom.namedRates_);
+  }
+  aTo.setRateRevision(aFrom.rateRevision_);
   if (aFrom.promptVerdicts_) {
     WriteVerdicts(aTo.initPromptVerdicts(), *aFrom.promptVerdicts_);
   }
@@ -201,6 +239,10 @@
   }
   answer.isLeader_ = aFrom.getLeads();
   answer.readsCompressed_ = aFrom.getReadsCompressed();
+  if (aFrom.hasNamedRates()) {
+    answer.namedRates_ = ReadRates(aFrom.getNamedRates());
+  }
+  answer.rateRevision_ = aFrom.getRateRevision();
   if (aFrom.hasPromptVerdicts()) {
     answer.promptVerdicts_ = ReadVerdicts(aFrom.getPromptVerdicts());
   }
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -4,6 +4,7 @@
 #include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
+#include "tanagerstall/request/tanagerstall_named_rate.hpp"
 #include "tanagerstall/request/tanagerstall_prompt_evidence.hpp"
 #include "tanagerstall/version/tanagerstall_declaration_transfer.hpp"
 
@@ -60,6 +61,11 @@
   std::optional<PromptEvidence> promptEvidence_;
   /// The revision of this control process's verdicts that the entry has.
   std::uint64_t promptRevision_ = 0;
+  /// The rate limits that replicas have named; sent to the leader only, now and
+  /// then and after news.
+  NamedRates namedRates_;
+  /// The revision of this control process's rate limits that the entry has.
+  std::uint64_t rateRevision_ = 0;
 };
 
 /// The answer of a control process.
@@ -93,6 +99,10 @@
   bool readsCompressed_ = false;
   /// The leader's verdicts, if the entry doesn't have them.
   std::optional<PromptVerdicts> promptVerdicts_;
+  /// The rate limits of replicas that the leader knows, if the entry doesn't
+  /// have this revision of them.
+  std::optional<NamedRates> namedRates_;
+  std::uint64_t rateRevision_ = 0;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -105,6 +105,16 @@
   quarantined @2 :List(PromptPart);
 }
 
+struct NamedRate {
+  # The rate limit that a replica has named for all entries together.
+  replica @0 :Text;
+  startMs @1 :UInt64;
+  hasEnded @2 :Bool;
+  perSecond @3 :Float64;
+  ageMs @4 :UInt64;
+  # Since the entry learnt it.
+}
+
 struct SyncRequest {
   entry @0 :Control.EntryInfo;
   controlRun @1 :UInt64;
@@ -130,6 +140,10 @@
   # The revision of the receiver's verdicts that the entry has.
   brief @15 :Bool;
   # Whether usage, services and requestRate are left out.
+  namedRates @16 :List(NamedRate);
+  # Sent to the leader.
+  rateRevision @17 :UInt64;
+  # The revision of the receiver's rate limits that the entry has.
 }
 
 struct CostGrant {
@@ -165,6 +179,9 @@
   # Whether requests may be admitted before their cost is granted.
   nearlyExhausted @16 :List(Text);
   # The organisations for which they may not.
+  namedRates @17 :List(NamedRate);
+  # Set only if they differ from the revision in the request.
+  rateRevision @18 :UInt64;
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -38,6 +38,7 @@
 CAPNP_DECLARE_SCHEMA(dfa4466ad39fdac2);
 CAPNP_DECLARE_SCHEMA(92f38c1f52b27f30);
 CAPNP_DECLARE_SCHEMA(e8712151c729c516);
+CAPNP_DECLARE_SCHEMA(eeae05d42230df4e);
 CAPNP_DECLARE_SCHEMA(a8bf46aabef2c4ea);
 CAPNP_DECLARE_SCHEMA(ac458a8c09f8367d);
 CAPNP_DECLARE_SCHEMA(c45ee92c61620b2a);
@@ -238,6 +239,21 @@
   };
 };
 
+struct NamedRate {
+  NamedRate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eeae05d42230df4e, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct SyncRequest {
   SyncRequest() = delete;
 
@@ -246,7 +262,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 7, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 8, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -276,7 +292,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 5, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 6, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1518,6 +1534,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class NamedRate::Reader {
+public:
+  typedef NamedRate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReplica() const;
+  inline  ::capnp::Text::Reader getReplica() const;
+
+  inline  ::uint64_t getStartMs() const;
+
+  inline bool getHasEnded() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint64_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NamedRate::Builder {
+public:
+  typedef NamedRate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReplica();
+  inline  ::capnp::Text::Builder getReplica();
+  inline void setReplica( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReplica(unsigned int size);
+  inline void adoptReplica(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReplica();
+
+  inline  ::uint64_t getStartMs();
+  inline void setStartMs( ::uint64_t value);
+
+  inline bool getHasEnded();
+  inline void setHasEnded(bool value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint64_t getAgeMs();
+  inline void setAgeMs( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NamedRate::Pipeline {
+public:
+  typedef NamedRate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SyncRequest::Reader {
 public:
   typedef SyncRequest Reads;
@@ -1572,6 +1689,11 @@
 
   inline bool getBrief() const;
 
+  inline bool hasNamedRates() const;
+  inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader getNamedRates() const;
+
+  inline  ::uint64_t getRateRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1668,6 +1790,16 @@
   inline bool getBrief();
   inline void setBrief(bool value);
 
+  inline bool hasNamedRates();
+  inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder getNamedRates();
+  inline void setNamedRates( ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder initNamedRates(unsigned int size);
+  inline void adoptNamedRates(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>> disownNamedRates();
+
+  inline  ::uint64_t getRateRevision();
+  inline void setRateRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1840,6 +1972,11 @@
   inline bool hasNearlyExhausted() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNearlyExhausted() const;
 
+  inline bool hasNamedRates() const;
+  inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader getNamedRates() const;
+
+  inline  ::uint64_t getRateRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1949,6 +2086,16 @@
   inline void adoptNearlyExhausted(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNearlyExhausted();
 
+  inline bool hasNamedRates();
+  inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder getNamedRates();
+  inline void setNamedRates( ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder initNamedRates(unsigned int size);
+  inline void adoptNamedRates(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>> disownNamedRates();
+
+  inline  ::uint64_t getRateRevision();
+  inline void setRateRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3250,6 +3397,96 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool NamedRate::Reader::hasReplica() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NamedRate::Builder::hasReplica() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NamedRate::Reader::getReplica() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NamedRate::Builder::getReplica() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NamedRate::Builder::setReplica( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NamedRate::Builder::initReplica(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NamedRate::Builder::adoptReplica(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NamedRate::Builder::disownReplica() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NamedRate::Reader::getStartMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NamedRate::Builder::getStartMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NamedRate::Builder::setStartMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NamedRate::Reader::getHasEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool NamedRate::Builder::getHasEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void NamedRate::Builder::setHasEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline double NamedRate::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double NamedRate::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NamedRate::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NamedRate::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NamedRate::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NamedRate::Builder::setAgeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SyncRequest::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3584,6 +3821,54 @@
       ::capnp::bounded<163>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncRequest::Reader::hasNamedRates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasNamedRates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getNamedRates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getNamedRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setNamedRates( ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initNamedRates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptNamedRates(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownNamedRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SyncRequest::Reader::getRateRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getRateRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setRateRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CostGrant::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4023,6 +4308,54 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool SyncReply::Reader::hasNamedRates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasNamedRates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getNamedRates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getNamedRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setNamedRates( ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initNamedRates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptNamedRates(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownNamedRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SyncReply::Reader::getRateRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncReply::Builder::getRateRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setRateRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -14,6 +14,7 @@
 #include "tanagerstall/process/tanagerstall_member_directory.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
 #include "tanagerstall/request/tanagerstall_cost_leases.hpp"
+#include "tanagerstall/request/tanagerstall_named_rate_table.hpp"
 #include "tanagerstall/request/tanagerstall_request_log.hpp"
 #include "tanagerstall/request/tanagerstall_usage_counter.hpp"
 
@@ -188,6 +189,13 @@
                            aReport.grantRequests_,
                            clock_.Now());
     }
+    if (isLeading_ && !aReport.namedRates_.empty()) {
+      auto revision = namedRates_.Revision();
+      namedRates_.Record(aReport.namedRates_, clock_.Now());
+      if (revision != namedRates_.Revision()) {
+        entriesServer_.Notify();
+      }
+    }
     if (isLeading_ && aReport.promptEvidence_) {
       detector_.RecordReport(
         RunOf(aReport.entry_), *aReport.promptEvidence_, clock_.Now());
@@ -201,6 +209,14 @@
            aReport.promptRevision_ != detector_.Revision();
   }
 
+  /// Whether the report is one to the leader and lacks the rate limits that it
+  /// knows.
+  bool LacksRates(const EntryReport& aReport) const
+  {
+    return isLeading_ && aReport.isToLeader_ &&
+           aReport.rateRevision_ != namedRates_.Revision();
+  }
+
   void DecideOnPrompts(TimePoint aNow)
   {
     if (!isLeading_ || !detector_.Update(aNow)) {
@@ -247,7 +263,8 @@
     // Entries without a leader get no grants.
     bool missesLeader = isLeading_ && !aReport.isToLeader_;
     return wantsGrant || wantsDeclaration || missesLeader ||
-           LacksVerdicts(aReport) || aReport.newestDeclaration_ < number ||
+           LacksVerdicts(aReport) || LacksRates(aReport) ||
+           aReport.newestDeclaration_ < number ||
            aReport.controlRun_ != runId_ || aReport.stamp_ < replicas_.Stamp();
   }
 
@@ -267,6 +284,10 @@
     if (LacksVerdicts(aReport)) {
       answer.promptVerdicts_ = detector_.Verdicts(clock_.Now());
     }
+    if (LacksRates(aReport)) {
+      answer.namedRates_ = namedRates_.Rates(clock_.Now());
+    }
+    answer.rateRevision_ = namedRates_.Revision();
     answer.members_ = members_.Addresses();
     answer.readsCompressed_ = true;
     answer.shareDivisor_ = workingSet_.ShareDivisor(aReport.entry_.id_);
@@ -319,6 +340,7 @@
           detector_.StartLeading();
           entriesServer_.Notify();
         }
+        namedRates_.Update(now);
         DecideOnPrompts(now);
         if (now >= nextSettingsReadAt_) {
           Reload(false);
@@ -373,6 +395,7 @@
   MemberDirectory members_;
   CostLeases leases_;
   PromptCrashDetector detector_{ runId_ };
+  NamedRateTable namedRates_{ runId_ };
   bool isLeading_ = false;
   LoopDelay loopDelay_{ kTickInterval };
   UsageTotals usageTotals_;
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -83,21 +83,26 @@
                      static_cast<double>(callers_.ActiveExchanges()) },
                    { "declaration",
                      static_cast<double>(appliedDeclaration_) } };
+    AddReplicaGauges(gauges,
+                     "replicas_backing_off",
+                     forwarder_.CountReplicas(ReplicaAvailability::BackingOff));
+    AddReplicaGauges(gauges,
+                     "replicas_leaving",
+                     forwarder_.CountReplicas(ReplicaAvailability::Leaving));
     AddReplicaGauges(
-      gauges, "replicas_backing_off", ReplicaAvailability::BackingOff);
-    AddReplicaGauges(gauges, "replicas_leaving", ReplicaAvailability::Leaving);
+      gauges, "replicas_rate_limited", forwarder_.CountRateLimitedReplicas());
     aExchange.Respond(MetricsResponse(
       aExchange.Request(), forwarder_.GetMetrics().Collect(), gauges));
   }
 
   /// Adds a gauge for each service. Runs on the traffic thread, as the server
   /// of metrics does.
-  void AddReplicaGauges(Gauges& aGauges,
-                        const std::string& aName,
-                        ReplicaAvailability aAvailability) const
+  static void AddReplicaGauges(
+    Gauges& aGauges,
+    const std::string& aName,
+    const std::map<std::string, std::size_t>& aCounts)
   {
-    for (const auto& [service, count] :
-         forwarder_.CountReplicas(aAvailability)) {
+    for (const auto& [service, count] : aCounts) {
       std::string name = aName;
       name.append("{service=\"").append(service).append("\"}");
       aGauges[name] = static_cast<double>(count);
@@ -131,6 +136,11 @@
       report.promptEvidence_ = traffic_.promptEvidence_;
       report.promptRevision_ =
         aControl == verdictsFrom_ ? verdictsRevision_ : 0;
+      report.rateRevision_ = aControl == ratesFrom_ ? ratesRevision_ : 0;
+      if (!aIsBrief || traffic_.rateNews_ != reportedRateNews_) {
+        report.namedRates_ = traffic_.namedRates_;
+        reportedRateNews_ = traffic_.rateNews_;
+      }
     }
     report.newestDeclaration_ = source_.NewestNumber();
     std::uint64_t held = received_.number_;
@@ -199,6 +209,12 @@
     if (aAnswer.promptVerdicts_) {
       ReceiveVerdicts(aControl, *aAnswer.promptVerdicts_);
     }
+    if (aAnswer.namedRates_) {
+      ratesFrom_ = aControl;
+      ratesRevision_ = aAnswer.rateRevision_;
+      threads_.Post(
+        [this, rates = *aAnswer.namedRates_] { forwarder_.AdoptRates(rates); });
+    }
     PublishReplicas(now);
   }
 
@@ -371,8 +387,9 @@
     loop_.Post([this, aIsUrgent, report = forwarder_.Report()] {
       bool hasLosses =
         report.promptEvidence_.lost_ > traffic_.promptEvidence_.lost_;
+      bool hasRateNews = report.rateNews_ != traffic_.rateNews_;
       traffic_ = report;
-      if (aIsUrgent || hasLosses || IsBusy()) {
+      if (aIsUrgent || hasLosses || hasRateNews || IsBusy()) {
         client_.RefreshLeader();
       }
     });
@@ -400,6 +417,11 @@
   /// The control process that sent the latest verdicts on prompt parts.
   std::string verdictsFrom_;
   std::uint64_t verdictsRevision_ = 0;
+  /// The control process that sent the latest rate limits of replicas.
+  std::string ratesFrom_;
+  std::uint64_t ratesRevision_ = 0;
+  /// The news of rate limits that the last report to a leader had.
+  std::uint64_t reportedRateNews_ = 0;
   LoopDelay loopDelay_{ kTickInterval };
   Drain drain_;
   std::atomic<bool> hasPlan_{ false };
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -171,17 +171,18 @@
 
 /// Passes on what the replica says of itself, also in a late response to
 /// another request.
-void
+ReplicaNotice
 ForwardAttempt::ReadNotice(const HttpResponse& aHead)
 {
   if (!resources_.protocol_.readNotice_) {
-    return;
+    return {};
   }
   ReplicaNotice notice = resources_.protocol_.readNotice_(aHead);
   isLeaving_ = isLeaving_ || notice.isLeaving_;
   if (!notice.IsEmpty()) {
     hooks_.onNotice_(notice);
   }
+  return notice;
 }
 
 /// Reads the head of the response to this request and skips the responses that
@@ -195,9 +196,10 @@
     if (!head) {
       return head;
     }
-    ReadNotice(*head);
+    ReplicaNotice notice = ReadNotice(*head);
     bool isInterim = head->status_ < 200;
     if (!isInterim && IsForThisRequest(*head, aIsReused)) {
+      hooks_.onOwnNotice_(notice, sentAt_);
       return head;
     }
     if (!isInterim && !aIsReused) {
@@ -229,6 +231,7 @@
   connection_ = lease->connection_.get();
   exchange_.OnCallerDisconnect([this] { connection_->Cancel(); });
   ++request_.sends_;
+  sentAt_ = resources_.clock_.Now();
   connection_->StartSend(MakeUpstreamRequest(exchange_.Request(),
                                              request_,
                                              aReplica,
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
@@ -58,6 +58,9 @@
     std::function<void(Duration)> onEvent_;
     /// Called for each response of the replica that says something of it.
     std::function<void(const ReplicaNotice&)> onNotice_;
+    /// Called for the response to this request, with what it says of the
+    /// replica and when the request was sent.
+    std::function<void(const ReplicaNotice&, TimePoint)> onOwnNotice_;
     /// Returns whether the request may still be sent to the replica.
     std::function<bool()> maySend_;
   };
@@ -78,7 +81,7 @@
     const Replica& aReplica);
   HttpConnection::Result<std::optional<std::string>> ReadBodyPart();
   HttpConnection::Result<void> SkipBody();
-  void ReadNotice(const HttpResponse& aHead);
+  ReplicaNotice ReadNotice(const HttpResponse& aHead);
   HttpConnection::Result<HttpResponse> ReadMatchingHead(bool aIsReused);
   bool IsForThisRequest(const HttpResponse& aHead, bool aIsReused) const;
   AttemptResult HandleResponse(HttpResponse aHead, bool aReturnsFailures);
@@ -94,6 +97,7 @@
   EventStream events_;
   /// Whether the replica has said that it leaves.
   bool isLeaving_ = false;
+  TimePoint sentAt_;
   std::optional<TimePoint> begunAt_;
 };
 
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
@@ -41,7 +41,7 @@
                                    kDefaultRetryAfter };
 const ForwardRefusal kBackingOff{ 503,
                                   "backing_off",
-                                  "all replicas asked for a back-off" };
+                                  "all replicas asked for fewer requests" };
 const ForwardRefusal kQuarantined{ 503,
                                    "prompt_quarantined",
                                    "a prompt part crashes replicas" };
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -89,6 +89,12 @@
   chooser_.SetReplicas(std::move(aReplicas));
 }
 
+void
+Forwarder::AdoptRates(const NamedRates& aRates)
+{
+  chooser_.RateLimits().Adopt(aRates, clock_.Now());
+}
+
 void
 Forwarder::ApplyVerdicts(const PromptVerdicts& aVerdicts)
 {
@@ -99,6 +105,7 @@
 Forwarder::SetShareDivisor(std::uint32_t aDivisor)
 {
   retries_.SetShareDivisor(aDivisor);
+  chooser_.SetShareDivisor(aDivisor);
 }
 
 std::optional<HttpResponse>
@@ -320,9 +327,23 @@
   }
 }
 
+void
+Forwarder::RecordRate(const Replica& aReplica,
+                      const ReplicaNotice& aNotice,
+                      TimePoint aSentAt)
+{
+  bool isNews = !aNotice.isRateUnreadable_ &&
+                chooser_.RecordRate(
+                  aReplica, aNotice.ratePerSecond_, aSentAt, clock_.Now());
+  if (isNews) {
+    LogReplicaRate(aReplica, aNotice.ratePerSecond_);
+  }
+}
+
 /// Returns the refusal of a request that no replica took. If all replicas have
-/// asked for a back-off, callers are told to come back after the shortest of
-/// them, spread over as long a time again, since new ones come as well.
+/// asked for a back-off or have got what they take, callers are told to come
+/// back after the shortest of them, spread over as long a time again, since new
+/// ones come as well.
 ForwardRefusal
 Forwarder::UnavailableRefusal(const std::string& aService)
 {
@@ -399,6 +420,9 @@
           }
         },
         [&](const ReplicaNotice& aNotice) { RecordNotice(*replica, aNotice); },
+        [&](const ReplicaNotice& aNotice, TimePoint aSentAt) {
+          RecordRate(*replica, aNotice, aSentAt);
+        },
         [&] { return chooser_.MaySend(*replica, clock_.Now()); } });
     last = attempt.Run(*replica, mayRunAgain && !failure);
     RecordAttempt(aRequest, *replica, last, startedAt);
@@ -481,6 +505,8 @@
   report.services_ = loads_;
   report.requestRate_ = arrivals_.Update(clock_.Now());
   report.promptEvidence_ = quarantine_.Report(clock_.Now());
+  report.namedRates_ = chooser_.RateLimits().Report(clock_.Now());
+  report.rateNews_ = chooser_.RateLimits().News();
   return report;
 }
 
@@ -490,6 +516,12 @@
   return chooser_.CountReplicas(aAvailability, clock_.Now());
 }
 
+std::map<std::string, std::size_t>
+Forwarder::CountRateLimitedReplicas() const
+{
+  return chooser_.CountRateLimited();
+}
+
 void
 Forwarder::TrimConnections()
 {
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -45,6 +45,9 @@
   /// Requests per second from callers; refused ones count for a part.
   double requestRate_ = 0.0;
   PromptEvidence promptEvidence_;
+  NamedRates namedRates_;
+  /// The number of limits that this entry learnt by itself; grows with each.
+  std::uint64_t rateNews_ = 0;
 };
 
 /// Forwards callers' requests to replicas along the routes of the traffic
@@ -64,8 +67,11 @@
 
   void SetPlan(std::shared_ptr<const TrafficPlan> aPlan);
   void SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas);
-  /// Sets the number by which the retry slack of all entries is divided.
+  /// Sets the number by which this entry divides what all entries share: the
+  /// retry slack and the rates that replicas name.
   void SetShareDivisor(std::uint32_t aDivisor);
+  /// Adopts the rate limits of replicas that other entries have learnt.
+  void AdoptRates(const NamedRates& aRates);
   /// Adopts the leader's verdicts on prompt parts.
   void ApplyVerdicts(const PromptVerdicts& aVerdicts);
   /// Limits() and GetMetrics() may be called, and their results used, from
@@ -82,6 +88,8 @@
   /// have told it that they leave, by service.
   std::map<std::string, std::size_t> CountReplicas(
     ReplicaAvailability aAvailability) const;
+  /// Counts the present replicas that have named a rate limit, by service.
+  std::map<std::string, std::size_t> CountRateLimitedReplicas() const;
   /// Closes pooled connections that are idle for too long or whose replicas are
   /// no longer present.
   void TrimConnections();
@@ -104,6 +112,9 @@
                      const AttemptResult& aLast,
                      const std::optional<HttpResponse>& aFailure);
   void RecordNotice(const Replica& aReplica, const ReplicaNotice& aNotice);
+  void RecordRate(const Replica& aReplica,
+                  const ReplicaNotice& aNotice,
+                  TimePoint aSentAt);
   ForwardRefusal UnavailableRefusal(const std::string& aService);
   bool TakeRetry(const ForwardedRequest& aRequest, bool aIsSent);
   HttpResponse Refuse(const ForwardedRequest& aRequest,
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -62,6 +62,7 @@
   : settings_(std::move(aSettings))
   , random_(aSeed)
   , replicas_(std::make_shared<ReplicasByService>())
+  , rateLimits_(random_())
 {
 }
 
@@ -78,6 +79,11 @@
       present_[replica.id_] = &replica;
     }
   }
+  std::set<std::string> ids;
+  for (const auto& [id, replica] : present_) {
+    ids.insert(id);
+  }
+  rateLimits_.KeepOnly(ids);
   std::erase_if(stats_, [this](const auto& aIt) {
     return aIt.second.running_ == 0 && !present_.contains(aIt.first);
   });
@@ -112,6 +118,21 @@
   return backoff_.Record(aReplica, aNotice, aNow);
 }
 
+bool
+ReplicaChooser::RecordRate(const Replica& aReplica,
+                           std::optional<double> aPerSecond,
+                           TimePoint aSentAt,
+                           TimePoint aNow)
+{
+  return rateLimits_.Record(aReplica, aPerSecond, aSentAt, aNow);
+}
+
+void
+ReplicaChooser::SetShareDivisor(std::uint32_t aDivisor)
+{
+  rateLimits_.SetShareDivisor(aDivisor);
+}
+
 bool
 ReplicaChooser::MaySend(const Replica& aReplica, TimePoint aNow) const
 {
@@ -133,12 +154,15 @@
   }
   for (const auto& replica : it->second) {
     auto availability = backoff_.AvailabilityOf(replica, aNow);
-    if (availability == ReplicaAvailability::Open) {
+    bool hasRoom = rateLimits_.MaySend(replica, aNow);
+    if (availability == ReplicaAvailability::Open && hasRoom) {
       return std::nullopt;
     }
     if (availability != ReplicaAvailability::Leaving) {
       Duration wait =
         std::max(Duration::zero(), backoff_.BackoffEnd(replica) - aNow);
+      // A caller that comes back finds another entry, which may have room.
+      wait += hasRoom ? Duration::zero() : rateLimits_.TimePerRequest(replica);
       shortest = std::min(shortest.value_or(wait), wait);
     }
   }
@@ -159,6 +183,19 @@
   return counts;
 }
 
+std::map<std::string, std::size_t>
+ReplicaChooser::CountRateLimited() const
+{
+  std::map<std::string, std::size_t> counts;
+  for (const auto& [service, replicas] : *replicas_) {
+    counts[service] = static_cast<std::size_t>(
+      std::count_if(replicas.begin(), replicas.end(), [this](const auto& aIt) {
+        return rateLimits_.IsLimited(aIt);
+      }));
+  }
+  return counts;
+}
+
 bool
 ReplicaChooser::IsWanted(const std::string& aId, TimePoint aNow) const
 {
@@ -301,7 +338,8 @@
   for (const auto& replica : it->second) {
     TimePoint avoidUntil = StatsOf(replica).avoidUntil_;
     if (aRequest.excluded_.contains(replica.id_) ||
-        avoidUntil == TimePoint::max() || !isOffered(replica)) {
+        avoidUntil == TimePoint::max() || !isOffered(replica) ||
+        !rateLimits_.MaySend(replica, aNow)) {
       continue;
     }
     bool isAvoided = aNow < avoidUntil;
@@ -391,6 +429,7 @@
       ReplicaAvailability::Returning) {
     limit.TakeToken();
   }
+  rateLimits_.OnSend(*chosen, aNow);
   ReplicaStats& stats = StatsOf(*chosen);
   ++stats.running_;
   stats.work_ += aRequest.cost_;
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 #include "tanagerstall/process/tanagerstall_work_class.hpp"
+#include "tanagerstall/request/tanagerstall_replica_rate_limits.hpp"
 #include "tanagerstall/request/tanagerstall_requested_backoff.hpp"
 #include "tanagerstall/request/tanagerstall_return_limit.hpp"
 
@@ -57,8 +58,8 @@
 /// ones without coordination. The work of a slow replica is weighted by the
 /// delay of its first parts; one that fails more of its requests than the
 /// others is avoided for a while; one that has said that it leaves, or that it
-/// wants no requests, gets none. Does no I/O and reads no clock; not
-/// thread-safe.
+/// wants no requests, gets none, and one that has named a rate gets no more.
+/// Does no I/O and reads no clock; not thread-safe.
 class ReplicaChooser
 {
 public:
@@ -90,18 +91,31 @@
   bool RecordNotice(const Replica& aReplica,
                     const ReplicaNotice& aNotice,
                     TimePoint aNow);
+  /// Records the rate limit that the response to a request named, or that it
+  /// named none; the request was sent at `aSentAt`. Returns whether that is
+  /// news.
+  bool RecordRate(const Replica& aReplica,
+                  std::optional<double> aPerSecond,
+                  TimePoint aSentAt,
+                  TimePoint aNow);
+  /// The limits that this entry knows, and those that others have learnt.
+  ReplicaRateLimits& RateLimits() { return rateLimits_; }
+  /// Sets the number by which this entry divides what all entries share.
+  void SetShareDivisor(std::uint32_t aDivisor);
   /// Whether a request may be sent to the replica now, although it was chosen
   /// earlier.
   bool MaySend(const Replica& aReplica, TimePoint aNow) const;
   /// Returns how long it takes until a replica of the service takes requests
-  /// again, if all that are present have asked for a back-off or leave; nullopt
-  /// otherwise.
+  /// again, if all that are present have asked for a back-off, leave, or may
+  /// get no further request now by the rate that they named; nullopt otherwise.
   std::optional<Duration> TimeUntilOpen(const std::string& aService,
                                         TimePoint aNow) const;
   /// Counts the present replicas with this availability, by service.
   std::map<std::string, std::size_t> CountReplicas(
     ReplicaAvailability aAvailability,
     TimePoint aNow) const;
+  /// Counts the present replicas that have named a rate limit, by service.
+  std::map<std::string, std::size_t> CountRateLimited() const;
   /// Whether kept connections to the replica may be used again.
   bool IsWanted(const std::string& aId, TimePoint aNow) const;
   std::size_t CountReplicas(const std::string& aService) const;
@@ -150,6 +164,7 @@
   std::mt19937_64 random_;
   std::shared_ptr<const ReplicasByService> replicas_;
   RequestedBackoff backoff_;
+  ReplicaRateLimits rateLimits_;
   std::map<std::string, ReturnLimit> returnLimits_;
   /// The replicas that can be chosen, by id; owned by `replicas_`.
   std::map<std::string, const Replica*> present_;
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -113,6 +113,18 @@
              { "for_s", aDecision.duration_.count() } });
 }
 
+void
+LogReplicaRate(const Replica& aReplica, std::optional<double> aPerSecond)
+{
+  LogEvent(Severity::Info,
+           aPerSecond ? "replica limits its rate"
+                      : "replica no longer limits its rate",
+           { { "replica", aReplica.id_ },
+             { "service", aReplica.service_ },
+             { "start_ms", aReplica.startTimeMs_ },
+             { "per_s", aPerSecond.value_or(0.0) } });
+}
+
 void
 LogReplicaNotice(const Replica& aReplica, const ReplicaNotice& aNotice)
 {
--- a/src/tanagerstall/request/tanagerstall_request_log.hpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.hpp
@@ -38,6 +38,10 @@
 LogQuarantined(const QuarantineDecision& aDecision);
 
 /// Logs that a replica said that it leaves or wants no requests for a while.
+/// Logs the rate limit that a replica names, or that it names none any more.
+void
+LogReplicaRate(const Replica& aReplica, std::optional<double> aPerSecond);
+
 void
 LogReplicaNotice(const Replica& aReplica, const ReplicaNotice& aNotice);
 
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -1104,3 +1104,18 @@
   }
   BOOST_TEST(limited.Requests() <= 1);
 }
+
+// Guards against a late copy on a kept connection that changes a limit.
+BOOST_AUTO_TEST_CASE(An_answer_to_another_request_names_no_limit)
+{
+  ScriptedUpstream upstream(
+    { kWhole, After::Keep, "", 0ms, WithHeader(kForeign, kRate) + kWhole });
+  Environment environment({ &upstream }, kDocument, kManyEntries);
+  for (int i = 0; i < 2; ++i) {
+    BOOST_TEST(environment.Fetch("/safe/x")->status_ == 200);
+  }
+  auto limited = environment.Call<std::size_t>([](Forwarder& aForwarder) {
+    return aForwarder.CountRateLimitedReplicas()["s"];
+  });
+  BOOST_TEST(limited == 0U);
+}
--- a/tests/replica_notice_tests.cpp
+++ b/tests/replica_notice_tests.cpp
@@ -98,6 +98,62 @@
 
 namespace {
 
+struct RateHeaderCase
+{
+  const char* name_;
+  int status_;
+  std::vector<HttpHeader> headers_;
+  std::optional<double> perSecond_;
+  bool isUnreadable_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const RateHeaderCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<RateHeaderCase> kRateHeaders{
+  { "nothing", 200, {}, std::nullopt, false },
+  { "a success", 200, { { "Server-Limit", "4.4" } }, 4.4, false },
+  { "a refusal", 503, { { "server-limit", "30" } }, 30.0, false },
+  { "zero", 200, { { "Server-Limit", "0" } }, 0.0, false },
+  { "negative", 200, { { "Server-Limit", "-1" } }, std::nullopt, true },
+  { "text", 200, { { "Server-Limit", "few" } }, std::nullopt, true },
+  { "empty", 200, { { "Server-Limit", "" } }, std::nullopt, true },
+  { "infinite", 200, { { "Server-Limit", "inf" } }, std::nullopt, true },
+  { "very high",
+    200,
+    { { "Server-Limit", "1000000000000" } },
+    platform::kMaxReplicaRate,
+    false },
+  { "two that differ",
+    200,
+    { { "Server-Limit", "5" }, { "Server-Limit", "3" } },
+    3.0,
+    false },
+  { "one of two not readable",
+    200,
+    { { "Server-Limit", "5" }, { "Server-Limit", "x" } },
+    5.0,
+    false },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(A_rate_is_read_with_bounds, data::make(kRateHeaders), row)
+{
+  HttpResponse response;
+  response.status_ = row.status_;
+  response.headers_ = row.headers_;
+  ReplicaNotice notice = platform::ReadReplicaNotice(response);
+  BOOST_TEST((notice.ratePerSecond_ == row.perSecond_));
+  BOOST_TEST(notice.isRateUnreadable_ == row.isUnreadable_);
+  BOOST_TEST(notice.IsEmpty());
+}
+
+namespace {
+
 const TimePoint kStart{ 1h };
 
 Replica
@@ -109,12 +165,12 @@
   return replica;
 }
 
-constexpr ReplicaNotice kLeaves{ true, 0s };
+constexpr ReplicaNotice kLeaves{ true, 0s, std::nullopt, false };
 
 ReplicaNotice
 BackOff(Duration aTime)
 {
-  return { false, aTime };
+  return { false, aTime, std::nullopt, false };
 }
 
 } // namespace
--- a/tests/requested_backoff_tests.cpp
+++ b/tests/requested_backoff_tests.cpp
@@ -174,7 +174,7 @@
     if (!refusal) {
       refusal = { now, pauseEnd_ };
     }
-    ReplicaNotice notice{ false, pauseEnd_ - now };
+    ReplicaNotice notice{ false, pauseEnd_ - now, std::nullopt, false };
     events_.At(now + kLatency, [=, this] {
       entries_[aEntry]->RecordNotice(At(aReplica), notice, events_.Now());
       Finish(aEntry, aReplica, AttemptOutcome::Refused);
