An answer of another type doesn't continue a stream that broke off

Report of other operators: a stream broke off, the next replica answered with an error, and clients found its text in their stream.

--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -323,6 +323,14 @@
   return result;
 }
 
+void
+ForwardAttempt::StartStream(const HttpResponse& aHead)
+{
+  hooks_.onFirstPart_();
+  request_.streamType_ = aHead.Header("Content-Type");
+  exchange_.StartStream(MakeCallerResponse(aHead));
+}
+
 /// Relays the complete events among the bytes. Returns false if the caller has
 /// disconnected.
 bool
@@ -330,8 +338,7 @@
 {
   for (const auto& event : events_.Feed(aBytes)) {
     if (!exchange_.HasStarted()) {
-      hooks_.onFirstPart_();
-      exchange_.StartStream(MakeCallerResponse(aHead));
+      StartStream(aHead);
     }
     if (!exchange_.WritePart(event)) {
       return false;
@@ -354,6 +361,13 @@
 AttemptResult
 ForwardAttempt::RelayStream(const HttpResponse& aHead)
 {
+  if (exchange_.HasStarted() &&
+      aHead.Header("Content-Type") != request_.streamType_) {
+    AttemptResult result;
+    result.isSent_ = true;
+    result.detail_ = "an answer that doesn't continue the stream";
+    return result;
+  }
   while (true) {
     auto part = ReadBodyPart();
     if (!part) {
@@ -380,8 +394,7 @@
       { TransportFault::ConnectionLost, "the stream has no event" }, true);
   }
   if (!exchange_.HasStarted()) {
-    hooks_.onFirstPart_();
-    exchange_.StartStream(MakeCallerResponse(aHead));
+    StartStream(aHead);
   }
   exchange_.EndStream();
   AttemptResult result;
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
@@ -87,6 +87,7 @@
   AttemptResult HandleResponse(HttpResponse aHead, bool aReturnsFailures);
   AttemptResult RelayWholeBody(HttpResponse aHead, bool aReturnsFailures);
   AttemptResult RelayStream(const HttpResponse& aHead);
+  void StartStream(const HttpResponse& aHead);
   bool RelayEvents(const HttpResponse& aHead, std::string_view aBytes);
 
   ForwardResources resources_;
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -62,6 +62,8 @@
   std::uint32_t runs_ = 0;
   /// The number of times that the request was sent.
   std::uint32_t sends_ = 0;
+  /// The type of the stream that the caller receives, by its head.
+  std::string streamType_;
   /// The id of the last event sent to the caller, from which a stream is
   /// resumed at another replica.
   std::string lastEventId_;
