--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -62,7 +62,7 @@
   : settings_(std::move(aSettings))
   , random_(aSeed)
   , replicas_(std::make_shared<ReplicasByService>())
-  , rateLimits_(random_())
+  , rateLimits_(aSeed)
 {
 }
 
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -219,10 +219,75 @@
     false },
   { "binary data", "\x01\x02", false },
   { "empty", "", false },
+  { "port out of range",
+    R"({"service":"s","address":"1.2.3.4:70000","state":"ready","sequence":4})",
+    false },
+  { "port 0",
+    R"({"service":"s","address":"1.2.3.4:0","state":"ready","sequence":4})",
+    false },
+  { "sequence too large",
+    R"({"service":"s","address":"1.2.3.4:5","state":"ready","sequence":1e300})",
+    false },
+  { "sequence of 64 bits",
+    R"({"service":"s","address":"1.2.3.4:5","state":"ready",)"
+    R"("sequence":18446744073709551615})",
+    false },
+  { "slots beyond 32 bits",
+    R"({"service":"s","address":"1.2.3.4:5","state":"ready","sequence":4,)"
+    R"("slots":4294967297})",
+    false },
+  { "negative slots",
+    R"({"service":"s","address":"1.2.3.4:5","state":"ready","sequence":4,)"
+    R"("slots":-1})",
+    false },
+  { "start time too large",
+    R"({"service":"s","address":"1.2.3.4:5","state":"ready","sequence":4,)"
+    R"("born":1e300})",
+    false },
+  { "number beyond all doubles",
+    R"({"service":"s","address":"1.2.3.4:5","state":"ready","sequence":4,)"
+    R"("born":1e999})",
+    false },
+  { "time until warm too large",
+    R"({"service":"s","address":"1.2.3.4:5","state":"ready","sequence":4,)"
+    R"("coldRemainingMs":1e300})",
+    false },
+  { "negative time until warm",
+    R"({"service":"s","address":"1.2.3.4:5","state":"ready","sequence":4,)"
+    R"("coldRemainingMs":-1})",
+    false },
+};
+
+constexpr std::size_t kDeepNesting = 100'000;
+
+struct LeaveCase
+{
+  const char* name_;
+  const char* body_;
+  std::optional<std::uint64_t> startTimeMs_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const LeaveCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<LeaveCase> kLeaves{
+  { "empty", "", 0 },
+  { "without a start time", "{}", 0 },
+  { "with a start time", R"({"born":1780457230076})", 1780457230076 },
+  { "negative", R"({"born":-1})", std::nullopt },
+  { "too large", R"({"born":1e300})", std::nullopt },
+  { "a text", R"({"born":"x"})", std::nullopt },
+  { "no object", "[]", std::nullopt },
+  { "binary data", "\x01\x02", std::nullopt },
 };
 
 } // namespace
 
+// Guards against odd entries of other writers that end a control process, or
+// that are taken for replicas.
 BOOST_DATA_TEST_CASE(Malformed_announcements_are_refused,
                      data::make(kAnnouncements))
 {
@@ -230,6 +295,32 @@
              sample.isAccepted_);
 }
 
+BOOST_DATA_TEST_CASE(A_deeply_nested_announcement_is_refused,
+                     data::make({ "[", "{\"a\":" }),
+                     opening)
+{
+  std::string nested;
+  for (std::size_t i = 0; i < kDeepNesting; ++i) {
+    nested += opening;
+  }
+  std::string inside =
+    R"({"service":"s","address":"1.2.3.4:5","state":"ready","sequence":4,)"
+    R"("more":)" +
+    nested;
+  BOOST_TEST(!DecodeAnnouncement("r1", nested));
+  BOOST_TEST(!DecodeAnnouncement("r1", inside));
+}
+
+// Guards against an odd entry that takes a sound replica out of use.
+BOOST_DATA_TEST_CASE(A_malformed_leave_is_refused, data::make(kLeaves))
+{
+  auto startTime = DecodeLeave(sample.body_);
+  BOOST_TEST(startTime.has_value() == sample.startTimeMs_.has_value());
+  if (startTime && sample.startTimeMs_) {
+    BOOST_TEST(*startTime == *sample.startTimeMs_);
+  }
+}
+
 namespace {
 
 constexpr const char* kEntryFile =
