Orders of replicas follow the capacity that present ones withdraw

The leader knows the named rates; what they leave below a replica's equal part of the service's requests counts as needed besides, once a limit has held for 1.5 s, so that one that is over before a replica is up orders nothing.

--- a/src/tanagerstall/process/tanagerstall_entry_loads.cpp
+++ b/src/tanagerstall/process/tanagerstall_entry_loads.cpp
@@ -1,16 +1,39 @@
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace tanagerstall {
 
+namespace {
+
+/// A limit that is younger may be over before another replica is up.
+constexpr std::chrono::milliseconds kLastingLimit{ 1500 };
+
+} // namespace
+
 void
 EntryLoads::Record(const EntryReport& aReport)
 {
-  services_[aReport.entry_.id_] = aReport.services_;
+  bool isNew = !services_.contains(aReport.entry_.id_);
+  auto& known = services_[aReport.entry_.id_];
+  for (const auto& [service, load] : aReport.services_) {
+    // An entry that was restarted counts from 0 again.
+    bool isContinued = !isNew && load.arrivals_ >= known[service].arrivals_;
+    std::uint64_t added =
+      isContinued ? load.arrivals_ - known[service].arrivals_ : 0;
+    arrivals_[service].Add(static_cast<double>(added));
+  }
+  known = aReport.services_;
   rates_[aReport.entry_.id_] = aReport.requestRate_;
 }
 
+double
+EntryLoads::ArrivalRate(const std::string& aService, TimePoint aNow)
+{
+  return arrivals_[aService].Update(aNow);
+}
+
 void
 EntryLoads::KeepOnly(const std::vector<EntryInfo>& aEntries)
 {
@@ -34,10 +57,33 @@
   return running;
 }
 
+double
+WithdrawnCapacity(const std::vector<Replica>& aPresent,
+                  const NamedRates& aNamed,
+                  double aRate)
+{
+  double equalPart = aRate / static_cast<double>(aPresent.size());
+  double withdrawn = 0.0;
+  for (const auto& named : aNamed) {
+    bool isPresent =
+      std::any_of(aPresent.begin(), aPresent.end(), [&](const auto& aIt) {
+        return aIt.id_ == named.replica_ &&
+               aIt.startTimeMs_ == named.startTimeMs_;
+      });
+    bool isLimit = named.perSecond_ && *named.perSecond_ < equalPart;
+    if (isPresent && isLimit && named.age_ >= kLastingLimit) {
+      withdrawn += 1.0 - *named.perSecond_ / equalPart;
+    }
+  }
+  return withdrawn;
+}
+
 std::vector<PlacementInput>
 MakePlacementInputs(const TrafficPlan& aPlan,
                     const ReplicasByService& aPresent,
-                    const EntryLoads& aLoads)
+                    const NamedRates& aNamed,
+                    EntryLoads& aLoads,
+                    TimePoint aNow)
 {
   std::vector<PlacementInput> inputs;
   for (const auto& [name, service] : aPlan.services_) {
@@ -45,10 +91,12 @@
     if (!service.scaling_ || replicas == aPresent.end()) {
       continue;
     }
-    PlacementInput input{ name, *service.scaling_, {}, 0, 0 };
+    PlacementInput input{ name, *service.scaling_, {}, 0, 0, 0.0 };
     input.slots_ = LeastSlots(replicas->second);
     input.domains_ = CountByDomain(replicas->second, *service.scaling_);
     input.running_ = aLoads.Running(name);
+    input.withdrawn_ = WithdrawnCapacity(
+      replicas->second, aNamed, aLoads.ArrivalRate(name, aNow));
     inputs.push_back(std::move(input));
   }
   return inputs;
--- a/src/tanagerstall/process/tanagerstall_entry_loads.hpp
+++ b/src/tanagerstall/process/tanagerstall_entry_loads.hpp
@@ -5,6 +5,8 @@
 #include "tanagerstall/process/presence/tanagerstall_entry_working_set.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 #include "tanagerstall/process/tanagerstall_replica_placement.hpp"
+#include "tanagerstall/request/tanagerstall_named_rate.hpp"
+#include "tanagerstall/request/tanagerstall_request_rate.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
 #include <cstdint>
@@ -19,6 +21,8 @@
 {
 public:
   void Record(const EntryReport& aReport);
+  /// The requests per second that all entries get for a service.
+  double ArrivalRate(const std::string& aService, TimePoint aNow);
   /// Forgets all entries but these.
   void KeepOnly(const std::vector<EntryInfo>& aEntries);
   const RequestRates& Rates() const { return rates_; }
@@ -29,14 +33,25 @@
   RequestRates rates_;
   /// By entry and service.
   std::map<std::string, std::map<std::string, ServiceLoad>> services_;
+  /// By service.
+  std::map<std::string, RequestRate> arrivals_;
 };
 
+/// Returns the capacity, in replicas, that those present withdraw by the rates
+/// that they name. `aRate` is the service's requests per second.
+double
+WithdrawnCapacity(const std::vector<Replica>& aPresent,
+                  const NamedRates& aNamed,
+                  double aRate);
+
 /// Returns the input of the replica placement for each service that is scaled
 /// and has replicas.
 std::vector<PlacementInput>
 MakePlacementInputs(const TrafficPlan& aPlan,
                     const ReplicasByService& aPresent,
-                    const EntryLoads& aLoads);
+                    const NamedRates& aNamed,
+                    EntryLoads& aLoads,
+                    TimePoint aNow);
 
 } // namespace tanagerstall
 
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -374,7 +374,9 @@
     if (!plan_) {
       return {};
     }
-    return MakePlacementInputs(*plan_, *view_.Present(clock_.Now()), loads_);
+    TimePoint now = clock_.Now();
+    return MakePlacementInputs(
+      *plan_, *view_.Present(now), namedRates_.Rates(now), loads_, now);
   }
 
   FleetControlSettings settings_;
--- a/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
+++ b/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
@@ -144,6 +144,7 @@
                aOrder.isReclaimable_ ? domain.reclaimable_ : domain.onDemand_ },
              { "needed", placement_.Needed(aOrder.service_) },
              { "running", aInput.running_ },
+             { "withdrawn", aInput.withdrawn_ },
              { "fence", token.fence_ },
              { "answer", answer ? static_cast<int>(*answer) : -1 } });
   placement_.OnAnswer(
--- a/src/tanagerstall/process/tanagerstall_replica_placement.cpp
+++ b/src/tanagerstall/process/tanagerstall_replica_placement.cpp
@@ -215,13 +215,13 @@
     return orders;
   }
   UpdateNeed(service, aInput, aNow);
-  std::uint32_t covered = Ceil(service.needed_ * kCoveredShare);
+  double needed = service.needed_ + aInput.withdrawn_;
+  std::uint32_t covered = Ceil(needed * kCoveredShare);
   bool hasReclaimable = aInput.bounds_.reclaimablePrice_ > 0.0;
-  std::uint32_t perDomain =
-    std::clamp(Ceil(service.needed_ /
-                    static_cast<double>(std::max<std::size_t>(domains - 1, 1))),
-               std::max(aInput.bounds_.min_, 1U),
-               std::max(aInput.bounds_.max_, 1U));
+  std::uint32_t perDomain = std::clamp(
+    Ceil(needed / static_cast<double>(std::max<std::size_t>(domains - 1, 1))),
+    std::max(aInput.bounds_.min_, 1U),
+    std::max(aInput.bounds_.max_, 1U));
   std::uint32_t reclaimable = 0;
   std::uint32_t largest = 0;
   for (const auto& [domain, replicas] : aInput.domains_) {
--- a/tests/replica_choice_tests.cpp
+++ b/tests/replica_choice_tests.cpp
@@ -290,7 +290,7 @@
   }
 
   ReplicaPlacement placement_;
-  PlacementInput input_{ "model", MakeBounds(), {}, 0 };
+  PlacementInput input_{ "model", MakeBounds(), {}, 0, 0, 0.0 };
   std::set<std::string> unavailable_;
   std::size_t orders_ = 0;
   TimePoint now_ = kStart;
@@ -413,3 +413,21 @@
     }
   }
 }
+
+// Guards against callers that wait at the few replicas that are left to them
+// while the others take only a part of their requests.
+BOOST_AUTO_TEST_CASE(Capacity_that_replicas_withdraw_is_ordered)
+{
+  PlacementSimulation simulation;
+  simulation.input_.running_ = 60;
+  simulation.Advance(20s);
+  std::uint32_t before = simulation.Count(true);
+  simulation.input_.withdrawn_ = 4.0;
+  simulation.Advance(2s);
+  // Two of the three domains suffice.
+  BOOST_TEST(simulation.Count(true) * 2 / 3 >=
+             simulation.placement_.Needed("model") + 4);
+  simulation.input_.withdrawn_ = 0.0;
+  simulation.Advance(10s);
+  BOOST_TEST(simulation.Count(true) <= before);
+}
