--- a/src/tanagerstall/process/tanagerstall_replica_placement.hpp
+++ b/src/tanagerstall/process/tanagerstall_replica_placement.hpp
@@ -29,8 +29,8 @@
   std::uint32_t running_ = 0;
   /// The requests that one replica runs at once at most; 0 if unknown.
   std::uint32_t slots_ = 0;
-  /// The capacity, in replicas, that present ones withdraw since they take fewer
-  /// requests than their equal part.
+  /// The capacity, in replicas, that present ones withdraw since they take
+  /// fewer requests than their equal part.
   double withdrawn_ = 0.0;
 };
 
