--- a/src/tanagerstall/process/commands/tanagerstall_log_timeline.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_log_timeline.cpp
@@ -24,13 +24,17 @@
   "settings read",        "stopping",     "started"
 };
 /// Events of the control cluster, which concern every process.
-const std::set<std::string, std::less<>> kClusterEvents{ "leads",
-                                                         "no longer leads",
-                                                         "members change" };
-const std::set<std::string, std::less<>> kReplicaEvents{ "replica announced",
-                                                         "replica left",
-                                                         "replica leaves",
-                                                         "replica backs off" };
+const std::set<std::string, std::less<>> kClusterEvents{
+  "leads",
+  "no longer leads",
+  "members change",
+  "control thread delayed"
+};
+const std::set<std::string, std::less<>> kReplicaEvents{
+  "replica announced",       "replica left",
+  "replica leaves",          "replica backs off",
+  "replica limits its rate", "replica no longer limits its rate"
+};
 
 std::string
 TextOf(const json::object& aFields, std::string_view aName)
--- a/tests/log_timeline_tests.cpp
+++ b/tests/log_timeline_tests.cpp
@@ -43,6 +43,21 @@
     1,
     2,
     "refused with status 429, not run: over the organisation's rate" },
+  { "a request that was not granted in time",
+    R"({"time_ms":9000,"event":"request refused","request":"7b41","status":429,"reason":"no grant of the organisation's rate in time"})",
+    R"({"time_ms":8000,"event":"control thread delayed","delay_ms":140,"reports":500})",
+    1,
+    1,
+    "refused with status 429, not run: no grant of the organisation's rate in "
+    "time" },
+  { "an attempt at a replica that limits its rate",
+    R"({"time_ms":8000,"event":"replica limits its rate","replica":"r1","per_s":4.0}
+{"time_ms":9000,"event":"attempt failed","request":"7b41","replica":"r1","detail":"connection lost"}
+{"time_ms":9001,"event":"outcome unknown","request":"7b41","replica":"r1","late":true,"detail":""})",
+    "",
+    2,
+    1,
+    "it may have run at replica r1, but no answer came: its time ran out" },
   { "a stream that broke off",
     R"({"time_ms":9000,"event":"attempt failed","request":"7b41","replica":"r1","detail":"connection lost"}
 {"time_ms":9001,"event":"stream broken off","request":"7b41","replica":"r1","last_event":"11","late":false,"detail":"connection lost"})",
