--- a/tests/fleet_client_tests.cpp
+++ b/tests/fleet_client_tests.cpp
@@ -28,7 +28,8 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t length = sizeof(address);
-  ::bind(listener, reinterpret_cast<sockaddr*>(&address), length);
+  BOOST_REQUIRE(
+    ::bind(listener, reinterpret_cast<sockaddr*>(&address), length) == 0);
   ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
   ::close(listener);
   return ntohs(address.sin_port);
