What an entry knows of a named rate is one record

Two faults found by reading: a late answer to a request sent before the end of a limit put the limit back, and a limit of a later incarnation was not adopted if it had been learnt before the entry's own. The limits that hold and those that ended stood in two maps, each with its own comparison, and the leader's table had a third. Now one record each and one comparison (IsNews). KeepOnly takes a predicate, so that no set of all replicas is built at each update.

--- a/src/tanagerstall/request/tanagerstall_named_rate.hpp
+++ b/src/tanagerstall/request/tanagerstall_named_rate.hpp
@@ -1,10 +1,12 @@
 #ifndef TANAGERSTALL_NAMED_RATE_HPP_INCLUDED
 #define TANAGERSTALL_NAMED_RATE_HPP_INCLUDED
 
-#include <chrono>
+#include "tanagerstall/process/tanagerstall_clock.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace tanagerstall {
@@ -26,6 +28,18 @@
 
 using NamedRates = std::vector<NamedRate>;
 
+/// Whether what was learnt at `aLearntAt` differs from what is known of the
+/// replica's limit and is later: of a later incarnation, or learnt later.
+template<class Known>
+bool
+IsNews(const NamedRate& aRate, TimePoint aLearntAt, const Known& aKnown)
+{
+  bool isSame = aRate.startTimeMs_ == aKnown.startTimeMs_ &&
+                aRate.perSecond_ == aKnown.perSecond_;
+  return !isSame && std::pair(aRate.startTimeMs_, aLearntAt) >
+                      std::pair(aKnown.startTimeMs_, aKnown.learntAt_);
+}
+
 } // namespace tanagerstall
 
 #endif
--- a/src/tanagerstall/request/tanagerstall_named_rate_table.cpp
+++ b/src/tanagerstall/request/tanagerstall_named_rate_table.cpp
@@ -21,16 +21,12 @@
     auto [it, isNew] = rates_.try_emplace(rate.replica_);
     Known& known = it->second;
     TimePoint learntAt = aNow - rate.age_;
-    bool isOlder =
-      rate.startTimeMs_ < known.startTimeMs_ ||
-      (rate.startTimeMs_ == known.startTimeMs_ && learntAt <= known.learntAt_);
-    bool isSame = !isNew && rate.startTimeMs_ == known.startTimeMs_ &&
-                  rate.perSecond_ == known.perSecond_;
-    if (isSame) {
-      known.reportedAt_ = aNow;
-    } else if (isNew || !isOlder) {
+    if (isNew || IsNews(rate, learntAt, known)) {
       known = { rate.startTimeMs_, rate.perSecond_, learntAt, aNow };
       ++revision_;
+    } else if (rate.startTimeMs_ == known.startTimeMs_ &&
+               rate.perSecond_ == known.perSecond_) {
+      known.reportedAt_ = aNow;
     }
   }
 }
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -79,11 +79,8 @@
       present_[replica.id_] = &replica;
     }
   }
-  std::set<std::string> ids;
-  for (const auto& [id, replica] : present_) {
-    ids.insert(id);
-  }
-  rateLimits_.KeepOnly(ids);
+  rateLimits_.KeepOnly(
+    [this](const std::string& aId) { return present_.contains(aId); });
   std::erase_if(stats_, [this](const auto& aIt) {
     return aIt.second.running_ == 0 && !present_.contains(aIt.first);
   });
--- a/src/tanagerstall/request/tanagerstall_replica_rate_limits.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_rate_limits.cpp
@@ -33,43 +33,43 @@
   shareDivisor_ = std::max(aDivisor, 1U);
 }
 
-const ReplicaRateLimits::Limit*
-ReplicaRateLimits::Find(const Replica& aReplica) const
+const ReplicaRateLimits::Known*
+ReplicaRateLimits::FindLimit(const Replica& aReplica) const
 {
-  auto it = limits_.find(aReplica.id_);
-  bool isKnown =
-    it != limits_.end() && it->second.startTimeMs_ == aReplica.startTimeMs_;
-  return isKnown ? &it->second : nullptr;
+  auto it = known_.find(aReplica.id_);
+  bool isLimited = it != known_.end() && it->second.perSecond_ &&
+                   it->second.startTimeMs_ == aReplica.startTimeMs_;
+  return isLimited ? &it->second : nullptr;
 }
 
 bool
 ReplicaRateLimits::IsLimited(const Replica& aReplica) const
 {
-  return Find(aReplica) != nullptr;
+  return FindLimit(aReplica) != nullptr;
 }
 
 Duration
 ReplicaRateLimits::TimePerRequest(const Replica& aReplica) const
 {
-  const Limit* limit = Find(aReplica);
+  const Known* limit = FindLimit(aReplica);
   if (limit == nullptr) {
     return Duration::zero();
   }
   return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(1.0 / (limit->perSecond_ * kUsedShare)));
+    std::chrono::duration<double>(1.0 / (*limit->perSecond_ * kUsedShare)));
 }
 
 Duration
-ReplicaRateLimits::TimePerOwnRequest(const Limit& aLimit) const
+ReplicaRateLimits::TimePerOwnRequest(const Known& aLimit) const
 {
-  double seconds = shareDivisor_ / (aLimit.perSecond_ * kUsedShare);
+  double seconds = shareDivisor_ / (*aLimit.perSecond_ * kUsedShare);
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(seconds));
 }
 
 /// Returns the earliest time for a request that isn't lost yet.
 TimePoint
-ReplicaRateLimits::NextSendAt(const Limit& aLimit, TimePoint aNow) const
+ReplicaRateLimits::NextSendAt(const Known& aLimit, TimePoint aNow) const
 {
   Duration missed = aNow - kCatchUpTime - aLimit.nextSendAt_;
   if (missed <= Duration::zero()) {
@@ -81,26 +81,19 @@
 }
 
 void
-ReplicaRateLimits::Set(const std::string& aReplica,
+ReplicaRateLimits::Put(const std::string& aReplica,
                        std::uint64_t aStartTimeMs,
-                       double aPerSecond,
+                       std::optional<double> aPerSecond,
                        TimePoint aLearntAt,
                        TimePoint aNow)
 {
-  Limit& limit = limits_[aReplica];
-  limit = { aStartTimeMs, aPerSecond, aLearntAt, aNow };
-  double part = std::uniform_real_distribution<double>()(random_);
-  limit.nextSendAt_ +=
-    std::chrono::duration_cast<Duration>(part * TimePerOwnRequest(limit));
-  ended_.erase(aReplica);
-}
-
-void
-ReplicaRateLimits::End(const std::string& aReplica, TimePoint aAt)
-{
-  auto it = limits_.find(aReplica);
-  ended_[aReplica] = { it->second.startTimeMs_, aAt };
-  limits_.erase(it);
+  Known& known = known_[aReplica];
+  known = { aStartTimeMs, aPerSecond, aLearntAt, aNow };
+  if (aPerSecond) {
+    double part = std::uniform_real_distribution<double>()(random_);
+    known.nextSendAt_ +=
+      std::chrono::duration_cast<Duration>(part * TimePerOwnRequest(known));
+  }
 }
 
 bool
@@ -109,46 +102,42 @@
                           TimePoint aSentAt,
                           TimePoint aNow)
 {
-  auto it = limits_.find(aReplica.id_);
-  if (it != limits_.end() && it->second.startTimeMs_ > aReplica.startTimeMs_) {
+  auto it = known_.find(aReplica.id_);
+  if (it != known_.end() && it->second.startTimeMs_ > aReplica.startTimeMs_) {
     return false;
   }
-  bool isKnown = Find(aReplica) != nullptr;
-  if (!aPerSecond && !isKnown) {
-    return false;
+  bool isKnown =
+    it != known_.end() && it->second.startTimeMs_ == aReplica.startTimeMs_;
+  auto perSecond = aPerSecond;
+  if (perSecond) {
+    perSecond = std::max(*perSecond, kLeastPerSecond);
   }
-  double perSecond = std::max(aPerSecond.value_or(0.0), kLeastPerSecond);
-  if (aPerSecond && isKnown && perSecond == it->second.perSecond_) {
+  auto before = isKnown ? it->second.perSecond_ : std::nullopt;
+  if (perSecond == before) {
     return false;
   }
-  bool isHigher = isKnown && (!aPerSecond || perSecond > it->second.perSecond_);
-  // The answer to an earlier request may be older than the limit.
-  if (isHigher && aSentAt < it->second.learntAt_) {
+  bool isLower = perSecond && before && *perSecond < *before;
+  // The answer to an earlier request may be older than what is known.
+  if (isKnown && !isLower && aSentAt < it->second.learntAt_) {
     return false;
   }
   ++news_;
-  if (aPerSecond) {
-    Set(aReplica.id_, aReplica.startTimeMs_, perSecond, aNow, aNow);
-  } else {
-    End(aReplica.id_, aNow);
-  }
+  Put(aReplica.id_, aReplica.startTimeMs_, perSecond, aNow, aNow);
   return true;
 }
 
 NamedRates
 ReplicaRateLimits::Report(TimePoint aNow) const
 {
-  auto age = [aNow](TimePoint aAt) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aAt);
-  };
   NamedRates rates;
-  for (const auto& [replica, limit] : limits_) {
-    rates.push_back(
-      { replica, limit.startTimeMs_, limit.perSecond_, age(limit.learntAt_) });
-  }
-  for (const auto& [replica, end] : ended_) {
-    if (aNow - end.second < kEndedTime) {
-      rates.push_back({ replica, end.first, std::nullopt, age(end.second) });
+  for (const auto& [replica, known] : known_) {
+    Duration age = aNow - known.learntAt_;
+    if (known.perSecond_ || age < kEndedTime) {
+      rates.push_back(
+        { replica,
+          known.startTimeMs_,
+          known.perSecond_,
+          std::chrono::duration_cast<std::chrono::milliseconds>(age) });
     }
   }
   return rates;
@@ -159,47 +148,35 @@
 {
   for (const auto& rate : aRates) {
     TimePoint learntAt = aNow - rate.age_;
-    auto it = limits_.find(rate.replica_);
-    bool isKnown = it != limits_.end();
-    auto end = ended_.find(rate.replica_);
-    bool isOutdated =
-      (isKnown && (rate.startTimeMs_ < it->second.startTimeMs_ ||
-                   learntAt <= it->second.learntAt_)) ||
-      (end != ended_.end() && end->second.first == rate.startTimeMs_ &&
-       learntAt <= end->second.second);
-    bool isSame = isKnown && rate.perSecond_ == it->second.perSecond_ &&
-                  rate.startTimeMs_ == it->second.startTimeMs_;
-    if (isOutdated || isSame) {
-      continue;
-    }
-    if (rate.perSecond_) {
-      Set(rate.replica_, rate.startTimeMs_, *rate.perSecond_, learntAt, aNow);
-    } else if (isKnown && it->second.startTimeMs_ == rate.startTimeMs_) {
-      End(rate.replica_, learntAt);
+    auto it = known_.find(rate.replica_);
+    bool isNews = it == known_.end() ? rate.perSecond_.has_value()
+                                     : IsNews(rate, learntAt, it->second);
+    if (isNews) {
+      Put(rate.replica_, rate.startTimeMs_, rate.perSecond_, learntAt, aNow);
     }
   }
 }
 
 void
-ReplicaRateLimits::KeepOnly(const std::set<std::string>& aReplicas)
+ReplicaRateLimits::KeepOnly(
+  const std::function<bool(const std::string&)>& aIsPresent)
 {
-  auto isGone = [&](const auto& aIt) { return !aReplicas.contains(aIt.first); };
-  std::erase_if(limits_, isGone);
-  std::erase_if(ended_, isGone);
+  std::erase_if(known_,
+                [&](const auto& aIt) { return !aIsPresent(aIt.first); });
 }
 
 bool
 ReplicaRateLimits::MaySend(const Replica& aReplica, TimePoint aNow) const
 {
-  const Limit* limit = Find(aReplica);
+  const Known* limit = FindLimit(aReplica);
   return limit == nullptr || NextSendAt(*limit, aNow) <= aNow;
 }
 
 void
 ReplicaRateLimits::OnSend(const Replica& aReplica, TimePoint aNow)
 {
-  if (Find(aReplica) != nullptr) {
-    Limit& limit = limits_[aReplica.id_];
+  if (FindLimit(aReplica) != nullptr) {
+    Known& limit = known_[aReplica.id_];
     limit.nextSendAt_ = NextSendAt(limit, aNow) + TimePerOwnRequest(limit);
   }
 }
--- a/src/tanagerstall/request/tanagerstall_replica_rate_limits.hpp
+++ b/src/tanagerstall/request/tanagerstall_replica_rate_limits.hpp
@@ -6,12 +6,11 @@
 #include "tanagerstall/request/tanagerstall_named_rate.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
-#include <utility>
 
 namespace tanagerstall {
 
@@ -39,8 +38,8 @@
   NamedRates Report(TimePoint aNow) const;
   /// Adopts what other entries have learnt later than this one.
   void Adopt(const NamedRates& aRates, TimePoint aNow);
-  /// Forgets the limits of all replicas but these.
-  void KeepOnly(const std::set<std::string>& aReplicas);
+  /// Forgets the limits of all replicas but the present ones.
+  void KeepOnly(const std::function<bool(const std::string&)>& aIsPresent);
   /// The number of limits that this entry learnt or saw ending by itself.
   std::uint64_t News() const { return news_; }
   /// Whether this entry may send a request to the replica now.
@@ -53,30 +52,29 @@
   bool IsLimited(const Replica& aReplica) const;
 
 private:
-  struct Limit
+  /// What is known of one replica's limit.
+  struct Known
   {
     std::uint64_t startTimeMs_ = 0;
-    double perSecond_ = 0.0;
+    /// nullopt if the limit has ended.
+    std::optional<double> perSecond_;
     TimePoint learntAt_;
     /// The earliest time for a request that isn't used yet.
     TimePoint nextSendAt_;
   };
 
-  const Limit* Find(const Replica& aReplica) const;
-  Duration TimePerOwnRequest(const Limit& aLimit) const;
-  TimePoint NextSendAt(const Limit& aLimit, TimePoint aNow) const;
-  void Set(const std::string& aReplica,
+  const Known* FindLimit(const Replica& aReplica) const;
+  Duration TimePerOwnRequest(const Known& aLimit) const;
+  TimePoint NextSendAt(const Known& aLimit, TimePoint aNow) const;
+  void Put(const std::string& aReplica,
            std::uint64_t aStartTimeMs,
-           double aPerSecond,
+           std::optional<double> aPerSecond,
            TimePoint aLearntAt,
            TimePoint aNow);
-  void End(const std::string& aReplica, TimePoint aAt);
 
   std::mt19937_64 random_;
   std::uint32_t shareDivisor_;
-  std::map<std::string, Limit> limits_;
-  /// The incarnations of replicas whose limits ended, and when.
-  std::map<std::string, std::pair<std::uint64_t, TimePoint>> ended_;
+  std::map<std::string, Known> known_;
   std::uint64_t news_ = 0;
 };
 
--- a/tests/replica_rate_tests.cpp
+++ b/tests/replica_rate_tests.cpp
@@ -483,3 +483,58 @@
     limits.Record(other, sample.named_, kStart + sample.sentAt_, kStart + 3s) ==
     sample.isNews_);
 }
+
+namespace {
+
+struct AfterEndCase
+{
+  const char* name_;
+  Duration sentAt_;
+  bool isNews_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const AfterEndCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+/// The limit is learnt at second 1 and ends at second 3.
+const std::vector<AfterEndCase> kAfterEnd{
+  { "sent before the end", 2s, false },
+  { "sent after the end", 4s, true },
+};
+
+} // namespace
+
+// Guards against a late answer that puts a limit back that has ended.
+BOOST_DATA_TEST_CASE(A_limit_comes_back_with_a_later_request_only,
+                     data::make(kAfterEnd),
+                     sample)
+{
+  ReplicaRateLimits limits(1);
+  Replica replica;
+  replica.id_ = "r";
+  limits.Record(replica, 4.0, kStart, kStart + 1s);
+  BOOST_TEST(limits.Record(replica, std::nullopt, kStart + 2s, kStart + 3s));
+  BOOST_TEST(!limits.IsLimited(replica));
+  BOOST_TEST(
+    limits.Record(replica, 4.0, kStart + sample.sentAt_, kStart + 5s) ==
+    sample.isNews_);
+  BOOST_TEST(limits.IsLimited(replica) == sample.isNews_);
+}
+
+// Guards against an entry that keeps the limit of an incarnation that another
+// entry knows to be replaced.
+BOOST_AUTO_TEST_CASE(A_limit_of_a_later_incarnation_is_adopted)
+{
+  ReplicaRateLimits limits(1);
+  Replica replica;
+  replica.id_ = "r";
+  replica.startTimeMs_ = 5;
+  limits.Record(replica, 4.0, kStart, kStart + 3s);
+  limits.Adopt({ { "r", 6, 2.0, 2s } }, kStart + 4s);
+  BOOST_TEST(!limits.IsLimited(replica));
+  replica.startTimeMs_ = 6;
+  BOOST_TEST(limits.IsLimited(replica));
+}
