--- a/tests/processes/platform_lib.sh
+++ b/tests/processes/platform_lib.sh
@@ -53,3 +53,49 @@
 put() { curl -s -o /dev/null -w '%{http_code}' -m 4 -X PUT -d "$2" "http://$1:8229/tanagerstall/configuration"; }
 read_version() { curl -sf -m 4 "http://$1:8229/tanagerstall/configuration" | jq .version; }
 accepts() { [ "$(put "$1" "$(document "$2")")" = 200 ]; }
+
+# start_entry N: starts entry N, also again with the same settings.
+start_entry() { start_platform "entry-$1" entryd; }
+
+# start_fleet: starts three control processes, two entries and a stand-in for
+# the replica at the address "replica".
+start_fleet() {
+  local i
+  for i in 1 2 3; do
+    control_settings $i true
+    start_platform control-$i controld
+  done
+  for i in 1 2; do
+    settings entry-$i "$net.1$i" "listen.front=$net.1$i:8221" "listen.ready=$net.1$i:8224"
+    start_entry $i
+  done
+  build/src/tanagerstall-standin --service s --address "$replica" --entries "$net.99:1" \
+    2>"$run/standin.log" &
+  pids+=($!)
+}
+
+# announce_forever START: announces the incarnation of the replica that began at
+# START, to the first control process that answers.
+announce_forever() {
+  local sequence=0 control
+  while true; do
+    sequence=$((sequence + 1))
+    for control in "${controls[@]}"; do
+      curl -s -o /dev/null -m 1 -X PUT -d "{\"service\":\"s\",\"address\":\"$replica\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":$sequence,\"born\":$1}" \
+        "http://$control:8229/tanagerstall/instances/r1" && break
+    done
+    sleep 0.5
+  done
+}
+
+# send ENTRY BODY: sends a request through an entry and prints the status.
+send() {
+  curl -s -o /dev/null -w '%{http_code}' -m 10 -X POST -H 'Host: h' \
+    -H "Tanagerstall-Request-Id: $RANDOM$RANDOM" -d "$2" "http://$net.1$1:8221/a/x"
+}
+set_faults() { curl -sf -o /dev/null -X POST -d "$1" "http://$replica/faults"; }
+# ran BODY: prints how often the replica ran requests with this body.
+ran() { curl -sf "http://$replica/executions" | jq ".bodies[\"$1\"] // 0"; }
+# reaches ENTRY COUNT: sends a request through an entry; succeeds if the replica
+# has then run more than COUNT of them.
+reaches() { send "$1" probe >/dev/null; [ "$(ran probe)" -gt "$2" ]; }
--- a/tests/processes/replica_notice_test.sh
+++ b/tests/processes/replica_notice_test.sh
@@ -12,38 +12,9 @@
 replica=$net.50:8080
 source tests/processes/platform_lib.sh
 
-for i in 1 2 3; do
-  control_settings $i true
-  start_platform control-$i controld
-done
-start_entry() { start_platform "entry-$1" entryd; }
-for i in 1 2; do
-  settings entry-$i "$net.1$i" "listen.front=$net.1$i:8221" "listen.ready=$net.1$i:8224"
-  start_entry $i
-done
-build/src/tanagerstall-standin --service s --address "$replica" --entries "$net.99:1" \
-  2>"$run/standin.log" &
-pids+=($!)
+start_fleet
 
-# announce_forever START: announces the incarnation that began at START.
-announce_forever() {
-  local sequence=0
-  while true; do
-    sequence=$((sequence + 1))
-    curl -s -o /dev/null -m 1 -X PUT -d "{\"service\":\"s\",\"address\":\"$replica\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":$sequence,\"born\":$1}" \
-      "http://${controls[0]}:8229/tanagerstall/instances/r1" || true
-    sleep 0.5
-  done
-}
-# send ENTRY BODY: sends a request through an entry and prints the status.
-send() {
-  curl -s -o /dev/null -w '%{http_code}' -m 10 -X POST -H 'Host: h' \
-    -H "Tanagerstall-Request-Id: $RANDOM$RANDOM" -d "$2" "http://$net.1$1:8221/a/x"
-}
-set_faults() { curl -sf -o /dev/null -X POST -d "$1" "http://$replica/faults"; }
 refused() { curl -sf "http://$replica/executions" | jq .refused; }
-ran() { curl -sf "http://$replica/executions" | jq ".bodies[\"$1\"] // 0"; }
-reaches() { send "$1" probe >/dev/null; [ "$(ran probe)" -gt "$2" ]; }
 expect_sends() { [ "$2" -le "$3" ] || { echo "$1: $2 requests reached the replica, at most $3 may"; exit 1; }; }
 
 announce_forever 1 &
--- a/tests/processes/replica_rate_test.sh
+++ b/tests/processes/replica_rate_test.sh
@@ -12,38 +12,8 @@
 replica=$net.50:8080
 source tests/processes/platform_lib.sh
 
-for i in 1 2 3; do
-  control_settings $i true
-  start_platform control-$i controld
-done
-start_entry() { start_platform "entry-$1" entryd; }
-for i in 1 2; do
-  settings entry-$i "$net.1$i" "listen.front=$net.1$i:8221" "listen.ready=$net.1$i:8224"
-  start_entry $i
-done
-build/src/tanagerstall-standin --service s --address "$replica" --entries "$net.99:1" \
-  2>"$run/standin.log" &
-pids+=($!)
+start_fleet
 
-announce_forever() {
-  local sequence=0 control
-  while true; do
-    sequence=$((sequence + 1))
-    for control in "${controls[@]}"; do
-      curl -s -o /dev/null -m 1 -X PUT -d "{\"service\":\"s\",\"address\":\"$replica\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":$sequence,\"born\":1}" \
-        "http://$control:8229/tanagerstall/instances/r1" && break
-    done
-    sleep 0.5
-  done
-}
-# send ENTRY BODY: sends a request through an entry and prints the status.
-send() {
-  curl -s -o /dev/null -w '%{http_code}' -m 10 -X POST -H 'Host: h' \
-    -H "Tanagerstall-Request-Id: $RANDOM$RANDOM" -d "$2" "http://$net.1$1:8221/a/x"
-}
-set_faults() { curl -sf -o /dev/null -X POST -d "$1" "http://$replica/faults"; }
-ran() { curl -sf "http://$replica/executions" | jq ".bodies[\"$1\"] // 0"; }
-reaches() { send "$1" probe >/dev/null; [ "$(ran probe)" -gt "$2" ]; }
 # limited ENTRY COUNT: succeeds if the entry knows so many limited replicas.
 limited() {
   curl -sf "http://$net.1$1:9464/metrics" |
@@ -56,7 +26,7 @@
   "$@"
 }
 
-announce_forever &
+announce_forever 1 &
 pids+=($!)
 wait_until accepts "${controls[0]}" 5
 for i in 1 2; do
