Review: show that a draining replica comes back when its record expires

Cause: Merge() lets an older announcement take the place of an expired one, and expiry forgets that the replica drains.

--- a/review/harness/departure.cpp
+++ b/review/harness/departure.cpp
@@ -3,7 +3,9 @@
 // MODE is "replica": the replica has restarted under its id shortly before;
 // "control": the control process has restarted five seconds before; or "core":
 // all control processes restart after the acknowledgement, a heartbeat of the
-// replica arrives five seconds late, and the replica serves on for long.
+// replica arrives five seconds late, and the replica serves on for long; or
+// "cut": the replica reports that it drains, is then cut off from all control
+// processes for five seconds, and an earlier heartbeat arrives late.
 #include "harness.hpp"
 
 using namespace review;
@@ -37,6 +39,56 @@
   std::map<std::string, Millis> at_;
 };
 
+/// A heartbeat to one control process is held up, so that the replica turns to
+/// another one after a second, and tells that one that it drains. Its
+/// heartbeats to all control processes are lost from then on, until the cut
+/// ends.
+void
+DrainBehindCut(Replica& aReplica, std::atomic<Millis>& aAcknowledgedAt)
+{
+  constexpr int kHeldUp = 0;
+  constexpr int kNext = 1;
+  constexpr Millis kBeat = 1200;
+  constexpr Millis kCut = 5000;
+  constexpr Millis kArrival = 4000;
+  constexpr Millis kExit = 5700;
+  aReplica.PauseBeats();
+  SleepFor(kBeat);
+  int held = aReplica.HoldBeat();
+  RECORD("heartbeat %d to the first control process is held up", held);
+  SleepFor(1000);
+  aReplica.BeatTo(kNext);
+  SleepFor(200);
+  aReplica.state_ = "draining";
+  if (!aReplica.BeatTo(kNext)) {
+    return;
+  }
+  Millis acknowledged = Now();
+  aAcknowledgedAt = acknowledged;
+  RECORD("the state draining is acknowledged");
+  Millis nextBeat = kBeat;
+  Millis cutUntil = IsCalm() ? 0 : kCut;
+  bool hasArrived = false;
+  for (Millis at = 0; at < kExit; at = Now() - acknowledged) {
+    if (at >= nextBeat) {
+      nextBeat += kBeat;
+      if (at >= cutUntil) {
+        aReplica.Beat();
+      } else {
+        RECORD("a heartbeat is lost behind the cut");
+      }
+    }
+    if (at >= kArrival && !hasArrived) {
+      hasArrived = true;
+      aReplica.DeliverLate(kHeldUp, held);
+    }
+    SleepFor(5);
+  }
+  aReplica.Leave(false);
+  aReplica.Crash();
+  RECORD("the replica i-leaves exits");
+}
+
 } // namespace
 
 int
@@ -48,6 +100,7 @@
   std::string mode = aArguments[1];
   bool restartsReplica = mode == "replica";
   bool restartsCore = mode == "core";
+  bool isCut = mode == "cut";
   Record::The().Open(aArguments[2]);
   Fleet fleet(5, 2);
   fleet.StartAll(kConfiguration);
@@ -134,7 +187,7 @@
       leaving->StartBeats(0);
     }
     SleepFor(1600);
-  } else {
+  } else if (!isCut) {
     while (leaving->LastControl() != kRestarted) {
       SleepFor(5);
     }
@@ -148,31 +201,35 @@
     }
     SleepFor(200);
   }
-  int runsBefore = leaving->Runs();
-  acknowledgedAt = leaving->Leave(restartsReplica);
-  RECORD("the DELETE is acknowledged; requests so far: %d", runsBefore);
-  if (restartsCore) {
-    SleepFor(500);
-    if (!IsCalm()) {
-      RECORD("all control processes are killed");
-      for (int i = 0; i < fleet.Controls(); ++i) {
-        Fleet::Kill(fleet.Control(i));
-      }
+  if (isCut) {
+    DrainBehindCut(*leaving, acknowledgedAt);
+  } else {
+    int runsBefore = leaving->Runs();
+    acknowledgedAt = leaving->Leave(restartsReplica);
+    RECORD("the DELETE is acknowledged; requests so far: %d", runsBefore);
+    if (restartsCore) {
       SleepFor(500);
-      for (int i = 0; i < fleet.Controls(); ++i) {
-        fleet.Start(fleet.Control(i));
+      if (!IsCalm()) {
+        RECORD("all control processes are killed");
+        for (int i = 0; i < fleet.Controls(); ++i) {
+          Fleet::Kill(fleet.Control(i));
+        }
+        SleepFor(500);
+        for (int i = 0; i < fleet.Controls(); ++i) {
+          fleet.Start(fleet.Control(i));
+        }
+        RECORD("all control processes start");
       }
-      RECORD("all control processes start");
+      SleepFor(kLate - (Now() - acknowledgedAt));
+      leaving->DeliverLate(kRestarted, leaving->LastSequence());
+      SleepFor(kManySeconds);
+    } else {
+      // It serves for drainMs after the acknowledgement and a little longer.
+      SleepFor(kDrain + kLonger);
     }
-    SleepFor(kLate - (Now() - acknowledgedAt));
-    leaving->SendLateBeat(kRestarted);
-    SleepFor(kManySeconds);
-  } else {
-    // It serves for drainMs after the acknowledgement and a little longer.
-    SleepFor(kDrain + kLonger);
+    leaving->Crash();
+    RECORD("the replica i-leaves exits");
   }
-  leaving->Crash();
-  RECORD("the replica i-leaves exits");
   SleepFor(1500);
   isOver = true;
   for (auto& client : clients) {
--- a/review/harness/harness.hpp
+++ b/review/harness/harness.hpp
@@ -727,7 +727,9 @@
     nextControl_ = aFirstControl;
     beats_ = std::thread([this] {
       while (!isStopped_ && !hasLeft_) {
-        Beat();
+        if (!isPaused_) {
+          Beat();
+        }
         for (int i = 0; i < 120 && !isStopped_ && !hasLeft_; ++i) {
           SleepFor(10);
         }
@@ -745,13 +747,14 @@
     }
     return -1;
   }
-  bool BeatTo(int aControl)
+  bool BeatTo(int aControl) { return BeatTo(aControl, ++sequence_, state_); }
+  bool BeatTo(int aControl, int aSequence, const std::string& aState)
   {
     std::string body =
       R"({"service":")" + options_.service_ + R"(","address":")" +
       fleet_.Host(options_.host_) + ":" + std::to_string(kReplicaPort) +
-      R"(","zone":"zone-a","version":"v1","slots":6,"state":")" + state_ +
-      R"(","coldRemainingMs":0,"sequence":)" + std::to_string(++sequence_) +
+      R"(","zone":"zone-a","version":"v1","slots":6,"state":")" + aState +
+      R"(","coldRemainingMs":0,"sequence":)" + std::to_string(aSequence) +
       R"(,"born":)" + std::to_string(born_) + "}";
     int status = Call(fleet_.Control(aControl).host_,
                       kControlPort,
@@ -760,8 +763,8 @@
                       body)
                    .Status();
     RECORD("heartbeat %d (%s) of %s to %s: %d",
-           sequence_,
-           state_.c_str(),
+           aSequence,
+           aState.c_str(),
            options_.id_.c_str(),
            fleet_.Control(aControl).name_.c_str(),
            status);
@@ -770,13 +773,17 @@
     }
     return status == 200;
   }
-  /// Sends a heartbeat that the network has held since before the DELETE.
-  void SendLateBeat(int aControl)
+  /// Stops the regular heartbeats; the caller sends them.
+  void PauseBeats() { isPaused_ = true; }
+  /// Returns the number of a heartbeat that the network holds.
+  int HoldBeat() { return ++sequence_; }
+  /// Delivers a heartbeat that the network has held.
+  void DeliverLate(int aControl, int aSequence)
   {
-    RECORD("a heartbeat from before the DELETE arrives");
-    --sequence_;
-    BeatTo(aControl);
+    RECORD("a late heartbeat arrives");
+    BeatTo(aControl, aSequence, "ready");
   }
+  int LastSequence() const { return sequence_; }
   /// The control process that acknowledged the last heartbeat.
   int LastControl() const { return lastControl_; }
   /// Sends the DELETE that ends the registration to the next control process
@@ -846,7 +853,8 @@
   Fleet& fleet_;
   Options options_;
   long born_;
-  int sequence_ = 0;
+  std::atomic<int> sequence_{ 0 };
+  std::atomic<bool> isPaused_{ false };
   std::atomic<int> nextControl_{ 0 };
   std::atomic<int> lastControl_{ -1 };
   std::atomic<int> runs_{ 0 };
