--- a/review/harness/harness.hpp
+++ b/review/harness/harness.hpp
@@ -837,6 +837,7 @@
         Answer(421, echo + "Tanagerstall-Not-Executed: 1\r\n", ""));
     }
     ++runs_;
+    RECORD("request %s runs at %s", id.c_str(), options_.id_.c_str());
     if (onRun_) {
       onRun_(aRequest);
     }
--- a/review/harness/tenants.cpp
+++ b/review/harness/tenants.cpp
@@ -54,7 +54,7 @@
       Replica::Options{ "i-orders-" + std::to_string(i), "orders", 101 + i }));
     replicas.back()->onRun_ = [&](const Message& aRequest) {
       std::string id = aRequest.Header("Tanagerstall-Request-Id");
-      RECORD("request %s runs, tenant \"%s\"",
+      RECORD("request %s has the tenant \"%s\"",
              id.c_str(),
              aRequest.Header("Tanagerstall-Tenant").c_str());
       runUnknown += id.starts_with("unknown") ? 1 : 0;
@@ -67,6 +67,7 @@
   auto send = [&](const std::string& aId, const std::string& aKey) {
     for (int i = 0; i < fleet.Entries(); ++i) {
       std::string id = aId + "-" + std::to_string(i);
+      RECORD("request %s is sent", id.c_str());
       int status = Call(fleet.Entry(i).host_,
                         kFrontPort,
                         "POST",
