Keep what a replica said last when its record expires

Cause: at control processes and entries one field held both what a replica said last and whether it is heard. Expiry replaced "draining", and any other state, also one with an earlier sequence, then took the place of an expired one. The same happened when the control process that knew the drain restarted or went silent.

Fix: the state is what the replica said, expiry a flag beside it. One order (Supersedes: run, departure, sequence) decides everywhere. An entry keeps what was said last, whoever reported it; reports only show whether that run is heard. Control processes adopt drains from each other as they did departures, so that late announcements are passed over. Expiry and passed-over announcements are logged now; before, nothing in the logs told them apart.

"A departure from another process notifies no entry" handed AdoptDeparture a replica that was marked ready; the call takes its state from the report now, so the test passes a departed one and checks the same.

--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -9,6 +9,18 @@
 
 namespace {
 
+/// What processes of earlier versions read of a replica that was ready when it
+/// expired.
+constexpr std::uint8_t kExpiredWhileReady = 3;
+
+std::uint8_t
+StandingOf(const Replica& aReplica)
+{
+  return aReplica.hasExpired_ && aReplica.state_ == ReplicaState::Ready
+           ? kExpiredWhileReady
+           : static_cast<std::uint8_t>(aReplica.state_);
+}
+
 void
 WriteReplica(wire::ReplicaFact::Builder aTo, const Replica& aFrom)
 {
@@ -19,7 +31,8 @@
   aTo.setBornMs(aFrom.startTimeMs_);
   aTo.setSequence(aFrom.sequence_);
   aTo.setSlots(aFrom.slots_);
-  aTo.setStanding(static_cast<std::uint8_t>(aFrom.state_));
+  aTo.setStanding(StandingOf(aFrom));
+  aTo.setExpired(aFrom.hasExpired_);
   aTo.setReclaimable(aFrom.isReclaimable_);
   aTo.setColdMs(static_cast<std::uint32_t>(aFrom.warmUpTime_.count()));
 }
@@ -27,9 +40,9 @@
 Replica
 ReadReplica(wire::ReplicaFact::Reader aFrom)
 {
-  KJ_REQUIRE(aFrom.getStanding() <=
-               static_cast<std::uint8_t>(ReplicaState::Expired),
-             "unknown replica state");
+  std::uint8_t standing = aFrom.getStanding();
+  KJ_REQUIRE(standing <= kExpiredWhileReady, "unknown replica state");
+  bool isExpiredWhileReady = standing == kExpiredWhileReady;
   return { ToString(aFrom.getId()),
            ToString(aFrom.getService()),
            ToString(aFrom.getAddress()),
@@ -37,7 +50,9 @@
            aFrom.getBornMs(),
            aFrom.getSequence(),
            aFrom.getSlots(),
-           static_cast<ReplicaState>(aFrom.getStanding()),
+           isExpiredWhileReady ? ReplicaState::Ready
+                               : static_cast<ReplicaState>(standing),
+           isExpiredWhileReady || aFrom.getExpired(),
            aFrom.getReclaimable(),
            std::chrono::milliseconds(aFrom.getColdMs()) };
 }
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -50,6 +50,8 @@
   standing @7 :UInt8;
   reclaimable @8 :Bool;
   coldMs @9 :UInt32;
+  expired @10 :Bool;
+  # Whether the sender has not heard of it in time.
 }
 
 struct CostAsk {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -842,6 +842,8 @@
 
   inline  ::uint32_t getColdMs() const;
 
+  inline bool getExpired() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -916,6 +918,9 @@
   inline  ::uint32_t getColdMs();
   inline void setColdMs( ::uint32_t value);
 
+  inline bool getExpired();
+  inline void setExpired(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2889,6 +2894,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ReplicaFact::Reader::getExpired() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<169>() * ::capnp::ELEMENTS);
+}
+
+inline bool ReplicaFact::Builder::getExpired() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<169>() * ::capnp::ELEMENTS);
+}
+inline void ReplicaFact::Builder::setExpired(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<169>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CostAsk::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tanagerstall/process/commands/tanagerstall_log_timeline.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_log_timeline.cpp
@@ -32,6 +32,7 @@
 };
 const std::set<std::string, std::less<>> kReplicaEvents{
   "replica announced",       "replica left",
+  "replica expired",         "announcement out of date",
   "replica leaves",          "replica backs off",
   "replica limits its rate", "replica no longer limits its rate"
 };
--- a/src/tanagerstall/process/presence/tanagerstall_replica.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica.hpp
@@ -8,17 +8,14 @@
 
 namespace tanagerstall {
 
-/// The state of a replica as a control process knows it. The values are sent
-/// to entries as numbers.
+/// The state of a replica by its last announcement.
 enum class ReplicaState : std::uint8_t
 {
   Ready,
   /// Accepts no new work.
   Draining,
   /// Has announced its departure, or another replica has taken its address.
-  Departed,
-  /// Has not renewed its announcement at this control process in time.
-  Expired
+  Departed
 };
 
 /// A replica of a service, as described by its last announcement.
@@ -37,6 +34,9 @@
   /// How many requests it runs concurrently.
   std::uint32_t slots_ = 0;
   ReplicaState state_ = ReplicaState::Ready;
+  /// Whether it has not renewed its announcement in time at the control process
+  /// that reports it.
+  bool hasExpired_ = false;
   /// Whether its instance may be reclaimed by the provider.
   bool isReclaimable_ = false;
   /// How long its answers remain slower than usual after a start.
@@ -45,10 +45,6 @@
   bool operator==(const Replica&) const = default;
 };
 
-/// Whether `aLeft` was announced later than `aRight`. Both have the same id.
-bool
-IsNewer(const Replica& aLeft, const Replica& aRight);
-
 } // namespace tanagerstall
 
 #endif
--- /dev/null
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_order.cpp
@@ -0,0 +1,27 @@
+#include "tanagerstall/process/presence/tanagerstall_replica_order.hpp"
+
+#include <tuple>
+
+namespace tanagerstall {
+
+namespace {
+
+std::tuple<std::uint64_t, bool, std::uint64_t>
+RankOf(const Replica& aReplica)
+{
+  bool hasDeparted = aReplica.state_ == ReplicaState::Departed;
+  // Nothing follows a departure, so its own sequence number says nothing.
+  return { aReplica.startTimeMs_,
+           hasDeparted,
+           hasDeparted ? 0 : aReplica.sequence_ };
+}
+
+} // namespace
+
+bool
+Supersedes(const Replica& aLeft, const Replica& aRight)
+{
+  return RankOf(aLeft) > RankOf(aRight);
+}
+
+} // namespace tanagerstall
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
@@ -1,5 +1,7 @@
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
 
+#include "tanagerstall/process/presence/tanagerstall_replica_order.hpp"
+
 #include <algorithm>
 
 namespace tanagerstall {
@@ -10,16 +12,15 @@
 /// network partition delayed has arrived by then and is still rejected.
 constexpr Duration kReplicaRetention = std::chrono::seconds(120);
 
-} // namespace
-
+/// Whether the replica is expected to go on announcing itself.
 bool
-IsNewer(const Replica& aLeft, const Replica& aRight)
+IsPresent(const Replica& aReplica)
 {
-  return aLeft.startTimeMs_ != aRight.startTimeMs_
-           ? aLeft.startTimeMs_ > aRight.startTimeMs_
-           : aLeft.sequence_ > aRight.sequence_;
+  return aReplica.state_ != ReplicaState::Departed && !aReplica.hasExpired_;
 }
 
+} // namespace
+
 ReplicaTable::ReplicaTable(Duration aTimeToLive)
   : timeToLive_(aTimeToLive)
 {
@@ -40,22 +41,21 @@
   // A delayed announcement can arrive after its sender has departed and
   // another replica has started at the same address.
   KnownReplica& other = it->second;
-  bool isPresent = other.replica_.state_ == ReplicaState::Ready ||
-                   other.replica_.state_ == ReplicaState::Draining;
-  if (isPresent && other.replica_.startTimeMs_ > aReplica.startTimeMs_) {
+  if (IsPresent(other.replica_) &&
+      other.replica_.startTimeMs_ > aReplica.startTimeMs_) {
     return false;
   }
   if (other.replica_.state_ != ReplicaState::Departed) {
-    other.receivedAt_ = aNow;
-    SetState(other, ReplicaState::Departed);
+    MarkDeparted(other, aNow);
   }
   return true;
 }
 
 void
-ReplicaTable::SetState(KnownReplica& aKnown, ReplicaState aState)
+ReplicaTable::MarkDeparted(KnownReplica& aKnown, TimePoint aNow)
 {
-  aKnown.replica_.state_ = aState;
+  aKnown.replica_.state_ = ReplicaState::Departed;
+  aKnown.receivedAt_ = aNow;
   aKnown.stamp_ = ++stamp_;
 }
 
@@ -63,13 +63,8 @@
 ReplicaTable::Announce(const Replica& aReplica, TimePoint aNow)
 {
   auto it = replicas_.find(aReplica.id_);
-  if (it != replicas_.end()) {
-    const Replica& known = it->second.replica_;
-    bool isSameRun = known.startTimeMs_ == aReplica.startTimeMs_;
-    if (!IsNewer(aReplica, known) ||
-        (isSameRun && known.state_ == ReplicaState::Departed)) {
-      return false;
-    }
+  if (it != replicas_.end() && !Supersedes(aReplica, it->second.replica_)) {
+    return false;
   }
   if (!ClaimAddress(aReplica, aNow)) {
     return false;
@@ -100,46 +95,42 @@
   if (aStartTimeMs != 0 && aStartTimeMs < known.replica_.startTimeMs_) {
     return;
   }
-  known.receivedAt_ = aNow;
-  // Makes the departure newer than the last announcement for entries that
-  // merge the reports of several control processes.
-  ++known.replica_.sequence_;
-  SetState(known, ReplicaState::Departed);
+  MarkDeparted(known, aNow);
 }
 
 void
-ReplicaTable::AdoptDeparture(const Replica& aReplica, TimePoint aNow)
+ReplicaTable::AdoptReport(const Replica& aReplica, TimePoint aNow)
 {
+  if (aReplica.state_ == ReplicaState::Ready) {
+    return;
+  }
   auto it = replicas_.find(aReplica.id_);
-  if (it != replicas_.end()) {
-    const Replica& known = it->second.replica_;
-    bool isSettled = known.startTimeMs_ > aReplica.startTimeMs_ ||
-                     (known.startTimeMs_ == aReplica.startTimeMs_ &&
-                      known.state_ == ReplicaState::Departed);
-    if (isSettled) {
-      return;
-    }
+  if (it != replicas_.end() && !Supersedes(aReplica, it->second.replica_)) {
+    return;
   }
   KnownReplica& known = replicas_[aReplica.id_];
   known.replica_ = aReplica;
-  known.replica_.state_ = ReplicaState::Departed;
+  // The replica has announced itself elsewhere, not here.
+  known.replica_.hasExpired_ = true;
   known.receivedAt_ = aNow;
-  // The stamp stays, since entries have the departure from the other process.
-  // One that starts later gets it with all that is known.
+  // The stamp stays, since entries have the report from the other process. One
+  // that starts later gets it with all that is known.
   stamp_ = std::max<std::uint64_t>(stamp_, 1);
   known.stamp_ = stamp_;
 }
 
-void
+std::vector<std::string>
 ReplicaTable::Tick(TimePoint aNow)
 {
+  std::vector<std::string> expired;
   for (auto it = replicas_.begin(); it != replicas_.end();) {
     KnownReplica& known = it->second;
-    bool isPresent = known.replica_.state_ == ReplicaState::Ready ||
-                     known.replica_.state_ == ReplicaState::Draining;
+    bool isPresent = IsPresent(known.replica_);
     Duration age = aNow - known.receivedAt_;
     if (isPresent && age > timeToLive_) {
-      SetState(known, ReplicaState::Expired);
+      known.replica_.hasExpired_ = true;
+      known.stamp_ = ++stamp_;
+      expired.push_back(it->first);
     }
     if (!isPresent && age > kReplicaRetention) {
       it = replicas_.erase(it);
@@ -147,6 +138,7 @@
       ++it;
     }
   }
+  return expired;
 }
 
 std::vector<Replica>
@@ -166,7 +158,8 @@
 {
   std::vector<Replica> ready;
   for (const auto& [id, known] : replicas_) {
-    if (known.replica_.state_ == ReplicaState::Ready) {
+    if (known.replica_.state_ == ReplicaState::Ready &&
+        !known.replica_.hasExpired_) {
       ready.push_back(known.replica_);
     }
   }
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
@@ -30,13 +30,13 @@
   void Leave(const std::string& aId,
              std::uint64_t aStartTimeMs,
              TimePoint aNow);
-  /// Records a departure that another control process reports, so that this
-  /// one rejects delayed announcements as well, also after the other restarts.
-  /// Entries are not notified of it again.
-  void AdoptDeparture(const Replica& aReplica, TimePoint aNow);
-  /// Marks replicas as expired and removes those that departed or expired long
-  /// ago.
-  void Tick(TimePoint aNow);
+  /// Records that a replica drains or has departed, as another control process
+  /// reports, so that this one rejects delayed announcements as well, also
+  /// after the other restarts. Entries are not notified of it again.
+  void AdoptReport(const Replica& aReplica, TimePoint aNow);
+  /// Marks replicas as expired, whose ids it returns, and removes those that
+  /// departed or expired long ago.
+  std::vector<std::string> Tick(TimePoint aNow);
 
   /// The stamp of the last change.
   std::uint64_t Stamp() const { return stamp_; }
@@ -56,7 +56,7 @@
   /// Returns false if a newer replica holds the address. Otherwise marks the
   /// earlier holder of the address, if any, as departed.
   bool ClaimAddress(const Replica& aReplica, TimePoint aNow);
-  void SetState(KnownReplica& aKnown, ReplicaState aState);
+  void MarkDeparted(KnownReplica& aKnown, TimePoint aNow);
 
   Duration timeToLive_;
   std::uint64_t stamp_ = 0;
--- a/src/tanagerstall/process/presence/tanagerstall_replica_view.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_view.cpp
@@ -1,5 +1,7 @@
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 
+#include "tanagerstall/process/presence/tanagerstall_replica_order.hpp"
+
 namespace tanagerstall {
 
 namespace {
@@ -14,46 +16,6 @@
 /// stale with time alone.
 constexpr Duration kRecheckInterval = std::chrono::milliseconds(500);
 
-/// The merged reports of several control processes about one replica.
-struct Merged
-{
-  Replica newest_;
-  /// Whether its newest incarnation is ready or draining at any of them.
-  bool isResponsive_ = false;
-};
-
-bool
-IsResponsive(const Replica& aReplica)
-{
-  return aReplica.state_ == ReplicaState::Ready ||
-         aReplica.state_ == ReplicaState::Draining;
-}
-
-void
-Merge(std::map<std::string, Merged>& aInto, const Replica& aReplica)
-{
-  auto [it, isNew] = aInto.try_emplace(aReplica.id_);
-  Merged& merged = it->second;
-  if (isNew || aReplica.startTimeMs_ > merged.newest_.startTimeMs_) {
-    merged = { aReplica, IsResponsive(aReplica) };
-    return;
-  }
-  if (aReplica.startTimeMs_ < merged.newest_.startTimeMs_) {
-    return;
-  }
-  merged.isResponsive_ = merged.isResponsive_ || IsResponsive(aReplica);
-  bool hasLeft = merged.newest_.state_ == ReplicaState::Departed;
-  bool leaves = aReplica.state_ == ReplicaState::Departed;
-  // A replica that expired at one control process may announce itself to
-  // another one, so any other state overrides expiry. Departure is final for
-  // an incarnation.
-  if (leaves || (!hasLeft && aReplica.state_ != ReplicaState::Expired &&
-                 (merged.newest_.state_ == ReplicaState::Expired ||
-                  IsNewer(aReplica, merged.newest_)))) {
-    merged.newest_ = aReplica;
-  }
-}
-
 } // namespace
 
 void
@@ -71,6 +33,10 @@
   }
   for (const auto& replica : aReport.changed_) {
     source.replicas_[replica.id_] = replica;
+    auto [it, isNew] = newest_.try_emplace(replica.id_, replica);
+    if (!isNew && Supersedes(replica, it->second)) {
+      it->second = replica;
+    }
     hasChanged_ = true;
   }
   source.stamp_ = aReport.stamp_;
@@ -93,6 +59,18 @@
   return !aHasFresh || aNow - aSource.receivedAt_ < kMaxSourceAge;
 }
 
+void
+ReplicaView::AddResponsive(const std::map<std::string, Replica>& aReported,
+                           std::set<std::string_view>& aTo) const
+{
+  for (const auto& [id, replica] : aReported) {
+    bool isNewestRun = newest_.at(id).startTimeMs_ == replica.startTimeMs_;
+    if (isNewestRun && !replica.hasExpired_) {
+      aTo.insert(id);
+    }
+  }
+}
+
 std::shared_ptr<const ReplicasByService>
 ReplicaView::Present(TimePoint aNow) const
 {
@@ -100,25 +78,19 @@
   for (const auto& [address, source] : sources_) {
     hasFresh = hasFresh || aNow - source.receivedAt_ < kMaxSourceAge;
   }
-  std::map<std::string, Merged> merged;
+  std::set<std::string_view> responsive;
   for (const auto& [address, source] : sources_) {
-    bool isTrusted = IsTrusted(source, aNow, hasFresh);
-    for (const auto& [id, replica] : source.replicas_) {
-      // Departure is final, so it counts even if the source is stale.
-      if (isTrusted || replica.state_ == ReplicaState::Departed) {
-        Merge(merged, replica);
-      }
+    if (IsTrusted(source, aNow, hasFresh)) {
+      AddResponsive(source.replicas_, responsive);
     }
     if (aNow < source.previousRunUntil_) {
-      for (const auto& [id, replica] : source.previousRun_) {
-        Merge(merged, replica);
-      }
+      AddResponsive(source.previousRun_, responsive);
     }
   }
   auto present = std::make_shared<ReplicasByService>();
-  for (const auto& [id, it] : merged) {
-    if (it.isResponsive_ && it.newest_.state_ == ReplicaState::Ready) {
-      (*present)[it.newest_.service_].push_back(it.newest_);
+  for (const auto& [id, replica] : newest_) {
+    if (replica.state_ == ReplicaState::Ready && responsive.contains(id)) {
+      (*present)[replica.service_].push_back(replica);
     }
   }
   return present;
--- a/src/tanagerstall/process/presence/tanagerstall_replica_view.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_view.hpp
@@ -5,7 +5,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tanagerstall {
@@ -26,8 +28,10 @@
 };
 
 /// Merges the replica tables of all control processes at an entry. A replica
-/// announces itself to one control process at a time, so each table is partial.
-/// A deterministic state machine that reads no clock.
+/// announces itself to one control process at a time, so each table is partial:
+/// what it said last counts whoever reported it, and it is responsive while any
+/// control process hears of that run. A deterministic state machine that reads
+/// no clock.
 class ReplicaView
 {
 public:
@@ -62,8 +66,14 @@
 
   /// Whether the source's reports are recent, or no source has recent ones.
   bool IsTrusted(const Source& aSource, TimePoint aNow, bool aHasFresh) const;
+  /// Adds the ids of the replicas among `aReported` whose newest run was heard.
+  void AddResponsive(const std::map<std::string, Replica>& aReported,
+                     std::set<std::string_view>& aTo) const;
 
   std::map<std::string, Source> sources_;
+  /// What each replica said last, by its id. It outlasts the record at the
+  /// control process that heard it.
+  std::map<std::string, Replica> newest_;
   bool hasChanged_ = false;
   TimePoint checkAt_;
 };
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -89,7 +89,7 @@
          },
           [this](const std::string& aControl, const ControlAnswer& aAnswer) {
             view_.ApplyReport(aControl, aAnswer.replicas_, clock_.Now());
-            AdoptDepartures(aAnswer.replicas_);
+            AdoptReports(aAnswer.replicas_);
             members_.RecordCapability(aControl, aAnswer.readsCompressed_);
           } })
     , control_(threads_,
@@ -228,12 +228,10 @@
     entriesServer_.Notify();
   }
 
-  void AdoptDepartures(const ReplicaReport& aReport)
+  void AdoptReports(const ReplicaReport& aReport)
   {
     for (const auto& replica : aReport.changed_) {
-      if (replica.state_ == ReplicaState::Departed) {
-        replicas_.AdoptDeparture(replica, clock_.Now());
-      }
+      replicas_.AdoptReport(replica, clock_.Now());
     }
   }
 
@@ -313,6 +311,17 @@
     return present;
   }
 
+  void ExpireReplicas(TimePoint aNow)
+  {
+    auto expired = replicas_.Tick(aNow);
+    for (const auto& id : expired) {
+      LogEvent(Severity::Info, "replica expired", { { "replica", id } });
+    }
+    if (!expired.empty()) {
+      entriesServer_.Notify();
+    }
+  }
+
   kj::Promise<void> TickPeriodically()
   {
     return timer_.afterDelay(kTickInterval.count() * kj::MILLISECONDS)
@@ -321,11 +330,7 @@
         if (auto lag = loopDelay_.Observe(now)) {
           LogLag(*lag);
         }
-        auto stamp = replicas_.Stamp();
-        replicas_.Tick(now);
-        if (stamp != replicas_.Stamp()) {
-          entriesServer_.Notify();
-        }
+        ExpireReplicas(now);
         members_.Update(
           member_.Group(GroupName::Configuration).Core().Log().Members(),
           settings_.entriesAddress_.port_);
@@ -465,6 +470,13 @@
       state_->replicas_.Announce(aReplica, state_->clock_.Now());
     state_->counters_.Count(isAccepted ? Counter::AnnouncementsTaken
                                        : Counter::AnnouncementsStale);
+    if (!isAccepted) {
+      LogEvent(Severity::Info,
+               "announcement out of date",
+               { { "replica", aReplica.id_ },
+                 { "start_ms", aReplica.startTimeMs_ },
+                 { "sequence", aReplica.sequence_ } });
+    }
     if (stamp != state_->replicas_.Stamp()) {
       LogEvent(Severity::Info,
                "replica announced",
--- a/tests/replica_table_tests.cpp
+++ b/tests/replica_table_tests.cpp
@@ -35,6 +35,17 @@
   return replica;
 }
 
+Replica
+MakeExpired(const std::string& aId,
+            std::uint64_t aStartTimeMs,
+            std::uint64_t aSequence,
+            ReplicaState aState = ReplicaState::Ready)
+{
+  Replica replica = MakeReplica(aId, aStartTimeMs, aSequence, aState);
+  replica.hasExpired_ = true;
+  return replica;
+}
+
 /// An announcement or departure that a control process receives.
 struct Message
 {
@@ -154,16 +165,13 @@
 const std::vector<ViewCase> kViewCases{
   { "ready at one", { { "c1", MakeReplica("r", 1, 1) } }, true },
   { "expired at one, ready at the other",
-    { { "c1", MakeReplica("r", 1, 3, ReplicaState::Expired) },
-      { "c2", MakeReplica("r", 1, 4) } },
+    { { "c1", MakeExpired("r", 1, 3) }, { "c2", MakeReplica("r", 1, 4) } },
     true },
   { "expired at the one with the newer announcement",
-    { { "c1", MakeReplica("r", 1, 9, ReplicaState::Expired) },
-      { "c2", MakeReplica("r", 1, 4) } },
+    { { "c1", MakeExpired("r", 1, 9) }, { "c2", MakeReplica("r", 1, 4) } },
     true },
   { "expired at both",
-    { { "c1", MakeReplica("r", 1, 3, ReplicaState::Expired) },
-      { "c2", MakeReplica("r", 1, 4, ReplicaState::Expired) } },
+    { { "c1", MakeExpired("r", 1, 3) }, { "c2", MakeExpired("r", 1, 4) } },
     false },
   { "draining at the one with the newer announcement",
     { { "c1", MakeReplica("r", 1, 3) },
@@ -234,13 +242,13 @@
   first.Leave("r", 1, kStart + 1s);
   ReplicaTable other(kTimeToLive);
   for (const auto& replica : first.ChangedAfter(0)) {
-    other.AdoptDeparture(replica, kStart + 1s);
+    other.AdoptReport(replica, kStart + 1s);
   }
   BOOST_TEST(other.Ready().empty());
   // The first process restarts and learns from the other one.
   ReplicaTable restarted(kTimeToLive);
   for (const auto& replica : other.ChangedAfter(0)) {
-    restarted.AdoptDeparture(replica, kStart + 2s);
+    restarted.AdoptReport(replica, kStart + 2s);
   }
   BOOST_TEST(restarted.Announce(sample.late_, kStart + 9s) ==
              sample.isAccepted_);
@@ -251,7 +259,8 @@
   ReplicaTable table(kTimeToLive);
   table.Announce(MakeReplica("r", 1, 4), kStart);
   auto stamp = table.Stamp();
-  table.AdoptDeparture(MakeReplica("r", 1, 4), kStart + 1s);
+  table.AdoptReport(MakeReplica("r", 1, 4, ReplicaState::Departed),
+                    kStart + 1s);
   BOOST_TEST(table.Stamp() == stamp);
   BOOST_TEST(table.Ready().empty());
 }
@@ -275,3 +284,136 @@
   view.ApplyReport("c2", { 1, 5, {} }, kStart + 1h);
   BOOST_TEST(!view.Present(kStart + 1h)->contains("model"));
 }
+
+namespace {
+
+/// What happens to the control process that acknowledged a drain or departure.
+enum class Loss
+{
+  None,
+  Restart,
+  Silence
+};
+
+struct DrainCase
+{
+  const char* name_;
+  /// Whether the replica sends its departure rather than that it drains.
+  bool isLeave_;
+  Loss loss_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const DrainCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<DrainCase> kDrainCases{
+  { "drains, its record expires", false, Loss::None },
+  { "drains, the control process restarts", false, Loss::Restart },
+  { "drains, the control process goes silent", false, Loss::Silence },
+  { "leaves, its record expires", true, Loss::None },
+  { "leaves, the control process restarts", true, Loss::Restart },
+  { "leaves, the control process goes silent", true, Loss::Silence },
+};
+
+/// Two control processes that don't hear of each other, and an entry.
+class SplitFleet
+{
+public:
+  ReplicaTable& First() { return tables_.front(); }
+  ReplicaTable& Second() { return tables_.back(); }
+
+  /// Both control processes report to the entry, except silent ones.
+  void Report(TimePoint aNow)
+  {
+    First().Tick(aNow);
+    ReportFrom(0, aNow);
+    if (!isSecondSilent_) {
+      Second().Tick(aNow);
+      ReportFrom(1, aNow);
+    }
+  }
+
+  void Lose(Loss aLoss)
+  {
+    isSecondSilent_ = aLoss == Loss::Silence;
+    if (aLoss == Loss::Restart) {
+      Second() = ReplicaTable(kTimeToLive);
+      ++runs_.back();
+    }
+  }
+
+  bool IsInUse(TimePoint aNow) const
+  {
+    return view_.Present(aNow)->contains("model");
+  }
+
+private:
+  void ReportFrom(std::size_t aControl, TimePoint aNow)
+  {
+    const ReplicaTable& table = tables_[aControl];
+    view_.ApplyReport("c" + std::to_string(aControl),
+                      { runs_[aControl], table.Stamp(), table.ChangedAfter(0) },
+                      aNow);
+  }
+
+  std::vector<ReplicaTable> tables_{ ReplicaTable(kTimeToLive),
+                                     ReplicaTable(kTimeToLive) };
+  std::vector<std::uint64_t> runs_{ 1, 1 };
+  bool isSecondSilent_ = false;
+  ReplicaView view_;
+};
+
+} // namespace
+
+// Guards against work for a draining replica whose last announcement is
+// forgotten while an earlier one arrives late at another control process.
+BOOST_DATA_TEST_CASE(A_late_announcement_never_undoes_what_followed_it,
+                     data::make(kDrainCases))
+{
+  SplitFleet fleet;
+  TimePoint now = kStart;
+  fleet.Second().Announce(MakeReplica("r", 1, 4), now);
+  fleet.Report(now);
+  BOOST_TEST(fleet.IsInUse(now));
+  if (sample.isLeave_) {
+    fleet.Second().Leave("r", 1, now);
+  } else {
+    fleet.Second().Announce(MakeReplica("r", 1, 5, ReplicaState::Draining),
+                            now);
+  }
+  fleet.Report(now);
+  BOOST_TEST(!fleet.IsInUse(now));
+  fleet.Lose(sample.loss_);
+  constexpr int kSeconds = 20;
+  constexpr int kArrival = 5;
+  for (int second = 1; second <= kSeconds; ++second) {
+    now += 1s;
+    if (second == kArrival) {
+      fleet.First().Announce(MakeReplica("r", 1, 3), now);
+    }
+    fleet.Report(now);
+    BOOST_TEST(!fleet.IsInUse(now), "in use after " << second << " s");
+  }
+  // A new run under the id is used at once.
+  fleet.First().Announce(MakeReplica("r", 2, 1), now);
+  fleet.Report(now);
+  BOOST_TEST(fleet.IsInUse(now));
+}
+
+// The same at a control process: it knows what the replica told another one.
+BOOST_AUTO_TEST_CASE(A_drain_that_another_process_reports_outlasts_a_late_call)
+{
+  ReplicaTable first(kTimeToLive);
+  first.Announce(MakeReplica("r", 1, 5, ReplicaState::Draining), kStart);
+  ReplicaTable other(kTimeToLive);
+  for (const auto& replica : first.ChangedAfter(0)) {
+    other.AdoptReport(replica, kStart);
+  }
+  BOOST_TEST(!other.Announce(MakeReplica("r", 1, 4), kStart + 5s));
+  BOOST_TEST(other.Ready().empty());
+  BOOST_TEST(other.Announce(MakeReplica("r", 2, 1), kStart + 6s));
+  BOOST_TEST(other.Ready().size() == 1);
+}
