Let no key in once the last organisation is removed

Cause: the plan's empty list of organisations meant both that no key is needed (the field is absent) and that no key is valid (the last one was removed).

On a related path the empty key, which stands for a request without one, belonged to an organisation whose list held it; nobody owns it now.

--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -163,7 +163,10 @@
 
   void SetLimits()
   {
-    for (const auto& organisation : plan_->organisations_) {
+    if (!plan_->organisations_) {
+      return;
+    }
+    for (const auto& organisation : *plan_->organisations_) {
       double rate = organisation.ratePerSecond_;
       double burst = organisation.burst_;
       double window = InSeconds(settings_.costWindow_);
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -112,7 +112,7 @@
 Forwarder::CheckOrganisation(ForwardedRequest& aRequest,
                              const HttpRequest& aHttp)
 {
-  if (aRequest.plan_->organisations_.empty() || aRequest.route_->isAnonymous_) {
+  if (!aRequest.plan_->organisations_ || aRequest.route_->isAnonymous_) {
     return std::nullopt;
   }
   aRequest.organisation_ =
--- a/src/tanagerstall/version/tanagerstall_traffic_plan.cpp
+++ b/src/tanagerstall/version/tanagerstall_traffic_plan.cpp
@@ -42,9 +42,14 @@
 
 tl::expected<void, PlanError>
 TrafficPlan::ValidateAndIndex()
+{
+  return IndexRoutes().and_then([this] { return IndexKeys(); });
+}
+
+tl::expected<void, PlanError>
+TrafficPlan::IndexRoutes()
 {
   byHost_.clear();
-  byKeyHash_.clear();
   for (std::size_t i = 0; i < routes_.size(); ++i) {
     if (auto checked = CheckRoute(routes_[i]); !checked) {
       return checked;
@@ -68,13 +73,24 @@
                      "\"");
     }
   }
-  for (std::size_t i = 0; i < organisations_.size(); ++i) {
-    for (const auto& hash : organisations_[i].keyHashes_) {
+  return {};
+}
+
+tl::expected<void, PlanError>
+TrafficPlan::IndexKeys()
+{
+  byKeyHash_.clear();
+  if (!organisations_) {
+    return {};
+  }
+  const auto& organisations = *organisations_;
+  for (std::size_t i = 0; i < organisations.size(); ++i) {
+    for (const auto& hash : organisations[i].keyHashes_) {
       auto [it, isNew] = byKeyHash_.emplace(hash, i);
       if (!isNew && it->second != i) {
         return Invalid("two organisations share a key: \"" +
-                       organisations_[it->second].name_ + "\" and \"" +
-                       organisations_[i].name_ + "\"");
+                       organisations[it->second].name_ + "\" and \"" +
+                       organisations[i].name_ + "\"");
       }
     }
   }
@@ -99,8 +115,11 @@
 const PlanOrganisation*
 TrafficPlan::FindOrganisation(std::string_view aKey) const
 {
+  if (aKey.empty()) {
+    return nullptr;
+  }
   auto it = byKeyHash_.find(Sha256Hex(aKey));
-  return it == byKeyHash_.end() ? nullptr : &organisations_[it->second];
+  return it == byKeyHash_.end() ? nullptr : &organisations_->at(it->second);
 }
 
 } // namespace tanagerstall
--- a/src/tanagerstall/version/tanagerstall_traffic_plan.hpp
+++ b/src/tanagerstall/version/tanagerstall_traffic_plan.hpp
@@ -141,7 +141,8 @@
   std::uint64_t number_ = 0;
   std::vector<Route> routes_;
   std::map<std::string, PlanService, std::less<>> services_;
-  std::vector<PlanOrganisation> organisations_;
+  /// Absent if requests need no key. If it is empty, no key is valid.
+  std::optional<std::vector<PlanOrganisation>> organisations_;
   CallerLimits limits_;
 
   /// Validates the plan and builds the indexes that the lookups below use.
@@ -150,11 +151,14 @@
   /// Returns the route of a host with the longest prefix that matches the path,
   /// or nullptr.
   const Route* FindRoute(std::string_view aHost, std::string_view aPath) const;
-  /// Returns the organisation that owns a key, or nullptr.
+  /// Returns the organisation that owns a key, or nullptr. Nobody owns the
+  /// empty key, which stands for a request without one.
   const PlanOrganisation* FindOrganisation(std::string_view aKey) const;
 
 private:
   tl::expected<void, PlanError> CheckRoute(const Route& aRoute) const;
+  tl::expected<void, PlanError> IndexRoutes();
+  tl::expected<void, PlanError> IndexKeys();
 
   /// Indexes of routes by host, sorted by decreasing prefix length.
   std::map<std::string, std::vector<std::size_t>, std::less<>> byHost_;
--- a/tests/soak/tanagerstall_soak_operators.cpp
+++ b/tests/soak/tanagerstall_soak_operators.cpp
@@ -71,7 +71,7 @@
   }
   PlanOrganisation organisation;
   organisation.name_ = kOrganisation;
-  plan.organisations_.push_back(organisation);
+  plan.organisations_ = { organisation };
   return platform::EncodePlan(plan, { { kOrganisation, kOrganisationKey } });
 }
 
