Answer every request before a planned stop of an entry ends

Cause: the entry of the platform's path counted requests but compared no deadline with its own end (Drain::CanAcceptRequests() has one caller, the first path's entry), and at the end it stopped its threads with requests in progress.

Now: once callers had time to leave, a request whose deadline lies beyond the end is refused at once as not run, with Retry-After 0, since other entries may serve it. Shortly before the end, what is still in progress is answered with what is known: not run, unknown, or a stream that visibly breaks off.

--- a/src/tanagerstall/process/tanagerstall_drain.cpp
+++ b/src/tanagerstall/process/tanagerstall_drain.cpp
@@ -12,6 +12,9 @@
 /// New requests are refused, with the outcome "not run", this long before the
 /// instance is reclaimed.
 constexpr Duration kRefusalLeadTime = std::chrono::seconds(1);
+/// Requests that are still in progress are ended this long before the deadline,
+/// so that the answers that say so can be sent.
+constexpr Duration kAnswerTime = std::chrono::milliseconds(300);
 /// The process ends once no request has been in progress for this time. One
 /// that a caller sent just before may not have been read yet.
 constexpr Duration kQuietTime = std::chrono::milliseconds(250);
@@ -41,6 +44,9 @@
   if (aNow >= deadline_) {
     return DrainStep::End;
   }
+  if (aNow >= RequestsEndAt()) {
+    return aRequestsInProgress > 0 ? DrainStep::EndRequests : DrainStep::End;
+  }
   if (aNow < stopAcceptingAt_) {
     return DrainStep::ServeLateCallers;
   }
@@ -55,6 +61,12 @@
   return isQuiet ? DrainStep::End : DrainStep::FinishRequests;
 }
 
+TimePoint
+Drain::RequestsEndAt() const
+{
+  return deadline_ == TimePoint::max() ? deadline_ : deadline_ - kAnswerTime;
+}
+
 bool
 Drain::CanAcceptRequests(TimePoint aNow) const
 {
--- a/src/tanagerstall/process/tanagerstall_drain.hpp
+++ b/src/tanagerstall/process/tanagerstall_drain.hpp
@@ -18,6 +18,8 @@
   ServeLateCallers,
   /// New connections are not accepted; requests in progress continue.
   FinishRequests,
+  /// Requests in progress are ended with what is known of their outcome.
+  EndRequests,
   /// The process may end.
   End
 };
@@ -33,6 +35,8 @@
              std::optional<Duration> aNotice);
   /// Returns the phase of the drain at `aNow`.
   DrainStep Next(TimePoint aNow, std::size_t aRequestsInProgress);
+  /// When requests in progress are ended; TimePoint::max() without a notice.
+  TimePoint RequestsEndAt() const;
   /// Whether enough time is left before the deadline to accept a new request.
   bool CanAcceptRequests(TimePoint aNow) const;
 
--- a/src/tanagerstall/process/tanagerstall_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_entry.cpp
@@ -290,7 +290,7 @@
       loop_.Stop();
       return;
     }
-    if (step == DrainStep::FinishRequests) {
+    if (step != DrainStep::ServeLateCallers) {
       server_.StopAccepting();
     }
     threads_.Spawn([this](Fiber& aFiber) {
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -352,6 +352,15 @@
     client_.Refresh();
   }
 
+  /// Takes only what can end before the process does.
+  void FinishRequests()
+  {
+    callers_.StopAccepting();
+    callers_.CloseIdle();
+    threads_.Post(
+      [this, end = drain_.RequestsEndAt()] { forwarder_.RefuseBeyond(end); });
+  }
+
   /// Performs the step that the drain requires now. Returns whether the drain
   /// has ended.
   bool AdvanceDrain(TimePoint aNow)
@@ -361,8 +370,11 @@
       case DrainStep::ServeLateCallers:
         return false;
       case DrainStep::FinishRequests:
-        callers_.StopAccepting();
-        callers_.CloseIdle();
+        FinishRequests();
+        return false;
+      case DrainStep::EndRequests:
+        FinishRequests();
+        threads_.Post([this] { forwarder_.EndRequests(); });
         return false;
       case DrainStep::End:
         return true;
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -225,7 +225,7 @@
       aReplica.id_, std::move(lease->connection_), std::chrono::seconds(1));
     return MakeAbandoned(false);
   }
-  if (!hooks_.maySend_()) {
+  if (isStopped_ || !hooks_.maySend_()) {
     return MakeWithdrawn();
   }
   connection_ = lease->connection_.get();
@@ -254,6 +254,15 @@
   return result;
 }
 
+void
+ForwardAttempt::Stop()
+{
+  isStopped_ = true;
+  if (connection_ != nullptr) {
+    connection_->Cancel();
+  }
+}
+
 /// Relays a response to the caller unless its head shows that the request has
 /// not run or that the response can't be trusted.
 AttemptResult
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
@@ -73,6 +73,8 @@
   /// If `aReturnsFailures` is set, a 5xx response is returned in the result
   /// instead of being relayed to the caller.
   AttemptResult Run(const Replica& aReplica, bool aReturnsFailures);
+  /// Makes Run() return soon. Call from the thread on which it runs.
+  void Stop();
 
 private:
   Duration RemainingTime() const;
@@ -95,6 +97,7 @@
   ForwardedRequest& request_;
   Hooks hooks_;
   HttpConnection* connection_ = nullptr;
+  bool isStopped_ = false;
   EventStream events_;
   /// Whether the replica has said that it leaves.
   bool isLeaving_ = false;
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
@@ -46,6 +46,11 @@
                                    "prompt_quarantined",
                                    "a prompt part crashes replicas" };
 
+const ForwardRefusal kStopping{ 503,
+                                "stopping",
+                                "the entry stops before the deadline",
+                                Duration::zero() };
+
 HttpResponse
 RefusalResponse(const ForwardRefusal& aRefusal)
 {
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
@@ -28,6 +28,8 @@
 extern const ForwardRefusal kUnavailable;
 extern const ForwardRefusal kBackingOff;
 extern const ForwardRefusal kQuarantined;
+/// The entry stops before the request's deadline; another entry may serve it.
+extern const ForwardRefusal kStopping;
 
 /// Returns the response that refuses a request.
 HttpResponse
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -1,11 +1,13 @@
 #include "tanagerstall/request/tanagerstall_forwarder.hpp"
 
+#include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
 #include "tanagerstall/request/tanagerstall_forward_refusal.hpp"
 #include "tanagerstall/request/tanagerstall_request_log.hpp"
 #include "tanagerstall/request/tanagerstall_request_work.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tanagerstall {
 
@@ -25,6 +27,25 @@
 /// Memory for whole responses in progress, in bytes.
 constexpr std::size_t kMaxBufferedBytes = 32UL << 20U;
 
+/// Lists an attempt among those in progress while it exists.
+class AttemptInProgress
+{
+public:
+  AttemptInProgress(std::set<ForwardAttempt*>& aList, ForwardAttempt& aAttempt)
+    : list_(aList)
+    , attempt_(aAttempt)
+  {
+    list_.insert(&attempt_);
+  }
+  ~AttemptInProgress() { list_.erase(&attempt_); }
+  AttemptInProgress(const AttemptInProgress&) = delete;
+  AttemptInProgress& operator=(const AttemptInProgress&) = delete;
+
+private:
+  std::set<ForwardAttempt*>& list_;
+  ForwardAttempt& attempt_;
+};
+
 } // namespace
 
 Forwarder::Forwarder(ForwarderSettings aSettings, Clock aClock, Hooks aHooks)
@@ -241,6 +262,9 @@
     wait = std::min(wait, *remaining);
   }
   request.deadline_ = request.arrivedAt_ + wait;
+  if (request.deadline_ > takesUntil_) {
+    return tl::make_unexpected(Refuse(request, kStopping));
+  }
   request.service_ = PickService(*request.route_);
   if (auto refusal = CheckBackoff(request)) {
     return tl::make_unexpected(*refusal);
@@ -386,7 +410,8 @@
   bool canRetry = true;
   std::optional<HttpResponse> failure;
   AttemptResult last;
-  while (canRetry && !quarantine_.RemainingFor(parts, clock_.Now())) {
+  while (canRetry && !hasEndedRequests_ &&
+         !quarantine_.RemainingFor(parts, clock_.Now())) {
     ChoiceRequest choice{ aRequest.service_,
                           aRequest.prompt_.LastSharedPart(),
                           WorkClassOf(aRequest),
@@ -424,6 +449,7 @@
           RecordRate(*replica, aNotice, aSentAt);
         },
         [&] { return chooser_.MaySend(*replica, clock_.Now()); } });
+    AttemptInProgress inProgress(attempts_, attempt);
     last = attempt.Run(*replica, mayRunAgain && !failure);
     RecordAttempt(aRequest, *replica, last, startedAt);
     RecordEvidence(aRequest, *replica, last, isSuccessCounted);
@@ -481,6 +507,9 @@
     (aLast.outcome_ == AttemptOutcome::Abandoned && aLast.isSent_);
   if (!mayHaveRun) {
     auto refusal = CheckPrompt(aRequest);
+    if (!refusal && hasEndedRequests_) {
+      refusal = Refuse(aRequest, kStopping);
+    }
     if (!refusal) {
       ++loads_[aRequest.service_].refused_;
       refusal = Refuse(aRequest, UnavailableRefusal(aRequest.service_));
@@ -489,9 +518,23 @@
     return;
   }
   LogFailure("outcome unknown", aRequest, aLast, clock_.Now());
-  aExchange.Respond(aLast.isLate_
-                      ? UnknownOutcomeResponse(504, "timeout")
-                      : UnknownOutcomeResponse(502, "upstream_failed"));
+  const char* code = hasEndedRequests_ ? "stopping" : "upstream_failed";
+  aExchange.Respond(aLast.isLate_ ? UnknownOutcomeResponse(504, "timeout")
+                                  : UnknownOutcomeResponse(502, code));
+}
+
+void
+Forwarder::EndRequests()
+{
+  takesUntil_ = TimePoint::min();
+  if (!std::exchange(hasEndedRequests_, true)) {
+    LogEvent(Severity::Info,
+             "requests ended by the stop",
+             { { "requests", attempts_.size() } });
+  }
+  for (auto* attempt : attempts_) {
+    attempt->Stop();
+  }
 }
 
 TrafficReport
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -19,6 +19,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace tanagerstall {
@@ -83,6 +84,13 @@
   /// started and can't be completed.
   void Handle(HttpExchange& aExchange);
 
+  /// From now on, refuses requests whose deadline is later than `aEnd`, when
+  /// this process ends.
+  void RefuseBeyond(TimePoint aEnd) { takesUntil_ = aEnd; }
+  /// Ends the requests in progress: their callers are told what is known of the
+  /// outcome. Refuses all later ones.
+  void EndRequests();
+
   TrafficReport Report();
   /// Counts the present replicas that have asked this entry for a back-off, or
   /// have told it that they leave, by service.
@@ -143,6 +151,10 @@
   RetryBudgets retries_;
   RequestRate arrivals_;
   std::map<std::string, ServiceLoad> loads_;
+  /// The latest deadline of requests that are taken.
+  TimePoint takesUntil_ = TimePoint::max();
+  bool hasEndedRequests_ = false;
+  std::set<ForwardAttempt*> attempts_;
   std::mt19937_64 random_;
 };
 
