--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -216,6 +216,7 @@
 AttemptResult
 ForwardAttempt::Run(const Replica& aReplica, bool aReturnsFailures)
 {
+  replicaId_ = aReplica.id_;
   auto lease = Open(aReplica);
   if (!lease) {
     return MakeFailure(lease.error(), false);
@@ -297,7 +298,7 @@
 AttemptResult
 ForwardAttempt::RelayWholeBody(HttpResponse aHead, bool aReturnsFailures)
 {
-  BufferBudget::Share buffered(resources_.buffers_);
+  BufferBudget::Share buffered(resources_.buffers_, replicaId_);
   while (true) {
     auto part = ReadBodyPart();
     if (!part) {
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
@@ -97,6 +97,7 @@
   ForwardedRequest& request_;
   Hooks hooks_;
   HttpConnection* connection_ = nullptr;
+  std::string replicaId_;
   bool isStopped_ = false;
   EventStream events_;
   /// Whether the replica has said that it leaves.
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -24,8 +24,9 @@
 constexpr Duration kGrantPollInterval = std::chrono::milliseconds(15);
 /// The work of a refused request relative to that of a forwarded one.
 constexpr double kRefusalWork = 0.2;
-/// Memory for whole responses in progress, in bytes.
-constexpr std::size_t kMaxBufferedBytes = 32UL << 20U;
+/// Memory for whole responses in progress, in bytes: of all replicas, and of
+/// one, which fits its largest response.
+constexpr BufferBudget::Limits kBufferLimits{ 32UL << 20U, 16UL << 20U };
 
 /// Lists an attempt among those in progress while it exists.
 class AttemptInProgress
@@ -53,7 +54,7 @@
   , clock_(std::move(aClock))
   , hooks_(std::move(aHooks))
   , pool_(clock_)
-  , buffers_(kMaxBufferedBytes)
+  , buffers_(kBufferLimits)
   , chooser_({ settings_.failureDomain_, settings_.regions_ },
              std::random_device()())
   , limits_(std::random_device()())
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -245,10 +245,10 @@
 
 BOOST_AUTO_TEST_CASE(Responses_in_progress_share_a_bounded_buffer)
 {
-  BufferBudget budget(100);
+  BufferBudget budget({ 100, 100 });
   {
-    BufferBudget::Share one(budget);
-    BufferBudget::Share other(budget);
+    BufferBudget::Share one(budget, "r1");
+    BufferBudget::Share other(budget, "r2");
     BOOST_TEST(one.Take(60));
     BOOST_TEST(!other.Take(41));
     BOOST_TEST(other.Take(40));
@@ -257,6 +257,23 @@
   BOOST_TEST(budget.FreeBytes() == 100U);
 }
 
+BOOST_AUTO_TEST_CASE(Responses_of_one_upstream_leave_buffer_to_the_others)
+{
+  BufferBudget budget({ 100, 50 });
+  BufferBudget::Share one(budget, "r1");
+  {
+    BufferBudget::Share second(budget, "r1");
+    BOOST_TEST(one.Take(30));
+    BOOST_TEST(!second.Take(21));
+    BOOST_TEST(second.Take(20));
+    BOOST_TEST(!one.Take(1));
+    BufferBudget::Share other(budget, "r2");
+    BOOST_TEST(other.Take(50));
+  }
+  BOOST_TEST(budget.FreeBytes() == 70U);
+  BOOST_TEST(one.Take(20));
+}
+
 struct LateCopyCase
 {
   const char* name_;
--- a/tests/tanagerstall_forwarder_environment.hpp
+++ b/tests/tanagerstall_forwarder_environment.hpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <mutex>
 #include <sstream>
 #include <sys/socket.h>
 #include <thread>
@@ -43,6 +44,10 @@
   std::chrono::milliseconds pause_{ 0 };
   /// The response to a second request on the same connection.
   std::string second_{};
+  /// Whether the connection is closed after that.
+  bool endsAfterSecond_ = false;
+  /// Whether connections are served at the same time, not one after the other.
+  bool isParallel_ = false;
 };
 
 /// An upstream that responds to every request with the same bytes, in which
@@ -71,6 +76,9 @@
     ::shutdown(listener_, SHUT_RDWR);
     ::close(listener_);
     thread_.join();
+    for (auto& thread : serving_) {
+      thread.join();
+    }
   }
 
   ScriptedUpstream(const ScriptedUpstream&) = delete;
@@ -78,7 +86,11 @@
 
   std::string Address() const { return "127.0.0.1:" + std::to_string(port_); }
   int Requests() const { return requests_; }
-  std::string LastRequest() const { return last_; }
+  std::string LastRequest() const
+  {
+    std::scoped_lock lock(lastMutex_);
+    return last_;
+  }
 
 private:
   void Accept()
@@ -88,7 +100,11 @@
       if (connection < 0) {
         return;
       }
-      Serve(connection);
+      if (script_.isParallel_) {
+        serving_.emplace_back([this, connection] { Serve(connection); });
+      } else {
+        Serve(connection);
+      }
     }
   }
 
@@ -142,7 +158,10 @@
       ::close(aConnection);
       return;
     }
-    last_ = head;
+    {
+      std::scoped_lock lock(lastMutex_);
+      last_ = head;
+    }
     ++requests_;
     Send(aConnection, WithId(script_.bytes_, head));
     if (script_.after_ == After::Keep && !script_.second_.empty()) {
@@ -152,7 +171,7 @@
         Send(aConnection, WithId(script_.second_, head));
       }
     }
-    if (script_.after_ == After::Keep) {
+    if (script_.after_ == After::Keep && !script_.endsAfterSecond_) {
       ::recv(aConnection, buffer, sizeof(buffer), 0);
     } else if (script_.after_ == After::Endless) {
       SendRepeatedly(aConnection);
@@ -183,8 +202,10 @@
   int listener_;
   std::uint16_t port_ = 0;
   std::atomic<int> requests_{ 0 };
+  mutable std::mutex lastMutex_;
   std::string last_;
   std::thread thread_;
+  std::vector<std::thread> serving_;
 };
 
 constexpr const char* kDocument =
