Show that an answer cut in its head is never a success

It can't happen here: cut at each byte of four heads (with a length, in chunks, until the end of the connection, after an interim one), on three kinds of routes, closed or reset, and as the second answer on a kept connection, the caller gets 502 or 504 with the outcome unknown, and the replica one request.

--- a/tests/operator_report_tests.cpp
+++ b/tests/operator_report_tests.cpp
@@ -164,3 +164,84 @@
   }
   BOOST_TEST(cut.Requests() == 1);
 }
+
+namespace {
+
+struct HeadCase
+{
+  const char* name_;
+  /// A whole head, with the empty line at its end.
+  std::string head_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const HeadCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::string kLengthHead = Head("200 OK") + "Content-Length: 5\r\n\r\n";
+
+const std::vector<HeadCase> kHeads{
+  { "with a length", kLengthHead },
+  { "in chunks", kStreamHead },
+  { "until the end of the connection", Head("200 OK") + "\r\n" },
+  { "after an interim one", "HTTP/1.1 100 Continue\r\n\r\n" + kLengthHead },
+};
+
+/// Checks that the caller isn't told of a success, nor that it has not run.
+void
+CheckUnknown(const tl::expected<HttpResponse, TransportError>& aAnswer,
+             std::size_t aCut)
+{
+  BOOST_TEST_CONTEXT("cut after " << aCut << " bytes")
+  {
+    BOOST_REQUIRE(aAnswer.has_value());
+    BOOST_TEST((aAnswer->status_ == 502 || aAnswer->status_ == 504),
+               aAnswer->status_);
+    BOOST_TEST(aAnswer->body_.find("unknown") != std::string::npos);
+  }
+}
+
+} // namespace
+
+// Guards against a success with an empty or short body from a replica that
+// stopped in the middle of its answer's head and closed.
+BOOST_DATA_TEST_CASE(An_answer_that_ends_within_its_head_is_no_success,
+                     data::make(kHeads) *
+                       data::make({ "/safe/x", "/once/x", "/stream/x" }),
+                     sample,
+                     path)
+{
+  for (std::size_t cut = 0; cut < sample.head_.size(); ++cut) {
+    ScriptedUpstream upstream({ sample.head_.substr(0, cut), After::Close });
+    Environment environment({ &upstream });
+    CheckUnknown(environment.Fetch(path), cut);
+    BOOST_TEST(upstream.Requests() == 1);
+  }
+}
+
+// The same where the connection is reset.
+BOOST_AUTO_TEST_CASE(An_answer_that_is_reset_within_its_head_is_no_success)
+{
+  for (std::size_t cut = 0; cut < kLengthHead.size(); ++cut) {
+    ScriptedUpstream upstream({ kLengthHead.substr(0, cut), After::Reset });
+    Environment environment({ &upstream });
+    CheckUnknown(environment.Fetch("/once/x"), cut);
+  }
+}
+
+// The same on a kept connection, whose last answer was whole.
+BOOST_DATA_TEST_CASE(A_second_answer_that_ends_within_its_head_is_no_success,
+                     data::make({ "/safe/x", "/once/x" }),
+                     path)
+{
+  for (std::size_t cut = 1; cut < kLengthHead.size(); ++cut) {
+    ScriptedUpstream upstream(
+      { kWhole, After::Keep, "", 0ms, kLengthHead.substr(0, cut), true });
+    Environment environment({ &upstream });
+    BOOST_TEST(environment.Fetch(path)->status_ == 200);
+    CheckUnknown(environment.Fetch(path), cut);
+    BOOST_TEST(upstream.Requests() == 2);
+  }
+}
