Give the records of attempts a class of their own

Forwarder had a second job: what an attempt showed of its replica and prompt. AttemptRecorder has it now; the functions are as they were. Behaviour is the same.

--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_attempt_recorder.cpp
@@ -0,0 +1,92 @@
+#include "tanagerstall/request/tanagerstall_attempt_recorder.hpp"
+
+#include "tanagerstall/request/tanagerstall_request_log.hpp"
+#include "tanagerstall/request/tanagerstall_request_work.hpp"
+
+namespace tanagerstall {
+
+AttemptRecorder::AttemptRecorder(ReplicaChooser& aChooser,
+                                 PromptQuarantine& aQuarantine,
+                                 Metrics& aMetrics,
+                                 Clock aClock)
+  : chooser_(aChooser)
+  , quarantine_(aQuarantine)
+  , metrics_(aMetrics)
+  , clock_(std::move(aClock))
+{
+}
+
+void
+AttemptRecorder::RecordAnswerLatency(const ForwardedRequest& aRequest)
+{
+  WorkClass work = WorkClassOf(aRequest);
+  std::string_view organisation = aRequest.OrganisationName();
+  TimePoint now = clock_.Now();
+  metrics_.Observe(organisation,
+                   work,
+                   Measure::FirstToken,
+                   aRequest.firstPartAt_.value_or(now) - aRequest.arrivedAt_);
+  metrics_.Observe(
+    organisation, work, Measure::Whole, now - aRequest.arrivedAt_);
+  metrics_.Observe(
+    organisation, work, Measure::BetweenTokens, aRequest.longestGap_);
+}
+
+void
+AttemptRecorder::RecordAttempt(const ForwardedRequest& aRequest,
+                               const Replica& aReplica,
+                               const AttemptResult& aResult,
+                               TimePoint aStartedAt)
+{
+  TimePoint now = clock_.Now();
+  bool hasFirstPart =
+    aRequest.firstPartAt_ && *aRequest.firstPartAt_ >= aStartedAt;
+  if (hasFirstPart) {
+    chooser_.ObserveFirstPart(
+      aReplica, *aRequest.firstPartAt_ - aStartedAt, now);
+  } else if (aResult.isSent_ && aResult.outcome_ == AttemptOutcome::Abandoned) {
+    chooser_.ObserveFirstPart(aReplica, now - aStartedAt, now);
+  }
+  auto outcome =
+    aResult.isServerError_ ? AttemptOutcome::Failed : aResult.outcome_;
+  chooser_.Finish(aReplica, aRequest.cost_, outcome, now);
+}
+
+void
+AttemptRecorder::RecordEvidence(const ForwardedRequest& aRequest,
+                                const Replica& aReplica,
+                                const AttemptResult& aResult,
+                                bool aIsCounted)
+{
+  const PromptParts& parts = aRequest.prompt_.sharedParts_;
+  TimePoint now = clock_.Now();
+  if (aResult.isSuccess_ && !aIsCounted) {
+    quarantine_.RecordSuccess(parts, now);
+  } else if (aResult.isConnectionLost_) {
+    quarantine_.RecordLoss(parts, aReplica, aResult.begunAt_, now);
+  }
+}
+
+void
+AttemptRecorder::RecordNotice(const Replica& aReplica,
+                              const ReplicaNotice& aNotice)
+{
+  if (chooser_.RecordNotice(aReplica, aNotice, clock_.Now())) {
+    LogReplicaNotice(aReplica, aNotice);
+  }
+}
+
+void
+AttemptRecorder::RecordRate(const Replica& aReplica,
+                            const ReplicaNotice& aNotice,
+                            TimePoint aSentAt)
+{
+  bool isNews = !aNotice.isRateUnreadable_ &&
+                chooser_.RecordRate(
+                  aReplica, aNotice.ratePerSecond_, aSentAt, clock_.Now());
+  if (isNews) {
+    LogReplicaRate(aReplica, aNotice.ratePerSecond_);
+  }
+}
+
+} // namespace tanagerstall
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -58,6 +58,7 @@
   , chooser_({ settings_.failureDomain_, settings_.regions_ },
              std::random_device()())
   , limits_(std::random_device()())
+  , recorder_(chooser_, quarantine_, metrics_, clock_)
   , usage_(settings_.usageWindow_, hooks_.wallClock_)
   , retries_(settings_.retryRatio_, settings_.retrySlack_)
   , random_(std::random_device()())
@@ -81,22 +82,6 @@
   return RefusalResponse(aRefusal);
 }
 
-void
-Forwarder::RecordAnswerLatency(const ForwardedRequest& aRequest)
-{
-  WorkClass work = WorkClassOf(aRequest);
-  std::string_view organisation = aRequest.OrganisationName();
-  TimePoint now = clock_.Now();
-  metrics_.Observe(organisation,
-                   work,
-                   Measure::FirstToken,
-                   aRequest.firstPartAt_.value_or(now) - aRequest.arrivedAt_);
-  metrics_.Observe(
-    organisation, work, Measure::Whole, now - aRequest.arrivedAt_);
-  metrics_.Observe(
-    organisation, work, Measure::BetweenTokens, aRequest.longestGap_);
-}
-
 void
 Forwarder::SetPlan(std::shared_ptr<const TrafficPlan> aPlan)
 {
@@ -304,67 +289,6 @@
   Run(aExchange, *request);
 }
 
-/// Reports an attempt's result to the replica chooser. An attempt that was
-/// abandoned before its first part counts with the time that it waited, since
-/// it shows a slow replica just as a late first part does.
-void
-Forwarder::RecordAttempt(const ForwardedRequest& aRequest,
-                         const Replica& aReplica,
-                         const AttemptResult& aResult,
-                         TimePoint aStartedAt)
-{
-  TimePoint now = clock_.Now();
-  bool hasFirstPart =
-    aRequest.firstPartAt_ && *aRequest.firstPartAt_ >= aStartedAt;
-  if (hasFirstPart) {
-    chooser_.ObserveFirstPart(
-      aReplica, *aRequest.firstPartAt_ - aStartedAt, now);
-  } else if (aResult.isSent_ && aResult.outcome_ == AttemptOutcome::Abandoned) {
-    chooser_.ObserveFirstPart(aReplica, now - aStartedAt, now);
-  }
-  auto outcome =
-    aResult.isServerError_ ? AttemptOutcome::Failed : aResult.outcome_;
-  chooser_.Finish(aReplica, aRequest.cost_, outcome, now);
-}
-
-/// Records whether the replica survived the request. `aIsCounted` is set if its
-/// success was recorded while it was being answered.
-void
-Forwarder::RecordEvidence(const ForwardedRequest& aRequest,
-                          const Replica& aReplica,
-                          const AttemptResult& aResult,
-                          bool aIsCounted)
-{
-  const PromptParts& parts = aRequest.prompt_.sharedParts_;
-  TimePoint now = clock_.Now();
-  if (aResult.isSuccess_ && !aIsCounted) {
-    quarantine_.RecordSuccess(parts, now);
-  } else if (aResult.isConnectionLost_) {
-    quarantine_.RecordLoss(parts, aReplica, aResult.begunAt_, now);
-  }
-}
-
-void
-Forwarder::RecordNotice(const Replica& aReplica, const ReplicaNotice& aNotice)
-{
-  if (chooser_.RecordNotice(aReplica, aNotice, clock_.Now())) {
-    LogReplicaNotice(aReplica, aNotice);
-  }
-}
-
-void
-Forwarder::RecordRate(const Replica& aReplica,
-                      const ReplicaNotice& aNotice,
-                      TimePoint aSentAt)
-{
-  bool isNews = !aNotice.isRateUnreadable_ &&
-                chooser_.RecordRate(
-                  aReplica, aNotice.ratePerSecond_, aSentAt, clock_.Now());
-  if (isNews) {
-    LogReplicaRate(aReplica, aNotice.ratePerSecond_);
-  }
-}
-
 /// Returns the refusal of a request that no replica took. If all replicas have
 /// asked for a back-off or have got what they take, callers are told to come
 /// back after the shortest of them, spread over as long a time again, since new
@@ -445,21 +369,23 @@
             quarantine_.RecordSuccess(parts, clock_.Now());
           }
         },
-        [&](const ReplicaNotice& aNotice) { RecordNotice(*replica, aNotice); },
+        [&](const ReplicaNotice& aNotice) {
+          recorder_.RecordNotice(*replica, aNotice);
+        },
         [&](const ReplicaNotice& aNotice, TimePoint aSentAt) {
-          RecordRate(*replica, aNotice, aSentAt);
+          recorder_.RecordRate(*replica, aNotice, aSentAt);
         },
         [&] { return chooser_.MaySend(*replica, clock_.Now()); } });
     AttemptInProgress inProgress(attempts_, attempt);
     last = attempt.Run(*replica, mayRunAgain && !failure);
-    RecordAttempt(aRequest, *replica, last, startedAt);
-    RecordEvidence(aRequest, *replica, last, isSuccessCounted);
+    recorder_.RecordAttempt(aRequest, *replica, last, startedAt);
+    recorder_.RecordEvidence(aRequest, *replica, last, isSuccessCounted);
     aRequest.lastReplica_ = replica->id_;
     if (last.outcome_ == AttemptOutcome::Abandoned) {
       break;
     }
     if (last.outcome_ == AttemptOutcome::Answered && !last.failure_) {
-      RecordAnswerLatency(aRequest);
+      recorder_.RecordAnswerLatency(aRequest);
       LogAnswered(aRequest, *replica, aExchange.Status(), clock_.Now());
       return;
     }
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -5,6 +5,7 @@
 #include "tanagerstall/connection/tanagerstall_fleet_messages.hpp"
 #include "tanagerstall/connection/tanagerstall_http_server.hpp"
 #include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
+#include "tanagerstall/request/tanagerstall_attempt_recorder.hpp"
 #include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
@@ -119,23 +120,10 @@
                      ForwardedRequest& aRequest,
                      const AttemptResult& aLast,
                      const std::optional<HttpResponse>& aFailure);
-  void RecordNotice(const Replica& aReplica, const ReplicaNotice& aNotice);
-  void RecordRate(const Replica& aReplica,
-                  const ReplicaNotice& aNotice,
-                  TimePoint aSentAt);
   ForwardRefusal UnavailableRefusal(const std::string& aService);
   bool TakeRetry(const ForwardedRequest& aRequest, bool aIsSent);
   HttpResponse Refuse(const ForwardedRequest& aRequest,
                       const ForwardRefusal& aRefusal);
-  void RecordAnswerLatency(const ForwardedRequest& aRequest);
-  void RecordAttempt(const ForwardedRequest& aRequest,
-                     const Replica& aReplica,
-                     const AttemptResult& aResult,
-                     TimePoint aStartedAt);
-  void RecordEvidence(const ForwardedRequest& aRequest,
-                      const Replica& aReplica,
-                      const AttemptResult& aResult,
-                      bool aIsCounted);
 
   ForwarderSettings settings_;
   Clock clock_;
@@ -147,6 +135,7 @@
   CostLimits limits_;
   PromptQuarantine quarantine_;
   Metrics metrics_;
+  AttemptRecorder recorder_;
   UsageCounter usage_;
   RetryBudgets retries_;
   RequestRate arrivals_;
--- a/tests/processes/platform_lib.sh
+++ b/tests/processes/platform_lib.sh
@@ -57,6 +57,14 @@
 # start_entry N: starts entry N, also again with the same settings.
 start_entry() { start_platform "entry-$1" entryd; }
 
+# use_free_addresses: sets "net", "controls" and "replica" to loopback addresses
+# of this run.
+use_free_addresses() {
+  net=127.$((RANDOM % 200 + 20)).$((RANDOM % 200 + 20))
+  controls=("$net.1" "$net.2" "$net.3")
+  replica=$net.50:8080
+}
+
 # start_fleet: starts three control processes, two entries and a stand-in for
 # the replica at the address "replica".
 start_fleet() {
--- a/tests/processes/replica_rate_test.sh
+++ b/tests/processes/replica_rate_test.sh
@@ -7,11 +7,9 @@
 run=$(mktemp -d)
 source tools/scripts/lib.sh
 trap 'kill_all; rm -rf "$run"' EXIT
-net=127.$((RANDOM % 200 + 20)).$((RANDOM % 200 + 20))
-controls=("$net.1" "$net.2" "$net.3")
-replica=$net.50:8080
 source tests/processes/platform_lib.sh
 
+use_free_addresses
 start_fleet
 
 # limited ENTRY COUNT: succeeds if the entry knows so many limited replicas.
