Attach a departure to the run that leaves, or don't acknowledge it

Cause: ReplicaTable::Leave() attached a departure to the run that it knew, or to run 0 if none was sent and it knew none, and it was acknowledged in any case.

Fix: a departure ends the run whose start time it names. Without one it ends the newest run known here or reported by another control process.

--- a/src/tanagerstall/process/commands/tanagerstall_log_timeline.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_log_timeline.cpp
@@ -31,10 +31,15 @@
   "control thread delayed"
 };
 const std::set<std::string, std::less<>> kReplicaEvents{
-  "replica announced",       "replica left",
-  "replica expired",         "announcement out of date",
-  "replica leaves",          "replica backs off",
-  "replica limits its rate", "replica no longer limits its rate"
+  "replica announced",
+  "replica left",
+  "replica expired",
+  "announcement out of date",
+  "departure not recorded",
+  "replica leaves",
+  "replica backs off",
+  "replica limits its rate",
+  "replica no longer limits its rate"
 };
 
 std::string
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
@@ -88,16 +88,24 @@
                     TimePoint aNow)
 {
   KnownReplica& known = replicas_[aId];
-  if (known.stamp_ == 0) {
-    known.replica_.id_ = aId;
-    known.replica_.startTimeMs_ = aStartTimeMs;
-  }
-  if (aStartTimeMs != 0 && aStartTimeMs < known.replica_.startTimeMs_) {
+  if (aStartTimeMs < known.replica_.startTimeMs_) {
     return;
   }
+  known.replica_.id_ = aId;
+  known.replica_.startTimeMs_ = aStartTimeMs;
   MarkDeparted(known, aNow);
 }
 
+std::optional<std::uint64_t>
+ReplicaTable::NewestRun(const std::string& aId) const
+{
+  auto it = replicas_.find(aId);
+  if (it == replicas_.end() || it->second.replica_.hasExpired_) {
+    return std::nullopt;
+  }
+  return it->second.replica_.startTimeMs_;
+}
+
 void
 ReplicaTable::AdoptReport(const Replica& aReplica, TimePoint aNow)
 {
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
@@ -24,9 +24,9 @@
   /// the last one, from an incarnation that has departed, or from an earlier
   /// holder of the address.
   bool Announce(const Replica& aReplica, TimePoint aNow);
-  /// Marks a replica as departed, also one that has not announced itself yet.
-  /// Later announcements of the same incarnation are rejected. `aStartTimeMs`
-  /// is 0 if the replica did not send it.
+  /// Marks a run of a replica as departed, also one that has not announced
+  /// itself here; later announcements of it are rejected. Does nothing if a
+  /// later run is known.
   void Leave(const std::string& aId,
              std::uint64_t aStartTimeMs,
              TimePoint aNow);
@@ -38,6 +38,9 @@
   /// departed or expired long ago.
   std::vector<std::string> Tick(TimePoint aNow);
 
+  /// The start time of the newest run of a replica, if it is heard here or said
+  /// here that it leaves.
+  std::optional<std::uint64_t> NewestRun(const std::string& aId) const;
   /// The stamp of the last change.
   std::uint64_t Stamp() const { return stamp_; }
   /// Returns the replicas that changed after a stamp, in any state.
--- a/src/tanagerstall/process/presence/tanagerstall_replica_view.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_view.cpp
@@ -51,6 +51,18 @@
                               : std::pair(it->second.run_, it->second.stamp_);
 }
 
+std::optional<ReportedRun>
+ReplicaView::NewestRun(const std::string& aId, TimePoint aNow) const
+{
+  auto it = newest_.find(aId);
+  if (it == newest_.end()) {
+    return std::nullopt;
+  }
+  bool isCurrent = it->second.state_ != ReplicaState::Ready ||
+                   ResponsiveAt(aNow).contains(aId);
+  return ReportedRun{ it->second.startTimeMs_, isCurrent };
+}
+
 bool
 ReplicaView::IsTrusted(const Source& aSource,
                        TimePoint aNow,
@@ -71,8 +83,8 @@
   }
 }
 
-std::shared_ptr<const ReplicasByService>
-ReplicaView::Present(TimePoint aNow) const
+std::set<std::string_view>
+ReplicaView::ResponsiveAt(TimePoint aNow) const
 {
   bool hasFresh = false;
   for (const auto& [address, source] : sources_) {
@@ -87,6 +99,13 @@
       AddResponsive(source.previousRun_, responsive);
     }
   }
+  return responsive;
+}
+
+std::shared_ptr<const ReplicasByService>
+ReplicaView::Present(TimePoint aNow) const
+{
+  auto responsive = ResponsiveAt(aNow);
   auto present = std::make_shared<ReplicasByService>();
   for (const auto& [id, replica] : newest_) {
     if (replica.state_ == ReplicaState::Ready && responsive.contains(id)) {
--- a/src/tanagerstall/process/presence/tanagerstall_replica_view.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_view.hpp
@@ -1,10 +1,12 @@
 #ifndef TANAGERSTALL_REPLICA_VIEW_HPP_INCLUDED
 #define TANAGERSTALL_REPLICA_VIEW_HPP_INCLUDED
 
+#include "tanagerstall/process/presence/tanagerstall_departure.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica.hpp"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -44,6 +46,9 @@
   std::pair<std::uint64_t, std::uint64_t> Position(
     const std::string& aControl) const;
 
+  /// The newest run of a replica that was reported, if one was.
+  std::optional<ReportedRun> NewestRun(const std::string& aId,
+                                       TimePoint aNow) const;
   /// Returns the replicas that accept new work at `aNow`.
   std::shared_ptr<const ReplicasByService> Present(TimePoint aNow) const;
   /// Whether Present() may have changed since the last call: after a report
@@ -66,6 +71,8 @@
 
   /// Whether the source's reports are recent, or no source has recent ones.
   bool IsTrusted(const Source& aSource, TimePoint aNow, bool aHasFresh) const;
+  /// The ids of the replicas whose newest run is heard at `aNow`.
+  std::set<std::string_view> ResponsiveAt(TimePoint aNow) const;
   /// Adds the ids of the replicas among `aReported` whose newest run was heard.
   void AddResponsive(const std::map<std::string, Replica>& aReported,
                      std::set<std::string_view>& aTo) const;
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -5,6 +5,7 @@
 #include "tanagerstall/connection/tanagerstall_on_loop.hpp"
 #include "tanagerstall/internal/tanagerstall_logged_tasks.hpp"
 #include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
+#include "tanagerstall/process/presence/tanagerstall_departure.hpp"
 #include "tanagerstall/process/presence/tanagerstall_entry_working_set.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
@@ -314,6 +315,25 @@
     return present;
   }
 
+  /// Returns false if the run that leaves can't be known.
+  bool RecordDeparture(const std::string& aId, std::uint64_t aSentStartMs)
+  {
+    TimePoint now = clock_.Now();
+    auto run = FindDepartedRun({ aSentStartMs,
+                                 replicas_.NewestRun(aId),
+                                 view_.NewestRun(aId, now),
+                                 now - startedAt_,
+                                 settings_.replicaTimeToLive_ });
+    LogEvent(Severity::Info,
+             run ? "replica left" : "departure not recorded",
+             { { "replica", aId }, { "start_ms", run.value_or(0) } });
+    if (run) {
+      replicas_.Leave(aId, *run, now);
+      entriesServer_.Notify();
+    }
+    return run.has_value();
+  }
+
   void ExpireReplicas(TimePoint aNow)
   {
     auto expired = replicas_.Tick(aNow);
@@ -493,16 +513,13 @@
   });
 }
 
-void
+bool
 FleetControl::Leave(Fiber& aFiber,
                     const std::string& aId,
                     std::uint64_t aStartTimeMs)
 {
-  OnLoop<bool>(state_->loop_, aFiber, [this, aId, aStartTimeMs] {
-    state_->replicas_.Leave(aId, aStartTimeMs, state_->clock_.Now());
-    LogEvent(Severity::Info, "replica left", { { "replica", aId } });
-    state_->entriesServer_.Notify();
-    return true;
+  return OnLoop<bool>(state_->loop_, aFiber, [this, aId, aStartTimeMs] {
+    return state_->RecordDeparture(aId, aStartTimeMs);
   });
 }
 
--- a/src/tanagerstall/process/tanagerstall_fleet_control.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.hpp
@@ -75,8 +75,10 @@
   tl::expected<Declaration, GroupError> ReadDeclaration(Fiber& aFiber);
   /// Applies an announcement of a replica. A stale one has no effect.
   void Announce(Fiber& aFiber, const Replica& aReplica);
-  /// Removes a replica that announced its departure.
-  void Leave(Fiber& aFiber, const std::string& aId, std::uint64_t aStartTimeMs);
+  /// Records that a replica leaves. `aStartTimeMs` is 0 if it didn't send its
+  /// start time. Returns false, with nothing recorded, if the run that leaves
+  /// can't be known here.
+  bool Leave(Fiber& aFiber, const std::string& aId, std::uint64_t aStartTimeMs);
   /// Returns the entries that a caller should use, at most
   /// `maxDirectoryEntries_`; none during the warm-up after the start.
   std::vector<EntryInfo> EntriesFor(Fiber& aFiber,
--- a/tests/replica_table_tests.cpp
+++ b/tests/replica_table_tests.cpp
@@ -1,6 +1,7 @@
 // Tests which replicas accept work: as one control process determines it from
 // announcements, and as an entry determines it from several control processes.
 #define BOOST_TEST_MODULE replica_table
+#include "tanagerstall/process/presence/tanagerstall_departure.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 
@@ -98,6 +99,16 @@
   { "a delayed announcement of the address's earlier holder",
     { { MakeReplica("r2", 2, 1) }, { MakeReplica("r1", 1, 9) } },
     { "r2" } },
+  { "departed in a run that is announced late",
+    { { MakeReplica("r1", 1, 5) },
+      { MakeReplica("r1", 2, 0), true },
+      { MakeReplica("r1", 2, 1) } },
+    {} },
+  { "departed in a run that is not known, and started again",
+    { { MakeReplica("r1", 1, 5) },
+      { MakeReplica("r1", 2, 0), true },
+      { MakeReplica("r1", 3, 1) } },
+    { "r1" } },
   { "departed before it was announced",
     { { MakeReplica("r1", 1, 1), true }, { MakeReplica("r1", 1, 1) } },
     {} },
@@ -417,3 +428,64 @@
   BOOST_TEST(other.Announce(MakeReplica("r", 2, 1), kStart + 6s));
   BOOST_TEST(other.Ready().size() == 1);
 }
+
+// Guards against work for a replica that restarted under its id and leaves at a
+// control process that knows its earlier run only.
+BOOST_AUTO_TEST_CASE(A_departure_ends_the_run_that_sent_it)
+{
+  SplitFleet fleet;
+  fleet.Second().Announce(MakeReplica("r", 1, 4), kStart);
+  fleet.First().Announce(MakeReplica("r", 2, 1), kStart + 1s);
+  fleet.Report(kStart + 1s);
+  BOOST_TEST(fleet.IsInUse(kStart + 1s));
+  fleet.Second().Leave("r", 2, kStart + 2s);
+  fleet.Report(kStart + 2s);
+  BOOST_TEST(!fleet.IsInUse(kStart + 2s));
+}
+
+namespace {
+
+struct DepartureCase
+{
+  const char* name_;
+  DepartureFacts facts_;
+  std::optional<std::uint64_t> run_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const DepartureCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+constexpr ReportedRun kRun4{ 4, true };
+constexpr ReportedRun kRun6{ 6, true };
+constexpr ReportedRun kExpiredRun6{ 6, false };
+
+const std::vector<DepartureCase> kDepartures{
+  { "start time sent", { 7, 5, kRun6, 1h, kTimeToLive }, 7 },
+  { "start time of an earlier run sent", { 4, 5, kRun6, 1h, kTimeToLive }, 4 },
+  { "start time sent, just started", { 7, {}, {}, 1s, kTimeToLive }, 7 },
+  { "known here", { 0, 5, {}, 1h, kTimeToLive }, 5 },
+  { "known here, just started", { 0, 5, {}, 1s, kTimeToLive }, 5 },
+  { "an earlier run known elsewhere", { 0, 5, kRun4, 1h, kTimeToLive }, 5 },
+  { "a later run known elsewhere", { 0, 5, kRun6, 1h, kTimeToLive }, 6 },
+  { "a later run expired elsewhere",
+    { 0, 5, kExpiredRun6, 1h, kTimeToLive },
+    {} },
+  { "expired here, heard elsewhere", { 0, {}, kRun6, 1h, kTimeToLive }, 6 },
+  { "expired everywhere", { 0, {}, kExpiredRun6, 1h, kTimeToLive }, {} },
+  { "known elsewhere, just started", { 0, {}, kRun6, 1s, kTimeToLive }, {} },
+  { "it never sends a start time", { 0, 0, {}, 1h, kTimeToLive }, 0 },
+  { "known nowhere", { 0, {}, {}, 1h, kTimeToLive }, {} },
+};
+
+} // namespace
+
+// Guards against a departure without a start time that a restarted control
+// process acknowledges and attaches to no run.
+BOOST_DATA_TEST_CASE(A_departure_without_a_start_time_ends_the_newest_run,
+                     data::make(kDepartures))
+{
+  BOOST_TEST((FindDepartedRun(sample.facts_) == sample.run_));
+}
