--- a/tests/replica_order_tests.cpp
+++ b/tests/replica_order_tests.cpp
@@ -215,7 +215,7 @@
     played += " " + std::to_string(static_cast<int>(step.kind_)) + "@" +
               std::to_string(step.control_);
     if (auto wrong = fleet.Play(step); !wrong.empty()) {
-      return wrong + ", steps" + played;
+      return wrong.append(", steps").append(played);
     }
   }
   return "";
