--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -3,6 +3,7 @@
 #include "tanagerstall/connection/tanagerstall_prompt_codec.hpp"
 #include "tanagerstall/internal/tanagerstall_entry_wire.hpp"
 
+#include <functional>
 #include <kj/debug.h>
 
 namespace tanagerstall {
@@ -35,6 +36,7 @@
   aTo.setExpired(aFrom.hasExpired_);
   aTo.setReclaimable(aFrom.isReclaimable_);
   aTo.setColdMs(static_cast<std::uint32_t>(aFrom.warmUpTime_.count()));
+  aTo.setVersion(ToText(aFrom.version_));
 }
 
 Replica
@@ -54,7 +56,8 @@
                                : static_cast<ReplicaState>(standing),
            isExpiredWhileReady || aFrom.getExpired(),
            aFrom.getReclaimable(),
-           std::chrono::milliseconds(aFrom.getColdMs()) };
+           std::chrono::milliseconds(aFrom.getColdMs()),
+           ToString(aFrom.getVersion()) };
 }
 
 void
@@ -86,6 +89,96 @@
   return rates;
 }
 
+void
+WriteCounts(capnp::List<wire::RolloutCounts>::Builder aTo,
+            const std::vector<RolloutCounts>& aFrom)
+{
+  for (unsigned i = 0; i < aFrom.size(); ++i) {
+    const RolloutCounts& counts = aFrom[i];
+    aTo[i].setService(ToText(counts.service_));
+    aTo[i].setId(counts.id_);
+    aTo[i].setNewVersion(counts.isNewVersion_);
+    aTo[i].setRoute(ToText(counts.route_));
+    aTo[i].setSent(counts.sent_);
+    aTo[i].setEnded(counts.ended_);
+    aTo[i].setFailed(counts.failed_);
+    auto firstParts = aTo[i].initFirstParts(counts.firstParts_.size());
+    for (unsigned bucket = 0; bucket < counts.firstParts_.size(); ++bucket) {
+      firstParts.set(bucket, counts.firstParts_.at(bucket));
+    }
+  }
+}
+
+std::vector<RolloutCounts>
+ReadCounts(capnp::List<wire::RolloutCounts>::Reader aFrom)
+{
+  std::vector<RolloutCounts> all;
+  for (auto from : aFrom) {
+    RolloutCounts counts;
+    counts.service_ = ToString(from.getService());
+    counts.id_ = from.getId();
+    counts.isNewVersion_ = from.getNewVersion();
+    counts.route_ = ToString(from.getRoute());
+    counts.sent_ = from.getSent();
+    counts.ended_ = from.getEnded();
+    counts.failed_ = from.getFailed();
+    auto firstParts = from.getFirstParts();
+    KJ_REQUIRE(firstParts.size() <= kRolloutBuckets, "too many buckets");
+    for (unsigned bucket = 0; bucket < firstParts.size(); ++bucket) {
+      counts.firstParts_.at(bucket) = firstParts[bucket];
+    }
+    all.push_back(std::move(counts));
+  }
+  return all;
+}
+
+void
+WriteDirectives(capnp::List<wire::RolloutDirective>::Builder aTo,
+                const std::vector<RolloutDirective>& aFrom)
+{
+  for (unsigned i = 0; i < aFrom.size(); ++i) {
+    WriteRollout(aTo[i].initRollout(), aFrom[i].rollout_);
+    aTo[i].setRequestShare(aFrom[i].requestShare_);
+    aTo[i].setReplicaShare(aFrom[i].replicaShare_);
+  }
+}
+
+std::vector<RolloutDirective>
+ReadDirectives(capnp::List<wire::RolloutDirective>::Reader aFrom)
+{
+  std::vector<RolloutDirective> directives;
+  for (auto from : aFrom) {
+    directives.push_back({ ReadRollout(from.getRollout()),
+                           from.getRequestShare(),
+                           from.getReplicaShare() });
+  }
+  return directives;
+}
+
+/// Writes one element for each service and region; `aWrite` writes its value.
+template<class Value, class WriteValue>
+void
+WriteDelays(
+  const std::function<capnp::List<wire::RegionDelay>::Builder(unsigned)>& aInit,
+  const std::map<std::string, std::map<std::string, Value>>& aFrom,
+  const WriteValue& aWrite)
+{
+  std::size_t size = 0;
+  for (const auto& [service, regions] : aFrom) {
+    size += regions.size();
+  }
+  auto to = aInit(static_cast<unsigned>(size));
+  unsigned next = 0;
+  for (const auto& [service, regions] : aFrom) {
+    for (const auto& [region, value] : regions) {
+      to[next].setService(ToText(service));
+      to[next].setRegion(ToText(region));
+      aWrite(to[next], value);
+      ++next;
+    }
+  }
+}
+
 } // namespace
 
 void
@@ -108,6 +201,15 @@
   }
   WriteRates(aTo.initNamedRates(aFrom.namedRates_.size()), aFrom.namedRates_);
   aTo.setRateRevision(aFrom.rateRevision_);
+  WriteCounts(aTo.initRolloutCounts(aFrom.rolloutCounts_.size()),
+              aFrom.rolloutCounts_);
+  aTo.setRolloutRevision(aFrom.rolloutRevision_);
+  WriteDelays([&](unsigned aSize) { return aTo.initRegionDelays(aSize); },
+              aFrom.regionDelays_,
+              [](auto aDelay, const DelaySums& aSums) {
+                aDelay.setCount(aSums.count_);
+                aDelay.setMs(aSums.sumMs_);
+              });
   auto usage = aTo.initUsage(aFrom.usage_.size());
   for (unsigned i = 0; i < aFrom.usage_.size(); ++i) {
     WriteUsage(usage[i], aFrom.usage_[i]);
@@ -155,6 +257,12 @@
   }
   report.namedRates_ = ReadRates(aFrom.getNamedRates());
   report.rateRevision_ = aFrom.getRateRevision();
+  report.rolloutCounts_ = ReadCounts(aFrom.getRolloutCounts());
+  report.rolloutRevision_ = aFrom.getRolloutRevision();
+  for (auto delay : aFrom.getRegionDelays()) {
+    report.regionDelays_[ToString(delay.getService())][ToString(
+      delay.getRegion())] = { delay.getCount(), delay.getMs() };
+  }
   for (auto usage : aFrom.getUsage()) {
     report.usage_.push_back(ReadUsage(usage));
   }
@@ -218,6 +326,14 @@
                *aFrom.namedRates_);
   }
   aTo.setRateRevision(aFrom.rateRevision_);
+  if (aFrom.rollouts_) {
+    WriteDirectives(aTo.initRollouts(aFrom.rollouts_->size()),
+                    *aFrom.rollouts_);
+  }
+  aTo.setRolloutRevision(aFrom.rolloutRevision_);
+  WriteDelays([&](unsigned aSize) { return aTo.initRegionDelays(aSize); },
+              aFrom.regionDelays_,
+              [](auto aDelay, double aMean) { aDelay.setMs(aMean); });
   if (aFrom.promptVerdicts_) {
     WriteVerdicts(aTo.initPromptVerdicts(), *aFrom.promptVerdicts_);
   }
@@ -258,6 +374,14 @@
     answer.namedRates_ = ReadRates(aFrom.getNamedRates());
   }
   answer.rateRevision_ = aFrom.getRateRevision();
+  if (aFrom.hasRollouts()) {
+    answer.rollouts_ = ReadDirectives(aFrom.getRollouts());
+  }
+  answer.rolloutRevision_ = aFrom.getRolloutRevision();
+  for (auto delay : aFrom.getRegionDelays()) {
+    answer.regionDelays_[ToString(delay.getService())]
+                        [ToString(delay.getRegion())] = delay.getMs();
+  }
   if (aFrom.hasPromptVerdicts()) {
     answer.promptVerdicts_ = ReadVerdicts(aFrom.getPromptVerdicts());
   }
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -7,7 +7,9 @@
 #include "tanagerstall/request/tanagerstall_named_rate.hpp"
 #include "tanagerstall/request/tanagerstall_prompt_evidence.hpp"
 #include "tanagerstall/version/tanagerstall_declaration_transfer.hpp"
+#include "tanagerstall/version/tanagerstall_rollout.hpp"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,6 +28,59 @@
   std::uint64_t refused_ = 0;
 };
 
+/// The upper bounds of the buckets are 1 ms times powers of 2; the last bucket
+/// has no bound.
+constexpr std::size_t kRolloutBuckets = 16;
+
+/// What one entry counted of one route of a service since a roll-out began, on
+/// one side: at replicas of the new version, or at the others.
+struct RolloutCounts
+{
+  std::string service_;
+  /// The roll-out that the counts belong to.
+  std::uint64_t id_ = 0;
+  bool isNewVersion_ = false;
+  std::string route_;
+  /// Requests that were sent to a replica, and those that have ended.
+  std::uint64_t sent_ = 0;
+  std::uint64_t ended_ = 0;
+  /// Requests that the replica failed: a server error, a broken response, or no
+  /// first part before the deadline.
+  std::uint64_t failed_ = 0;
+  /// Times to the first part of the response.
+  std::array<std::uint64_t, kRolloutBuckets> firstParts_{};
+
+  bool operator==(const RolloutCounts&) const = default;
+};
+
+/// What an entry does with the requests of a service that has a roll-out.
+struct RolloutDirective
+{
+  Rollout rollout_;
+  /// The part of the requests that go to the new version, from 0 to 1, and the
+  /// part of its replicas that get them. Valid in an answer of the leader only,
+  /// and only while the roll-out is running.
+  double requestShare_ = 0.0;
+  double replicaShare_ = 0.0;
+
+  bool operator==(const RolloutDirective&) const = default;
+};
+
+/// Times to the first part of responses beyond what the size of the prompt
+/// explains, summed since the entry started.
+struct DelaySums
+{
+  std::uint64_t count_ = 0;
+  double sumMs_ = 0.0;
+
+  bool operator==(const DelaySums&) const = default;
+};
+
+/// By service and region of the replica.
+using RegionDelaySums = std::map<std::string, std::map<std::string, DelaySums>>;
+/// The mean delay in ms over all entries, by service and region of the replica.
+using RegionDelays = std::map<std::string, std::map<std::string, double>>;
+
 /// An entry's request to a control process.
 struct EntryReport
 {
@@ -66,6 +121,12 @@
   NamedRates namedRates_;
   /// The revision of this control process's rate limits that the entry has.
   std::uint64_t rateRevision_ = 0;
+  /// Sent to the leader only, for services with a running roll-out.
+  std::vector<RolloutCounts> rolloutCounts_;
+  /// The revision of this control process's directives that the entry follows.
+  std::uint64_t rolloutRevision_ = 0;
+  /// Sent to the leader only.
+  RegionDelaySums regionDelays_;
 };
 
 /// The answer of a control process.
@@ -103,6 +164,12 @@
   /// have this revision of them.
   std::optional<NamedRates> namedRates_;
   std::uint64_t rateRevision_ = 0;
+  /// The latest roll-out of each service, if the entry doesn't have this
+  /// revision of them.
+  std::optional<std::vector<RolloutDirective>> rollouts_;
+  std::uint64_t rolloutRevision_ = 0;
+  /// Sent by the leader only.
+  RegionDelays regionDelays_;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -30,6 +30,13 @@
       encoding @3 :DocumentEncoding;
     }
     usage @2 :UsageWindow;
+    startRollout @4 :Rollout;
+    # The id, state and end are left out.
+    endRollout :group {
+      id @5 :UInt64;
+      state @6 :RolloutState;
+      endedAtMs @7 :Int64;
+    }
   }
 }
 
@@ -37,6 +44,9 @@
   number @0 :UInt64;
   document @1 :Data;
   usage @2 :List(UsageWindow);
+  rollouts @3 :List(Rollout);
+  # The latest of each service.
+  lastRolloutId @4 :UInt64;
 }
 
 struct ReplicaFact {
@@ -52,6 +62,7 @@
   coldMs @9 :UInt32;
   expired @10 :Bool;
   # Whether the sender has not heard of it in time.
+  version @11 :Text;
 }
 
 struct CostAsk {
@@ -117,6 +128,49 @@
   # Since the entry learnt it.
 }
 
+enum RolloutState {
+  running @0;
+  completed @1;
+  rolledBack @2;
+}
+
+struct Rollout {
+  id @0 :UInt64;
+  service @1 :Text;
+  version @2 :Text;
+  durationMs @3 :UInt64;
+  orderedAtMs @4 :Int64;
+  # Unix time by the clock of the control process that received the order.
+  state @5 :RolloutState;
+  endedAtMs @6 :Int64;
+}
+
+struct RolloutDirective {
+  rollout @0 :Rollout;
+  requestShare @1 :Float64;
+  replicaShare @2 :Float64;
+}
+
+struct RolloutCounts {
+  service @0 :Text;
+  id @1 :UInt64;
+  newVersion @2 :Bool;
+  route @3 :Text;
+  sent @4 :UInt64;
+  ended @5 :UInt64;
+  failed @6 :UInt64;
+  firstParts @7 :List(UInt64);
+}
+
+struct RegionDelay {
+  # Times to the first part of responses beyond what the prompt's size explains.
+  service @0 :Text;
+  region @1 :Text;
+  count @2 :UInt64;
+  ms @3 :Float64;
+  # The sum of `count` delays in a report, the mean in an answer.
+}
+
 struct SyncRequest {
   entry @0 :Control.EntryInfo;
   controlRun @1 :UInt64;
@@ -146,6 +200,12 @@
   # Sent to the leader.
   rateRevision @17 :UInt64;
   # The revision of the receiver's rate limits that the entry has.
+  rolloutCounts @18 :List(RolloutCounts);
+  # Sent to the leader.
+  rolloutRevision @19 :UInt64;
+  # The revision of the receiver's directives that the entry follows.
+  regionDelays @20 :List(RegionDelay);
+  # Sent to the leader.
 }
 
 struct CostGrant {
@@ -184,6 +244,11 @@
   namedRates @17 :List(NamedRate);
   # Set only if they differ from the revision in the request.
   rateRevision @18 :UInt64;
+  rollouts @19 :List(RolloutDirective);
+  # Set only if they differ from the revision in the request.
+  rolloutRevision @20 :UInt64;
+  regionDelays @21 :List(RegionDelay);
+  # Sent by the leader.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -30,6 +30,7 @@
 CAPNP_DECLARE_ENUM(DocumentEncoding, a25b6f3a1418ae20);
 CAPNP_DECLARE_SCHEMA(90629e0ab67df7cc);
 CAPNP_DECLARE_SCHEMA(aecdefe119a00dd3);
+CAPNP_DECLARE_SCHEMA(b70cd53a263c8568);
 CAPNP_DECLARE_SCHEMA(e46d487850c4f971);
 CAPNP_DECLARE_SCHEMA(99ff16a110e51354);
 CAPNP_DECLARE_SCHEMA(81ee73827d40ac8a);
@@ -39,6 +40,17 @@
 CAPNP_DECLARE_SCHEMA(92f38c1f52b27f30);
 CAPNP_DECLARE_SCHEMA(e8712151c729c516);
 CAPNP_DECLARE_SCHEMA(eeae05d42230df4e);
+CAPNP_DECLARE_SCHEMA(9287765b78ec3837);
+enum class RolloutState_9287765b78ec3837: uint16_t {
+  RUNNING,
+  COMPLETED,
+  ROLLED_BACK,
+};
+CAPNP_DECLARE_ENUM(RolloutState, 9287765b78ec3837);
+CAPNP_DECLARE_SCHEMA(b1178fde8d21965d);
+CAPNP_DECLARE_SCHEMA(8baf6d4e8da11383);
+CAPNP_DECLARE_SCHEMA(c0edefa625f6cd5c);
+CAPNP_DECLARE_SCHEMA(f015d053ac114193);
 CAPNP_DECLARE_SCHEMA(a8bf46aabef2c4ea);
 CAPNP_DECLARE_SCHEMA(ac458a8c09f8367d);
 CAPNP_DECLARE_SCHEMA(c45ee92c61620b2a);
@@ -93,11 +105,14 @@
   enum Which: uint16_t {
     DECLARE,
     USAGE,
+    START_ROLLOUT,
+    END_ROLLOUT,
   };
   struct Declare;
+  struct EndRollout;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(90629e0ab67df7cc, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(90629e0ab67df7cc, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -112,7 +127,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aecdefe119a00dd3, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(aecdefe119a00dd3, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FleetCommand::EndRollout {
+  EndRollout() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b70cd53a263c8568, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -127,7 +157,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e46d487850c4f971, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e46d487850c4f971, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -142,7 +172,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(99ff16a110e51354, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(99ff16a110e51354, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -254,6 +284,68 @@
   };
 };
 
+typedef ::capnp::schemas::RolloutState_9287765b78ec3837 RolloutState;
+
+struct Rollout {
+  Rollout() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b1178fde8d21965d, 5, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RolloutDirective {
+  RolloutDirective() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8baf6d4e8da11383, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RolloutCounts {
+  RolloutCounts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c0edefa625f6cd5c, 5, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RegionDelay {
+  RegionDelay() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f015d053ac114193, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct SyncRequest {
   SyncRequest() = delete;
 
@@ -262,7 +354,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 8, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 9, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -292,7 +384,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 6, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 7, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -547,6 +639,13 @@
   inline bool hasUsage() const;
   inline  ::tanagerstall::wire::UsageWindow::Reader getUsage() const;
 
+  inline bool isStartRollout() const;
+  inline bool hasStartRollout() const;
+  inline  ::tanagerstall::wire::Rollout::Reader getStartRollout() const;
+
+  inline bool isEndRollout() const;
+  inline typename EndRollout::Reader getEndRollout() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -588,6 +687,18 @@
   inline void adoptUsage(::capnp::Orphan< ::tanagerstall::wire::UsageWindow>&& value);
   inline ::capnp::Orphan< ::tanagerstall::wire::UsageWindow> disownUsage();
 
+  inline bool isStartRollout();
+  inline bool hasStartRollout();
+  inline  ::tanagerstall::wire::Rollout::Builder getStartRollout();
+  inline void setStartRollout( ::tanagerstall::wire::Rollout::Reader value);
+  inline  ::tanagerstall::wire::Rollout::Builder initStartRollout();
+  inline void adoptStartRollout(::capnp::Orphan< ::tanagerstall::wire::Rollout>&& value);
+  inline ::capnp::Orphan< ::tanagerstall::wire::Rollout> disownStartRollout();
+
+  inline bool isEndRollout();
+  inline typename EndRollout::Builder getEndRollout();
+  inline typename EndRollout::Builder initEndRollout();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -705,6 +816,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class FleetCommand::EndRollout::Reader {
+public:
+  typedef EndRollout Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::tanagerstall::wire::RolloutState getState() const;
+
+  inline  ::int64_t getEndedAtMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FleetCommand::EndRollout::Builder {
+public:
+  typedef EndRollout Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::tanagerstall::wire::RolloutState getState();
+  inline void setState( ::tanagerstall::wire::RolloutState value);
+
+  inline  ::int64_t getEndedAtMs();
+  inline void setEndedAtMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FleetCommand::EndRollout::Pipeline {
+public:
+  typedef EndRollout Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetSnapshot::Reader {
 public:
   typedef FleetSnapshot Reads;
@@ -730,6 +927,11 @@
   inline bool hasUsage() const;
   inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader getUsage() const;
 
+  inline bool hasRollouts() const;
+  inline  ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>::Reader getRollouts() const;
+
+  inline  ::uint64_t getLastRolloutId() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -775,6 +977,16 @@
   inline void adoptUsage(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>> disownUsage();
 
+  inline bool hasRollouts();
+  inline  ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>::Builder getRollouts();
+  inline void setRollouts( ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>::Builder initRollouts(unsigned int size);
+  inline void adoptRollouts(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>> disownRollouts();
+
+  inline  ::uint64_t getLastRolloutId();
+  inline void setLastRolloutId( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -844,6 +1056,9 @@
 
   inline bool getExpired() const;
 
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -921,6 +1136,13 @@
   inline bool getExpired();
   inline void setExpired(bool value);
 
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1640,9 +1862,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SyncRequest::Reader {
+class Rollout::Reader {
 public:
-  typedef SyncRequest Reads;
+  typedef Rollout Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1657,47 +1879,128 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry() const;
-  inline  ::tanagerstall::wire::EntryInfo::Reader getEntry() const;
+  inline  ::uint64_t getId() const;
 
-  inline  ::uint64_t getControlRun() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint64_t getStamp() const;
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
 
-  inline  ::uint32_t getWaitMs() const;
+  inline  ::uint64_t getDurationMs() const;
 
-  inline bool hasUsage() const;
-  inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader getUsage() const;
+  inline  ::int64_t getOrderedAtMs() const;
 
-  inline bool hasAsks() const;
-  inline  ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Reader getAsks() const;
+  inline  ::tanagerstall::wire::RolloutState getState() const;
 
-  inline bool hasServices() const;
-  inline  ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader getServices() const;
+  inline  ::int64_t getEndedAtMs() const;
 
-  inline  ::uint64_t getHeard() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool getWantsDocument() const;
+class Rollout::Builder {
+public:
+  typedef Rollout Builds;
 
-  inline double getRequestRate() const;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-  inline bool getToLeader() const;
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline bool getReadsCompressed() const;
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
-  inline  ::uint64_t getBase() const;
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasPromptEvidence() const;
-  inline  ::tanagerstall::wire::PromptEvidence::Reader getPromptEvidence() const;
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
 
-  inline  ::uint64_t getPromptRevision() const;
+  inline  ::uint64_t getDurationMs();
+  inline void setDurationMs( ::uint64_t value);
 
-  inline bool getBrief() const;
+  inline  ::int64_t getOrderedAtMs();
+  inline void setOrderedAtMs( ::int64_t value);
 
-  inline bool hasNamedRates() const;
-  inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader getNamedRates() const;
+  inline  ::tanagerstall::wire::RolloutState getState();
+  inline void setState( ::tanagerstall::wire::RolloutState value);
 
-  inline  ::uint64_t getRateRevision() const;
+  inline  ::int64_t getEndedAtMs();
+  inline void setEndedAtMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Rollout::Pipeline {
+public:
+  typedef Rollout Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RolloutDirective::Reader {
+public:
+  typedef RolloutDirective Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRollout() const;
+  inline  ::tanagerstall::wire::Rollout::Reader getRollout() const;
+
+  inline double getRequestShare() const;
+
+  inline double getReplicaShare() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1711,9 +2014,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SyncRequest::Builder {
+class RolloutDirective::Builder {
 public:
-  typedef SyncRequest Builds;
+  typedef RolloutDirective Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1727,83 +2030,146 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry();
-  inline  ::tanagerstall::wire::EntryInfo::Builder getEntry();
-  inline void setEntry( ::tanagerstall::wire::EntryInfo::Reader value);
-  inline  ::tanagerstall::wire::EntryInfo::Builder initEntry();
-  inline void adoptEntry(::capnp::Orphan< ::tanagerstall::wire::EntryInfo>&& value);
-  inline ::capnp::Orphan< ::tanagerstall::wire::EntryInfo> disownEntry();
-
-  inline  ::uint64_t getControlRun();
-  inline void setControlRun( ::uint64_t value);
+  inline bool hasRollout();
+  inline  ::tanagerstall::wire::Rollout::Builder getRollout();
+  inline void setRollout( ::tanagerstall::wire::Rollout::Reader value);
+  inline  ::tanagerstall::wire::Rollout::Builder initRollout();
+  inline void adoptRollout(::capnp::Orphan< ::tanagerstall::wire::Rollout>&& value);
+  inline ::capnp::Orphan< ::tanagerstall::wire::Rollout> disownRollout();
 
-  inline  ::uint64_t getStamp();
-  inline void setStamp( ::uint64_t value);
+  inline double getRequestShare();
+  inline void setRequestShare(double value);
 
-  inline  ::uint32_t getWaitMs();
-  inline void setWaitMs( ::uint32_t value);
+  inline double getReplicaShare();
+  inline void setReplicaShare(double value);
 
-  inline bool hasUsage();
-  inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder getUsage();
-  inline void setUsage( ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder initUsage(unsigned int size);
-  inline void adoptUsage(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>> disownUsage();
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool hasAsks();
-  inline  ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Builder getAsks();
-  inline void setAsks( ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Builder initAsks(unsigned int size);
-  inline void adoptAsks(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>> disownAsks();
+#if !CAPNP_LITE
+class RolloutDirective::Pipeline {
+public:
+  typedef RolloutDirective Pipelines;
 
-  inline bool hasServices();
-  inline  ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder getServices();
-  inline void setServices( ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder initServices(unsigned int size);
-  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>> disownServices();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline  ::uint64_t getHeard();
-  inline void setHeard( ::uint64_t value);
+  inline  ::tanagerstall::wire::Rollout::Pipeline getRollout();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline bool getWantsDocument();
-  inline void setWantsDocument(bool value);
+class RolloutCounts::Reader {
+public:
+  typedef RolloutCounts Reads;
 
-  inline double getRequestRate();
-  inline void setRequestRate(double value);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool getToLeader();
-  inline void setToLeader(bool value);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline bool getReadsCompressed();
-  inline void setReadsCompressed(bool value);
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getBase();
-  inline void setBase( ::uint64_t value);
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasPromptEvidence();
-  inline  ::tanagerstall::wire::PromptEvidence::Builder getPromptEvidence();
-  inline void setPromptEvidence( ::tanagerstall::wire::PromptEvidence::Reader value);
-  inline  ::tanagerstall::wire::PromptEvidence::Builder initPromptEvidence();
-  inline void adoptPromptEvidence(::capnp::Orphan< ::tanagerstall::wire::PromptEvidence>&& value);
-  inline ::capnp::Orphan< ::tanagerstall::wire::PromptEvidence> disownPromptEvidence();
+  inline  ::uint64_t getId() const;
 
-  inline  ::uint64_t getPromptRevision();
-  inline void setPromptRevision( ::uint64_t value);
+  inline bool getNewVersion() const;
 
-  inline bool getBrief();
-  inline void setBrief(bool value);
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
 
-  inline bool hasNamedRates();
-  inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder getNamedRates();
-  inline void setNamedRates( ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder initNamedRates(unsigned int size);
-  inline void adoptNamedRates(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>> disownNamedRates();
+  inline  ::uint64_t getSent() const;
 
-  inline  ::uint64_t getRateRevision();
-  inline void setRateRevision( ::uint64_t value);
+  inline  ::uint64_t getEnded() const;
+
+  inline  ::uint64_t getFailed() const;
+
+  inline bool hasFirstParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getFirstParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RolloutCounts::Builder {
+public:
+  typedef RolloutCounts Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline bool getNewVersion();
+  inline void setNewVersion(bool value);
+
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
+
+  inline  ::uint64_t getSent();
+  inline void setSent( ::uint64_t value);
+
+  inline  ::uint64_t getEnded();
+  inline void setEnded( ::uint64_t value);
+
+  inline  ::uint64_t getFailed();
+  inline void setFailed( ::uint64_t value);
+
+  inline bool hasFirstParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getFirstParts();
+  inline void setFirstParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setFirstParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initFirstParts(unsigned int size);
+  inline void adoptFirstParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownFirstParts();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1815,16 +2181,14 @@
 };
 
 #if !CAPNP_LITE
-class SyncRequest::Pipeline {
+class RolloutCounts::Pipeline {
 public:
-  typedef SyncRequest Pipelines;
+  typedef RolloutCounts Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::tanagerstall::wire::EntryInfo::Pipeline getEntry();
-  inline  ::tanagerstall::wire::PromptEvidence::Pipeline getPromptEvidence();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1833,9 +2197,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class CostGrant::Reader {
+class RegionDelay::Reader {
 public:
-  typedef CostGrant Reads;
+  typedef RegionDelay Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1850,10 +2214,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOrganisation() const;
-  inline  ::capnp::Text::Reader getOrganisation() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline double getCost() const;
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
+  inline  ::uint64_t getCount() const;
+
+  inline double getMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1867,9 +2236,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class CostGrant::Builder {
+class RegionDelay::Builder {
 public:
-  typedef CostGrant Builds;
+  typedef RegionDelay Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1883,15 +2252,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOrganisation();
-  inline  ::capnp::Text::Builder getOrganisation();
-  inline void setOrganisation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
-  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline double getCost();
-  inline void setCost(double value);
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline  ::uint64_t getCount();
+  inline void setCount( ::uint64_t value);
+
+  inline double getMs();
+  inline void setMs(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1903,9 +2282,9 @@
 };
 
 #if !CAPNP_LITE
-class CostGrant::Pipeline {
+class RegionDelay::Pipeline {
 public:
-  typedef CostGrant Pipelines;
+  typedef RegionDelay Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1919,9 +2298,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SyncReply::Reader {
+class SyncRequest::Reader {
 public:
-  typedef SyncReply Reads;
+  typedef SyncRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1936,52 +2315,56 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasEntry() const;
+  inline  ::tanagerstall::wire::EntryInfo::Reader getEntry() const;
+
   inline  ::uint64_t getControlRun() const;
 
   inline  ::uint64_t getStamp() const;
 
-  inline bool hasReplicas() const;
-  inline  ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Reader getReplicas() const;
-
-  inline  ::uint64_t getPlanNumber() const;
+  inline  ::uint32_t getWaitMs() const;
 
-  inline bool hasDocument() const;
-  inline  ::capnp::Data::Reader getDocument() const;
+  inline bool hasUsage() const;
+  inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader getUsage() const;
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+  inline bool hasAsks() const;
+  inline  ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Reader getAsks() const;
 
-  inline  ::uint32_t getEntries() const;
+  inline bool hasServices() const;
+  inline  ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader getServices() const;
 
-  inline bool hasGrants() const;
-  inline  ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+  inline  ::uint64_t getHeard() const;
 
-  inline bool getLeads() const;
+  inline bool getWantsDocument() const;
 
-  inline bool hasRegion() const;
-  inline  ::capnp::Text::Reader getRegion() const;
+  inline double getRequestRate() const;
 
-  inline bool getStandby() const;
+  inline bool getToLeader() const;
 
-  inline  ::tanagerstall::wire::DocumentEncoding getEncoding() const;
+  inline bool getReadsCompressed() const;
 
   inline  ::uint64_t getBase() const;
 
-  inline bool getReadsCompressed() const;
-
-  inline bool hasPromptVerdicts() const;
-  inline  ::tanagerstall::wire::PromptVerdicts::Reader getPromptVerdicts() const;
+  inline bool hasPromptEvidence() const;
+  inline  ::tanagerstall::wire::PromptEvidence::Reader getPromptEvidence() const;
 
-  inline bool getAllowsAdvance() const;
+  inline  ::uint64_t getPromptRevision() const;
 
-  inline bool hasNearlyExhausted() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNearlyExhausted() const;
+  inline bool getBrief() const;
 
   inline bool hasNamedRates() const;
   inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader getNamedRates() const;
 
   inline  ::uint64_t getRateRevision() const;
 
+  inline bool hasRolloutCounts() const;
+  inline  ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader getRolloutCounts() const;
+
+  inline  ::uint64_t getRolloutRevision() const;
+
+  inline bool hasRegionDelays() const;
+  inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader getRegionDelays() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1994,9 +2377,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SyncReply::Builder {
+class SyncRequest::Builder {
 public:
-  typedef SyncReply Builds;
+  typedef SyncRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2010,86 +2393,73 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasEntry();
+  inline  ::tanagerstall::wire::EntryInfo::Builder getEntry();
+  inline void setEntry( ::tanagerstall::wire::EntryInfo::Reader value);
+  inline  ::tanagerstall::wire::EntryInfo::Builder initEntry();
+  inline void adoptEntry(::capnp::Orphan< ::tanagerstall::wire::EntryInfo>&& value);
+  inline ::capnp::Orphan< ::tanagerstall::wire::EntryInfo> disownEntry();
+
   inline  ::uint64_t getControlRun();
   inline void setControlRun( ::uint64_t value);
 
   inline  ::uint64_t getStamp();
   inline void setStamp( ::uint64_t value);
 
-  inline bool hasReplicas();
-  inline  ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Builder getReplicas();
-  inline void setReplicas( ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Builder initReplicas(unsigned int size);
-  inline void adoptReplicas(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>> disownReplicas();
+  inline  ::uint32_t getWaitMs();
+  inline void setWaitMs( ::uint32_t value);
 
-  inline  ::uint64_t getPlanNumber();
-  inline void setPlanNumber( ::uint64_t value);
+  inline bool hasUsage();
+  inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder getUsage();
+  inline void setUsage( ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder initUsage(unsigned int size);
+  inline void adoptUsage(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>> disownUsage();
 
-  inline bool hasDocument();
-  inline  ::capnp::Data::Builder getDocument();
-  inline void setDocument( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initDocument(unsigned int size);
-  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
+  inline bool hasAsks();
+  inline  ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Builder getAsks();
+  inline void setAsks( ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>::Builder initAsks(unsigned int size);
+  inline void adoptAsks(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostAsk,  ::capnp::Kind::STRUCT>> disownAsks();
 
-  inline bool hasMembers();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
-
-  inline  ::uint32_t getEntries();
-  inline void setEntries( ::uint32_t value);
+  inline bool hasServices();
+  inline  ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder getServices();
+  inline void setServices( ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder initServices(unsigned int size);
+  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ServiceLoad,  ::capnp::Kind::STRUCT>> disownServices();
 
-  inline bool hasGrants();
-  inline  ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
-  inline void setGrants( ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
-  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>> disownGrants();
+  inline  ::uint64_t getHeard();
+  inline void setHeard( ::uint64_t value);
 
-  inline bool getLeads();
-  inline void setLeads(bool value);
+  inline bool getWantsDocument();
+  inline void setWantsDocument(bool value);
 
-  inline bool hasRegion();
-  inline  ::capnp::Text::Builder getRegion();
-  inline void setRegion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+  inline double getRequestRate();
+  inline void setRequestRate(double value);
 
-  inline bool getStandby();
-  inline void setStandby(bool value);
+  inline bool getToLeader();
+  inline void setToLeader(bool value);
 
-  inline  ::tanagerstall::wire::DocumentEncoding getEncoding();
-  inline void setEncoding( ::tanagerstall::wire::DocumentEncoding value);
+  inline bool getReadsCompressed();
+  inline void setReadsCompressed(bool value);
 
   inline  ::uint64_t getBase();
   inline void setBase( ::uint64_t value);
 
-  inline bool getReadsCompressed();
-  inline void setReadsCompressed(bool value);
-
-  inline bool hasPromptVerdicts();
-  inline  ::tanagerstall::wire::PromptVerdicts::Builder getPromptVerdicts();
-  inline void setPromptVerdicts( ::tanagerstall::wire::PromptVerdicts::Reader value);
-  inline  ::tanagerstall::wire::PromptVerdicts::Builder initPromptVerdicts();
-  inline void adoptPromptVerdicts(::capnp::Orphan< ::tanagerstall::wire::PromptVerdicts>&& value);
-  inline ::capnp::Orphan< ::tanagerstall::wire::PromptVerdicts> disownPromptVerdicts();
+  inline bool hasPromptEvidence();
+  inline  ::tanagerstall::wire::PromptEvidence::Builder getPromptEvidence();
+  inline void setPromptEvidence( ::tanagerstall::wire::PromptEvidence::Reader value);
+  inline  ::tanagerstall::wire::PromptEvidence::Builder initPromptEvidence();
+  inline void adoptPromptEvidence(::capnp::Orphan< ::tanagerstall::wire::PromptEvidence>&& value);
+  inline ::capnp::Orphan< ::tanagerstall::wire::PromptEvidence> disownPromptEvidence();
 
-  inline bool getAllowsAdvance();
-  inline void setAllowsAdvance(bool value);
+  inline  ::uint64_t getPromptRevision();
+  inline void setPromptRevision( ::uint64_t value);
 
-  inline bool hasNearlyExhausted();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNearlyExhausted();
-  inline void setNearlyExhausted( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setNearlyExhausted(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNearlyExhausted(unsigned int size);
-  inline void adoptNearlyExhausted(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNearlyExhausted();
+  inline bool getBrief();
+  inline void setBrief(bool value);
 
   inline bool hasNamedRates();
   inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder getNamedRates();
@@ -2101,6 +2471,23 @@
   inline  ::uint64_t getRateRevision();
   inline void setRateRevision( ::uint64_t value);
 
+  inline bool hasRolloutCounts();
+  inline  ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder getRolloutCounts();
+  inline void setRolloutCounts( ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder initRolloutCounts(unsigned int size);
+  inline void adoptRolloutCounts(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>> disownRolloutCounts();
+
+  inline  ::uint64_t getRolloutRevision();
+  inline void setRolloutRevision( ::uint64_t value);
+
+  inline bool hasRegionDelays();
+  inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder getRegionDelays();
+  inline void setRegionDelays( ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder initRegionDelays(unsigned int size);
+  inline void adoptRegionDelays(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> disownRegionDelays();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2111,15 +2498,16 @@
 };
 
 #if !CAPNP_LITE
-class SyncReply::Pipeline {
+class SyncRequest::Pipeline {
 public:
-  typedef SyncReply Pipelines;
+  typedef SyncRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::tanagerstall::wire::PromptVerdicts::Pipeline getPromptVerdicts();
+  inline  ::tanagerstall::wire::EntryInfo::Pipeline getEntry();
+  inline  ::tanagerstall::wire::PromptEvidence::Pipeline getPromptEvidence();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2128,62 +2516,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class FleetPort::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef FleetPort Calls;
-  typedef FleetPort Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::tanagerstall::wire::FleetPort::SyncParams,  ::tanagerstall::wire::FleetPort::SyncResults> syncRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class FleetPort::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef FleetPort Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::tanagerstall::wire::FleetPort::SyncParams SyncParams;
-  typedef  ::tanagerstall::wire::FleetPort::SyncResults SyncResults;
-  typedef ::capnp::CallContext<SyncParams, SyncResults> SyncContext;
-  virtual ::kj::Promise<void> sync(SyncContext context);
-
-  inline  ::tanagerstall::wire::FleetPort::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::tanagerstall::wire::FleetPort>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class FleetPort::SyncParams::Reader {
+class CostGrant::Reader {
 public:
-  typedef SyncParams Reads;
+  typedef CostGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2198,8 +2533,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::tanagerstall::wire::SyncRequest::Reader getRequest() const;
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
+  inline double getCost() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2213,9 +2550,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class FleetPort::SyncParams::Builder {
+class CostGrant::Builder {
 public:
-  typedef SyncParams Builds;
+  typedef CostGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2229,12 +2566,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::tanagerstall::wire::SyncRequest::Builder getRequest();
-  inline void setRequest( ::tanagerstall::wire::SyncRequest::Reader value);
-  inline  ::tanagerstall::wire::SyncRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::tanagerstall::wire::SyncRequest>&& value);
-  inline ::capnp::Orphan< ::tanagerstall::wire::SyncRequest> disownRequest();
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
+  inline double getCost();
+  inline void setCost(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2246,15 +2586,14 @@
 };
 
 #if !CAPNP_LITE
-class FleetPort::SyncParams::Pipeline {
+class CostGrant::Pipeline {
 public:
-  typedef SyncParams Pipelines;
+  typedef CostGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::tanagerstall::wire::SyncRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2263,9 +2602,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class FleetPort::SyncResults::Reader {
+class SyncReply::Reader {
 public:
-  typedef SyncResults Reads;
+  typedef SyncReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2280,8 +2619,59 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::tanagerstall::wire::SyncReply::Reader getReply() const;
+  inline  ::uint64_t getControlRun() const;
+
+  inline  ::uint64_t getStamp() const;
+
+  inline bool hasReplicas() const;
+  inline  ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Reader getReplicas() const;
+
+  inline  ::uint64_t getPlanNumber() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Data::Reader getDocument() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+
+  inline  ::uint32_t getEntries() const;
+
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+
+  inline bool getLeads() const;
+
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
+  inline bool getStandby() const;
+
+  inline  ::tanagerstall::wire::DocumentEncoding getEncoding() const;
+
+  inline  ::uint64_t getBase() const;
+
+  inline bool getReadsCompressed() const;
+
+  inline bool hasPromptVerdicts() const;
+  inline  ::tanagerstall::wire::PromptVerdicts::Reader getPromptVerdicts() const;
+
+  inline bool getAllowsAdvance() const;
+
+  inline bool hasNearlyExhausted() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNearlyExhausted() const;
+
+  inline bool hasNamedRates() const;
+  inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader getNamedRates() const;
+
+  inline  ::uint64_t getRateRevision() const;
+
+  inline bool hasRollouts() const;
+  inline  ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>::Reader getRollouts() const;
+
+  inline  ::uint64_t getRolloutRevision() const;
+
+  inline bool hasRegionDelays() const;
+  inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader getRegionDelays() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2295,9 +2685,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class FleetPort::SyncResults::Builder {
+class SyncReply::Builder {
 public:
-  typedef SyncResults Builds;
+  typedef SyncReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2311,32 +2701,133 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::tanagerstall::wire::SyncReply::Builder getReply();
-  inline void setReply( ::tanagerstall::wire::SyncReply::Reader value);
-  inline  ::tanagerstall::wire::SyncReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::tanagerstall::wire::SyncReply>&& value);
-  inline ::capnp::Orphan< ::tanagerstall::wire::SyncReply> disownReply();
+  inline  ::uint64_t getControlRun();
+  inline void setControlRun( ::uint64_t value);
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  inline  ::uint64_t getStamp();
+  inline void setStamp( ::uint64_t value);
 
-#if !CAPNP_LITE
-class FleetPort::SyncResults::Pipeline {
-public:
-  typedef SyncResults Pipelines;
+  inline bool hasReplicas();
+  inline  ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Builder getReplicas();
+  inline void setReplicas( ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Builder initReplicas(unsigned int size);
+  inline void adoptReplicas(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>> disownReplicas();
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline  ::uint64_t getPlanNumber();
+  inline void setPlanNumber( ::uint64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Data::Builder getDocument();
+  inline void setDocument( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+
+  inline  ::uint32_t getEntries();
+  inline void setEntries( ::uint32_t value);
+
+  inline bool hasGrants();
+  inline  ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::CostGrant,  ::capnp::Kind::STRUCT>> disownGrants();
+
+  inline bool getLeads();
+  inline void setLeads(bool value);
+
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline bool getStandby();
+  inline void setStandby(bool value);
+
+  inline  ::tanagerstall::wire::DocumentEncoding getEncoding();
+  inline void setEncoding( ::tanagerstall::wire::DocumentEncoding value);
+
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
+  inline bool getReadsCompressed();
+  inline void setReadsCompressed(bool value);
+
+  inline bool hasPromptVerdicts();
+  inline  ::tanagerstall::wire::PromptVerdicts::Builder getPromptVerdicts();
+  inline void setPromptVerdicts( ::tanagerstall::wire::PromptVerdicts::Reader value);
+  inline  ::tanagerstall::wire::PromptVerdicts::Builder initPromptVerdicts();
+  inline void adoptPromptVerdicts(::capnp::Orphan< ::tanagerstall::wire::PromptVerdicts>&& value);
+  inline ::capnp::Orphan< ::tanagerstall::wire::PromptVerdicts> disownPromptVerdicts();
+
+  inline bool getAllowsAdvance();
+  inline void setAllowsAdvance(bool value);
+
+  inline bool hasNearlyExhausted();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNearlyExhausted();
+  inline void setNearlyExhausted( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setNearlyExhausted(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNearlyExhausted(unsigned int size);
+  inline void adoptNearlyExhausted(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNearlyExhausted();
+
+  inline bool hasNamedRates();
+  inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder getNamedRates();
+  inline void setNamedRates( ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>::Builder initNamedRates(unsigned int size);
+  inline void adoptNamedRates(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedRate,  ::capnp::Kind::STRUCT>> disownNamedRates();
+
+  inline  ::uint64_t getRateRevision();
+  inline void setRateRevision( ::uint64_t value);
+
+  inline bool hasRollouts();
+  inline  ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>::Builder getRollouts();
+  inline void setRollouts( ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>::Builder initRollouts(unsigned int size);
+  inline void adoptRollouts(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>> disownRollouts();
+
+  inline  ::uint64_t getRolloutRevision();
+  inline void setRolloutRevision( ::uint64_t value);
+
+  inline bool hasRegionDelays();
+  inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder getRegionDelays();
+  inline void setRegionDelays( ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder initRegionDelays(unsigned int size);
+  inline void adoptRegionDelays(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> disownRegionDelays();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SyncReply::Pipeline {
+public:
+  typedef SyncReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::tanagerstall::wire::SyncReply::Pipeline getReply();
+  inline  ::tanagerstall::wire::PromptVerdicts::Pipeline getPromptVerdicts();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2345,1165 +2836,2061 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+#if !CAPNP_LITE
+class FleetPort::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef FleetPort Calls;
+  typedef FleetPort Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::tanagerstall::wire::FleetPort::SyncParams,  ::tanagerstall::wire::FleetPort::SyncResults> syncRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class FleetPort::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef FleetPort Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::tanagerstall::wire::FleetPort::SyncParams SyncParams;
+  typedef  ::tanagerstall::wire::FleetPort::SyncResults SyncResults;
+  typedef ::capnp::CallContext<SyncParams, SyncResults> SyncContext;
+  virtual ::kj::Promise<void> sync(SyncContext context);
+
+  inline  ::tanagerstall::wire::FleetPort::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::tanagerstall::wire::FleetPort>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class FleetPort::SyncParams::Reader {
+public:
+  typedef SyncParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::tanagerstall::wire::SyncRequest::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FleetPort::SyncParams::Builder {
+public:
+  typedef SyncParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::tanagerstall::wire::SyncRequest::Builder getRequest();
+  inline void setRequest( ::tanagerstall::wire::SyncRequest::Reader value);
+  inline  ::tanagerstall::wire::SyncRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::tanagerstall::wire::SyncRequest>&& value);
+  inline ::capnp::Orphan< ::tanagerstall::wire::SyncRequest> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FleetPort::SyncParams::Pipeline {
+public:
+  typedef SyncParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::tanagerstall::wire::SyncRequest::Pipeline getRequest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FleetPort::SyncResults::Reader {
+public:
+  typedef SyncResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::tanagerstall::wire::SyncReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FleetPort::SyncResults::Builder {
+public:
+  typedef SyncResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::tanagerstall::wire::SyncReply::Builder getReply();
+  inline void setReply( ::tanagerstall::wire::SyncReply::Reader value);
+  inline  ::tanagerstall::wire::SyncReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::tanagerstall::wire::SyncReply>&& value);
+  inline ::capnp::Orphan< ::tanagerstall::wire::SyncReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FleetPort::SyncResults::Pipeline {
+public:
+  typedef SyncResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::tanagerstall::wire::SyncReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool NamedCount::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NamedCount::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NamedCount::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NamedCount::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NamedCount::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NamedCount::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NamedCount::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NamedCount::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NamedCount::Reader::getCount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NamedCount::Builder::getCount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NamedCount::Builder::setCount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UsageWindow::Reader::getWindow() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UsageWindow::Builder::getWindow() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageWindow::Builder::setWindow( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageWindow::Reader::hasCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageWindow::Builder::hasCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader UsageWindow::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder UsageWindow::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageWindow::Builder::setCounts( ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder UsageWindow::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageWindow::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>> UsageWindow::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::tanagerstall::wire::FleetCommand::Which FleetCommand::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline  ::tanagerstall::wire::FleetCommand::Which FleetCommand::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetCommand::Reader::isDeclare() const {
+  return which() == FleetCommand::DECLARE;
+}
+inline bool FleetCommand::Builder::isDeclare() {
+  return which() == FleetCommand::DECLARE;
+}
+inline typename FleetCommand::Declare::Reader FleetCommand::Reader::getDeclare() const {
+  KJ_IREQUIRE((which() == FleetCommand::DECLARE),
+              "Must check which() before get()ing a union member.");
+  return typename FleetCommand::Declare::Reader(_reader);
+}
+inline typename FleetCommand::Declare::Builder FleetCommand::Builder::getDeclare() {
+  KJ_IREQUIRE((which() == FleetCommand::DECLARE),
+              "Must check which() before get()ing a union member.");
+  return typename FleetCommand::Declare::Builder(_builder);
+}
+inline typename FleetCommand::Declare::Builder FleetCommand::Builder::initDeclare() {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::DECLARE);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename FleetCommand::Declare::Builder(_builder);
+}
+inline bool FleetCommand::Reader::isUsage() const {
+  return which() == FleetCommand::USAGE;
+}
+inline bool FleetCommand::Builder::isUsage() {
+  return which() == FleetCommand::USAGE;
+}
+inline bool FleetCommand::Reader::hasUsage() const {
+  if (which() != FleetCommand::USAGE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetCommand::Builder::hasUsage() {
+  if (which() != FleetCommand::USAGE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tanagerstall::wire::UsageWindow::Reader FleetCommand::Reader::getUsage() const {
+  KJ_IREQUIRE((which() == FleetCommand::USAGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::UsageWindow>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tanagerstall::wire::UsageWindow::Builder FleetCommand::Builder::getUsage() {
+  KJ_IREQUIRE((which() == FleetCommand::USAGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::UsageWindow>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetCommand::Builder::setUsage( ::tanagerstall::wire::UsageWindow::Reader value) {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::USAGE);
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::UsageWindow>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tanagerstall::wire::UsageWindow::Builder FleetCommand::Builder::initUsage() {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::USAGE);
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::UsageWindow>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetCommand::Builder::adoptUsage(
+    ::capnp::Orphan< ::tanagerstall::wire::UsageWindow>&& value) {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::USAGE);
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::UsageWindow>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tanagerstall::wire::UsageWindow> FleetCommand::Builder::disownUsage() {
+  KJ_IREQUIRE((which() == FleetCommand::USAGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::UsageWindow>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FleetCommand::Reader::isStartRollout() const {
+  return which() == FleetCommand::START_ROLLOUT;
+}
+inline bool FleetCommand::Builder::isStartRollout() {
+  return which() == FleetCommand::START_ROLLOUT;
+}
+inline bool FleetCommand::Reader::hasStartRollout() const {
+  if (which() != FleetCommand::START_ROLLOUT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetCommand::Builder::hasStartRollout() {
+  if (which() != FleetCommand::START_ROLLOUT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tanagerstall::wire::Rollout::Reader FleetCommand::Reader::getStartRollout() const {
+  KJ_IREQUIRE((which() == FleetCommand::START_ROLLOUT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::Rollout>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tanagerstall::wire::Rollout::Builder FleetCommand::Builder::getStartRollout() {
+  KJ_IREQUIRE((which() == FleetCommand::START_ROLLOUT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::Rollout>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetCommand::Builder::setStartRollout( ::tanagerstall::wire::Rollout::Reader value) {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::START_ROLLOUT);
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::Rollout>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tanagerstall::wire::Rollout::Builder FleetCommand::Builder::initStartRollout() {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::START_ROLLOUT);
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::Rollout>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetCommand::Builder::adoptStartRollout(
+    ::capnp::Orphan< ::tanagerstall::wire::Rollout>&& value) {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::START_ROLLOUT);
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::Rollout>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tanagerstall::wire::Rollout> FleetCommand::Builder::disownStartRollout() {
+  KJ_IREQUIRE((which() == FleetCommand::START_ROLLOUT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::Rollout>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FleetCommand::Reader::isEndRollout() const {
+  return which() == FleetCommand::END_ROLLOUT;
+}
+inline bool FleetCommand::Builder::isEndRollout() {
+  return which() == FleetCommand::END_ROLLOUT;
+}
+inline typename FleetCommand::EndRollout::Reader FleetCommand::Reader::getEndRollout() const {
+  KJ_IREQUIRE((which() == FleetCommand::END_ROLLOUT),
+              "Must check which() before get()ing a union member.");
+  return typename FleetCommand::EndRollout::Reader(_reader);
+}
+inline typename FleetCommand::EndRollout::Builder FleetCommand::Builder::getEndRollout() {
+  KJ_IREQUIRE((which() == FleetCommand::END_ROLLOUT),
+              "Must check which() before get()ing a union member.");
+  return typename FleetCommand::EndRollout::Builder(_builder);
+}
+inline typename FleetCommand::EndRollout::Builder FleetCommand::Builder::initEndRollout() {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::END_ROLLOUT);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  return typename FleetCommand::EndRollout::Builder(_builder);
+}
+inline  ::uint64_t FleetCommand::Declare::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetCommand::Declare::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FleetCommand::Declare::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetCommand::Declare::Reader::hasDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetCommand::Declare::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader FleetCommand::Declare::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder FleetCommand::Declare::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetCommand::Declare::Builder::setDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder FleetCommand::Declare::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FleetCommand::Declare::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> FleetCommand::Declare::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::tanagerstall::wire::DocumentEncoding FleetCommand::Declare::Reader::getEncoding() const {
+  return _reader.getDataField< ::tanagerstall::wire::DocumentEncoding>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::tanagerstall::wire::DocumentEncoding FleetCommand::Declare::Builder::getEncoding() {
+  return _builder.getDataField< ::tanagerstall::wire::DocumentEncoding>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FleetCommand::Declare::Builder::setEncoding( ::tanagerstall::wire::DocumentEncoding value) {
+  _builder.setDataField< ::tanagerstall::wire::DocumentEncoding>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FleetCommand::EndRollout::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetCommand::EndRollout::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FleetCommand::EndRollout::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::tanagerstall::wire::RolloutState FleetCommand::EndRollout::Reader::getState() const {
+  return _reader.getDataField< ::tanagerstall::wire::RolloutState>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::tanagerstall::wire::RolloutState FleetCommand::EndRollout::Builder::getState() {
+  return _builder.getDataField< ::tanagerstall::wire::RolloutState>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FleetCommand::EndRollout::Builder::setState( ::tanagerstall::wire::RolloutState value) {
+  _builder.setDataField< ::tanagerstall::wire::RolloutState>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t FleetCommand::EndRollout::Reader::getEndedAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FleetCommand::EndRollout::Builder::getEndedAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FleetCommand::EndRollout::Builder::setEndedAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FleetSnapshot::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetSnapshot::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FleetSnapshot::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetSnapshot::Reader::hasDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetSnapshot::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader FleetSnapshot::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder FleetSnapshot::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetSnapshot::Builder::setDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder FleetSnapshot::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FleetSnapshot::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> FleetSnapshot::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FleetSnapshot::Reader::hasUsage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetSnapshot::Builder::hasUsage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader FleetSnapshot::Reader::getUsage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::getUsage() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FleetSnapshot::Builder::setUsage( ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::initUsage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FleetSnapshot::Builder::adoptUsage(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>> FleetSnapshot::Builder::disownUsage() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool FleetSnapshot::Reader::hasRollouts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetSnapshot::Builder::hasRollouts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>::Reader FleetSnapshot::Reader::getRollouts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::getRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void FleetSnapshot::Builder::setRollouts( ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::initRollouts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void FleetSnapshot::Builder::adoptRollouts(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>> FleetSnapshot::Builder::disownRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::Rollout,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t FleetSnapshot::Reader::getLastRolloutId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetSnapshot::Builder::getLastRolloutId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FleetSnapshot::Builder::setLastRolloutId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ReplicaFact::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplicaFact::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ReplicaFact::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ReplicaFact::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ReplicaFact::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReplicaFact::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaFact::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReplicaFact::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ReplicaFact::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplicaFact::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ReplicaFact::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ReplicaFact::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ReplicaFact::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReplicaFact::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaFact::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReplicaFact::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ReplicaFact::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplicaFact::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ReplicaFact::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ReplicaFact::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ReplicaFact::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReplicaFact::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaFact::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReplicaFact::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ReplicaFact::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplicaFact::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ReplicaFact::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ReplicaFact::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ReplicaFact::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReplicaFact::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaFact::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReplicaFact::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ReplicaFact::Reader::getBornMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReplicaFact::Builder::getBornMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ReplicaFact::Builder::setBornMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ReplicaFact::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReplicaFact::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ReplicaFact::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ReplicaFact::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ReplicaFact::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ReplicaFact::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ReplicaFact::Reader::getStanding() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ReplicaFact::Builder::getStanding() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+inline void ReplicaFact::Builder::setStanding( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ReplicaFact::Reader::getReclaimable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<168>() * ::capnp::ELEMENTS);
+}
+
+inline bool ReplicaFact::Builder::getReclaimable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<168>() * ::capnp::ELEMENTS);
+}
+inline void ReplicaFact::Builder::setReclaimable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<168>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ReplicaFact::Reader::getColdMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ReplicaFact::Builder::getColdMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void ReplicaFact::Builder::setColdMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ReplicaFact::Reader::getExpired() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<169>() * ::capnp::ELEMENTS);
+}
+
+inline bool ReplicaFact::Builder::getExpired() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<169>() * ::capnp::ELEMENTS);
+}
+inline void ReplicaFact::Builder::setExpired(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<169>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ReplicaFact::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplicaFact::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ReplicaFact::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ReplicaFact::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ReplicaFact::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReplicaFact::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaFact::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReplicaFact::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
 
-inline bool NamedCount::Reader::hasName() const {
+inline bool CostAsk::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NamedCount::Builder::hasName() {
+inline bool CostAsk::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NamedCount::Reader::getName() const {
+inline  ::capnp::Text::Reader CostAsk::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NamedCount::Builder::getName() {
+inline  ::capnp::Text::Builder CostAsk::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NamedCount::Builder::setName( ::capnp::Text::Reader value) {
+inline void CostAsk::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NamedCount::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder CostAsk::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NamedCount::Builder::adoptName(
+inline void CostAsk::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NamedCount::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> CostAsk::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t NamedCount::Reader::getCount() const {
-  return _reader.getDataField< ::uint64_t>(
+inline double CostAsk::Reader::getHeld() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t NamedCount::Builder::getCount() {
-  return _builder.getDataField< ::uint64_t>(
+inline double CostAsk::Builder::getHeld() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NamedCount::Builder::setCount( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void CostAsk::Builder::setHeld(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t UsageWindow::Reader::getWindow() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline double CostAsk::Reader::getNeed() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t UsageWindow::Builder::getWindow() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline double CostAsk::Builder::getNeed() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void UsageWindow::Builder::setWindow( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CostAsk::Builder::setNeed(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool UsageWindow::Reader::hasCounts() const {
+inline double CostAsk::Reader::getDue() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double CostAsk::Builder::getDue() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CostAsk::Builder::setDue(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline double CostAsk::Reader::getTaken() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double CostAsk::Builder::getTaken() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CostAsk::Builder::setTaken(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline double CostAsk::Reader::getReturned() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline double CostAsk::Builder::getReturned() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CostAsk::Builder::setReturned(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServiceLoad::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool UsageWindow::Builder::hasCounts() {
+inline bool ServiceLoad::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader UsageWindow::Reader::getCounts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader ServiceLoad::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder UsageWindow::Builder::getCounts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder ServiceLoad::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void UsageWindow::Builder::setCounts( ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void ServiceLoad::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder UsageWindow::Builder::initCounts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder ServiceLoad::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void UsageWindow::Builder::adoptCounts(
-    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void ServiceLoad::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>> UsageWindow::Builder::disownCounts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> ServiceLoad::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::tanagerstall::wire::FleetCommand::Which FleetCommand::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ServiceLoad::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::tanagerstall::wire::FleetCommand::Which FleetCommand::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+
+inline  ::uint32_t ServiceLoad::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FleetCommand::Reader::isDeclare() const {
-  return which() == FleetCommand::DECLARE;
+inline  ::uint32_t ServiceLoad::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline bool FleetCommand::Builder::isDeclare() {
-  return which() == FleetCommand::DECLARE;
+
+inline  ::uint32_t ServiceLoad::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline typename FleetCommand::Declare::Reader FleetCommand::Reader::getDeclare() const {
-  KJ_IREQUIRE((which() == FleetCommand::DECLARE),
-              "Must check which() before get()ing a union member.");
-  return typename FleetCommand::Declare::Reader(_reader);
+inline void ServiceLoad::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline typename FleetCommand::Declare::Builder FleetCommand::Builder::getDeclare() {
-  KJ_IREQUIRE((which() == FleetCommand::DECLARE),
-              "Must check which() before get()ing a union member.");
-  return typename FleetCommand::Declare::Builder(_builder);
+
+inline  ::uint64_t ServiceLoad::Reader::getArrivals() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline typename FleetCommand::Declare::Builder FleetCommand::Builder::initDeclare() {
-  _builder.setDataField<FleetCommand::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::DECLARE);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField< ::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  return typename FleetCommand::Declare::Builder(_builder);
+
+inline  ::uint64_t ServiceLoad::Builder::getArrivals() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline bool FleetCommand::Reader::isUsage() const {
-  return which() == FleetCommand::USAGE;
+inline void ServiceLoad::Builder::setArrivals( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline bool FleetCommand::Builder::isUsage() {
-  return which() == FleetCommand::USAGE;
+
+inline  ::uint64_t ServiceLoad::Reader::getRefused() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool FleetCommand::Reader::hasUsage() const {
-  if (which() != FleetCommand::USAGE) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t ServiceLoad::Builder::getRefused() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool FleetCommand::Builder::hasUsage() {
-  if (which() != FleetCommand::USAGE) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline void ServiceLoad::Builder::setRefused( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline  ::tanagerstall::wire::UsageWindow::Reader FleetCommand::Reader::getUsage() const {
-  KJ_IREQUIRE((which() == FleetCommand::USAGE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::UsageWindow>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t PromptCrash::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::tanagerstall::wire::UsageWindow::Builder FleetCommand::Builder::getUsage() {
-  KJ_IREQUIRE((which() == FleetCommand::USAGE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::UsageWindow>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t PromptCrash::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FleetCommand::Builder::setUsage( ::tanagerstall::wire::UsageWindow::Reader value) {
-  _builder.setDataField<FleetCommand::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::USAGE);
-  ::capnp::_::PointerHelpers< ::tanagerstall::wire::UsageWindow>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PromptCrash::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::tanagerstall::wire::UsageWindow::Builder FleetCommand::Builder::initUsage() {
-  _builder.setDataField<FleetCommand::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::USAGE);
-  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::UsageWindow>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t PromptCrash::Reader::getLoss() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void FleetCommand::Builder::adoptUsage(
-    ::capnp::Orphan< ::tanagerstall::wire::UsageWindow>&& value) {
-  _builder.setDataField<FleetCommand::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::USAGE);
-  ::capnp::_::PointerHelpers< ::tanagerstall::wire::UsageWindow>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t PromptCrash::Builder::getLoss() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::tanagerstall::wire::UsageWindow> FleetCommand::Builder::disownUsage() {
-  KJ_IREQUIRE((which() == FleetCommand::USAGE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::UsageWindow>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void PromptCrash::Builder::setLoss( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t FleetCommand::Declare::Reader::getNumber() const {
+inline  ::uint64_t PromptCrash::Reader::getReplica() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t FleetCommand::Declare::Builder::getNumber() {
+inline  ::uint64_t PromptCrash::Builder::getReplica() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void FleetCommand::Declare::Builder::setNumber( ::uint64_t value) {
+inline void PromptCrash::Builder::setReplica( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FleetCommand::Declare::Reader::hasDocument() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool FleetCommand::Declare::Builder::hasDocument() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader FleetCommand::Declare::Reader::getDocument() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder FleetCommand::Declare::Builder::getDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FleetCommand::Declare::Builder::setDocument( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder FleetCommand::Declare::Builder::initDocument(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::uint32_t PromptCrash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void FleetCommand::Declare::Builder::adoptDocument(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t PromptCrash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Data> FleetCommand::Declare::Builder::disownDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void PromptCrash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::tanagerstall::wire::DocumentEncoding FleetCommand::Declare::Reader::getEncoding() const {
-  return _reader.getDataField< ::tanagerstall::wire::DocumentEncoding>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool PromptCrash::Reader::getWasAnswered() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
 }
 
-inline  ::tanagerstall::wire::DocumentEncoding FleetCommand::Declare::Builder::getEncoding() {
-  return _builder.getDataField< ::tanagerstall::wire::DocumentEncoding>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool PromptCrash::Builder::getWasAnswered() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
 }
-inline void FleetCommand::Declare::Builder::setEncoding( ::tanagerstall::wire::DocumentEncoding value) {
-  _builder.setDataField< ::tanagerstall::wire::DocumentEncoding>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void PromptCrash::Builder::setWasAnswered(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t FleetSnapshot::Reader::getNumber() const {
+inline  ::uint64_t PromptPart::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t FleetSnapshot::Builder::getNumber() {
+inline  ::uint64_t PromptPart::Builder::getPart() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FleetSnapshot::Builder::setNumber( ::uint64_t value) {
+inline void PromptPart::Builder::setPart( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FleetSnapshot::Reader::hasDocument() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool FleetSnapshot::Builder::hasDocument() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader FleetSnapshot::Reader::getDocument() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder FleetSnapshot::Builder::getDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FleetSnapshot::Builder::setDocument( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder FleetSnapshot::Builder::initDocument(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void FleetSnapshot::Builder::adoptDocument(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> FleetSnapshot::Builder::disownDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint32_t PromptPart::Reader::getMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool FleetSnapshot::Reader::hasUsage() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t PromptPart::Builder::getMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool FleetSnapshot::Builder::hasUsage() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline void PromptPart::Builder::setMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader FleetSnapshot::Reader::getUsage() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t PromptEvidence::Reader::getAnswered() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::getUsage() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t PromptEvidence::Builder::getAnswered() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FleetSnapshot::Builder::setUsage( ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void PromptEvidence::Builder::setAnswered( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::initUsage(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t PromptEvidence::Reader::getLost() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void FleetSnapshot::Builder::adoptUsage(
-    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t PromptEvidence::Builder::getLost() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>> FleetSnapshot::Builder::disownUsage() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void PromptEvidence::Builder::setLost( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ReplicaFact::Reader::hasId() const {
+inline bool PromptEvidence::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ReplicaFact::Builder::hasId() {
+inline bool PromptEvidence::Builder::hasCrashes() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ReplicaFact::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Reader PromptEvidence::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ReplicaFact::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ReplicaFact::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void PromptEvidence::Builder::setCrashes( ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ReplicaFact::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ReplicaFact::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void PromptEvidence::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ReplicaFact::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>> PromptEvidence::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ReplicaFact::Reader::hasService() const {
+inline bool PromptEvidence::Reader::hasSuccesses() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ReplicaFact::Builder::hasService() {
+inline bool PromptEvidence::Builder::hasSuccesses() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ReplicaFact::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PromptEvidence::Reader::getSuccesses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ReplicaFact::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::getSuccesses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ReplicaFact::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void PromptEvidence::Builder::setSuccesses( ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ReplicaFact::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void ReplicaFact::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ReplicaFact::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool ReplicaFact::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool ReplicaFact::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ReplicaFact::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ReplicaFact::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void ReplicaFact::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ReplicaFact::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void ReplicaFact::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::initSuccesses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Text> ReplicaFact::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void PromptEvidence::Builder::adoptSuccesses(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>> PromptEvidence::Builder::disownSuccesses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ReplicaFact::Reader::hasFailureDomain() const {
+inline bool PromptEvidence::Reader::hasQuarantined() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ReplicaFact::Builder::hasFailureDomain() {
+inline bool PromptEvidence::Builder::hasQuarantined() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ReplicaFact::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PromptEvidence::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ReplicaFact::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ReplicaFact::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void PromptEvidence::Builder::setQuarantined( ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ReplicaFact::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ReplicaFact::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void PromptEvidence::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ReplicaFact::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>> PromptEvidence::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ReplicaFact::Reader::getBornMs() const {
+inline  ::uint64_t PromptVerdicts::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ReplicaFact::Builder::getBornMs() {
+inline  ::uint64_t PromptVerdicts::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ReplicaFact::Builder::setBornMs( ::uint64_t value) {
+inline void PromptVerdicts::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ReplicaFact::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ReplicaFact::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool PromptVerdicts::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ReplicaFact::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool PromptVerdicts::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t ReplicaFact::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PromptVerdicts::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t ReplicaFact::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptVerdicts::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ReplicaFact::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void PromptVerdicts::Builder::setSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint8_t ReplicaFact::Reader::getStanding() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+inline void PromptVerdicts::Builder::setSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint8_t ReplicaFact::Builder::getStanding() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptVerdicts::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ReplicaFact::Builder::setStanding( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+inline void PromptVerdicts::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline bool ReplicaFact::Reader::getReclaimable() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<168>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PromptVerdicts::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ReplicaFact::Builder::getReclaimable() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<168>() * ::capnp::ELEMENTS);
+inline bool PromptVerdicts::Reader::hasQuarantined() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void ReplicaFact::Builder::setReclaimable(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<168>() * ::capnp::ELEMENTS, value);
+inline bool PromptVerdicts::Builder::hasQuarantined() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t ReplicaFact::Reader::getColdMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PromptVerdicts::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t ReplicaFact::Builder::getColdMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptVerdicts::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ReplicaFact::Builder::setColdMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void PromptVerdicts::Builder::setQuarantined( ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline bool ReplicaFact::Reader::getExpired() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<169>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptVerdicts::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline bool ReplicaFact::Builder::getExpired() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<169>() * ::capnp::ELEMENTS);
+inline void PromptVerdicts::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ReplicaFact::Builder::setExpired(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<169>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>> PromptVerdicts::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool CostAsk::Reader::hasName() const {
+inline bool NamedRate::Reader::hasReplica() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CostAsk::Builder::hasName() {
+inline bool NamedRate::Builder::hasReplica() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CostAsk::Reader::getName() const {
+inline  ::capnp::Text::Reader NamedRate::Reader::getReplica() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CostAsk::Builder::getName() {
+inline  ::capnp::Text::Builder NamedRate::Builder::getReplica() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CostAsk::Builder::setName( ::capnp::Text::Reader value) {
+inline void NamedRate::Builder::setReplica( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CostAsk::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder NamedRate::Builder::initReplica(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CostAsk::Builder::adoptName(
+inline void NamedRate::Builder::adoptReplica(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CostAsk::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> NamedRate::Builder::disownReplica() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline double CostAsk::Reader::getHeld() const {
-  return _reader.getDataField<double>(
+inline  ::uint64_t NamedRate::Reader::getStartMs() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline double CostAsk::Builder::getHeld() {
-  return _builder.getDataField<double>(
+inline  ::uint64_t NamedRate::Builder::getStartMs() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CostAsk::Builder::setHeld(double value) {
-  _builder.setDataField<double>(
+inline void NamedRate::Builder::setStartMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline double CostAsk::Reader::getNeed() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool NamedRate::Reader::getHasEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline double CostAsk::Builder::getNeed() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool NamedRate::Builder::getHasEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void CostAsk::Builder::setNeed(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void NamedRate::Builder::setHasEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline double CostAsk::Reader::getDue() const {
+inline double NamedRate::Reader::getPerSecond() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline double CostAsk::Builder::getDue() {
+inline double NamedRate::Builder::getPerSecond() {
   return _builder.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void CostAsk::Builder::setDue(double value) {
+inline void NamedRate::Builder::setPerSecond(double value) {
   _builder.setDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline double CostAsk::Reader::getTaken() const {
-  return _reader.getDataField<double>(
+inline  ::uint64_t NamedRate::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline double CostAsk::Builder::getTaken() {
-  return _builder.getDataField<double>(
+inline  ::uint64_t NamedRate::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CostAsk::Builder::setTaken(double value) {
-  _builder.setDataField<double>(
+inline void NamedRate::Builder::setAgeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline double CostAsk::Reader::getReturned() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Rollout::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline double CostAsk::Builder::getReturned() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Rollout::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CostAsk::Builder::setReturned(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Rollout::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ServiceLoad::Reader::hasName() const {
+inline bool Rollout::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServiceLoad::Builder::hasName() {
+inline bool Rollout::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServiceLoad::Reader::getName() const {
+inline  ::capnp::Text::Reader Rollout::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServiceLoad::Builder::getName() {
+inline  ::capnp::Text::Builder Rollout::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServiceLoad::Builder::setName( ::capnp::Text::Reader value) {
+inline void Rollout::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServiceLoad::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder Rollout::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ServiceLoad::Builder::adoptName(
+inline void Rollout::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServiceLoad::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> Rollout::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t ServiceLoad::Reader::getRunning() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Rollout::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t ServiceLoad::Builder::getRunning() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Rollout::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void ServiceLoad::Builder::setRunning( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader Rollout::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t ServiceLoad::Reader::getWaiting() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Rollout::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t ServiceLoad::Builder::getWaiting() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void Rollout::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void ServiceLoad::Builder::setWaiting( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder Rollout::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Rollout::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Rollout::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ServiceLoad::Reader::getArrivals() const {
+inline  ::uint64_t Rollout::Reader::getDurationMs() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ServiceLoad::Builder::getArrivals() {
+inline  ::uint64_t Rollout::Builder::getDurationMs() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ServiceLoad::Builder::setArrivals( ::uint64_t value) {
+inline void Rollout::Builder::setDurationMs( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ServiceLoad::Reader::getRefused() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t Rollout::Reader::getOrderedAtMs() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ServiceLoad::Builder::getRefused() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t Rollout::Builder::getOrderedAtMs() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServiceLoad::Builder::setRefused( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Rollout::Builder::setOrderedAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PromptCrash::Reader::getPart() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t PromptCrash::Builder::getPart() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void PromptCrash::Builder::setPart( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t PromptCrash::Reader::getLoss() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t PromptCrash::Builder::getLoss() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void PromptCrash::Builder::setLoss( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t PromptCrash::Reader::getReplica() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::tanagerstall::wire::RolloutState Rollout::Reader::getState() const {
+  return _reader.getDataField< ::tanagerstall::wire::RolloutState>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PromptCrash::Builder::getReplica() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::tanagerstall::wire::RolloutState Rollout::Builder::getState() {
+  return _builder.getDataField< ::tanagerstall::wire::RolloutState>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
-inline void PromptCrash::Builder::setReplica( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Rollout::Builder::setState( ::tanagerstall::wire::RolloutState value) {
+  _builder.setDataField< ::tanagerstall::wire::RolloutState>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PromptCrash::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::int64_t Rollout::Reader::getEndedAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PromptCrash::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::int64_t Rollout::Builder::getEndedAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PromptCrash::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Rollout::Builder::setEndedAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PromptCrash::Reader::getWasAnswered() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+inline bool RolloutDirective::Reader::hasRollout() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool PromptCrash::Builder::getWasAnswered() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+inline bool RolloutDirective::Builder::hasRollout() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void PromptCrash::Builder::setWasAnswered(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+inline  ::tanagerstall::wire::Rollout::Reader RolloutDirective::Reader::getRollout() const {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::Rollout>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t PromptPart::Reader::getPart() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::tanagerstall::wire::Rollout::Builder RolloutDirective::Builder::getRollout() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::Rollout>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t PromptPart::Builder::getPart() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::tanagerstall::wire::Rollout::Pipeline RolloutDirective::Pipeline::getRollout() {
+  return  ::tanagerstall::wire::Rollout::Pipeline(_typeless.getPointerField(0));
 }
-inline void PromptPart::Builder::setPart( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void RolloutDirective::Builder::setRollout( ::tanagerstall::wire::Rollout::Reader value) {
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::Rollout>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t PromptPart::Reader::getMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::tanagerstall::wire::Rollout::Builder RolloutDirective::Builder::initRollout() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::Rollout>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t PromptPart::Builder::getMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void RolloutDirective::Builder::adoptRollout(
+    ::capnp::Orphan< ::tanagerstall::wire::Rollout>&& value) {
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::Rollout>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void PromptPart::Builder::setMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::tanagerstall::wire::Rollout> RolloutDirective::Builder::disownRollout() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::Rollout>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PromptEvidence::Reader::getAnswered() const {
-  return _reader.getDataField< ::uint64_t>(
+inline double RolloutDirective::Reader::getRequestShare() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PromptEvidence::Builder::getAnswered() {
-  return _builder.getDataField< ::uint64_t>(
+inline double RolloutDirective::Builder::getRequestShare() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PromptEvidence::Builder::setAnswered( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RolloutDirective::Builder::setRequestShare(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PromptEvidence::Reader::getLost() const {
-  return _reader.getDataField< ::uint64_t>(
+inline double RolloutDirective::Reader::getReplicaShare() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PromptEvidence::Builder::getLost() {
-  return _builder.getDataField< ::uint64_t>(
+inline double RolloutDirective::Builder::getReplicaShare() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PromptEvidence::Builder::setLost( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RolloutDirective::Builder::setReplicaShare(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PromptEvidence::Reader::hasCrashes() const {
+inline bool RolloutCounts::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PromptEvidence::Builder::hasCrashes() {
+inline bool RolloutCounts::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Reader PromptEvidence::Reader::getCrashes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader RolloutCounts::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::getCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder RolloutCounts::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PromptEvidence::Builder::setCrashes( ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void RolloutCounts::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::initCrashes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder RolloutCounts::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PromptEvidence::Builder::adoptCrashes(
-    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void RolloutCounts::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>> PromptEvidence::Builder::disownCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> RolloutCounts::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PromptEvidence::Reader::hasSuccesses() const {
+inline  ::uint64_t RolloutCounts::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RolloutCounts::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RolloutCounts::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RolloutCounts::Reader::getNewVersion() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool RolloutCounts::Builder::getNewVersion() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void RolloutCounts::Builder::setNewVersion(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RolloutCounts::Reader::hasRoute() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool PromptEvidence::Builder::hasSuccesses() {
+inline bool RolloutCounts::Builder::hasRoute() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PromptEvidence::Reader::getSuccesses() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader RolloutCounts::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::getSuccesses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder RolloutCounts::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PromptEvidence::Builder::setSuccesses( ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void RolloutCounts::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::initSuccesses(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder RolloutCounts::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void PromptEvidence::Builder::adoptSuccesses(
-    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>> PromptEvidence::Builder::disownSuccesses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool PromptEvidence::Reader::hasQuarantined() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool PromptEvidence::Builder::hasQuarantined() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline void RolloutCounts::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PromptEvidence::Reader::getQuarantined() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RolloutCounts::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::getQuarantined() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t RolloutCounts::Reader::getSent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PromptEvidence::Builder::setQuarantined( ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t RolloutCounts::Builder::getSent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptEvidence::Builder::initQuarantined(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void RolloutCounts::Builder::setSent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline void PromptEvidence::Builder::adoptQuarantined(
-    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t RolloutCounts::Reader::getEnded() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>> PromptEvidence::Builder::disownQuarantined() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t RolloutCounts::Builder::getEnded() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RolloutCounts::Builder::setEnded( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PromptVerdicts::Reader::getRevision() const {
+inline  ::uint64_t RolloutCounts::Reader::getFailed() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PromptVerdicts::Builder::getRevision() {
+inline  ::uint64_t RolloutCounts::Builder::getFailed() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PromptVerdicts::Builder::setRevision( ::uint64_t value) {
+inline void RolloutCounts::Builder::setFailed( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PromptVerdicts::Reader::hasSuspects() const {
+inline bool RolloutCounts::Reader::hasFirstParts() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool PromptVerdicts::Builder::hasSuspects() {
+inline bool RolloutCounts::Builder::hasFirstParts() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PromptVerdicts::Reader::getSuspects() const {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader RolloutCounts::Reader::getFirstParts() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptVerdicts::Builder::getSuspects() {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RolloutCounts::Builder::getFirstParts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void PromptVerdicts::Builder::setSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void RolloutCounts::Builder::setFirstParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void PromptVerdicts::Builder::setSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
+inline void RolloutCounts::Builder::setFirstParts(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptVerdicts::Builder::initSuspects(unsigned int size) {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RolloutCounts::Builder::initFirstParts(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
