-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void PromptVerdicts::Builder::adoptSuspects(
+inline void RolloutCounts::Builder::adoptFirstParts(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PromptVerdicts::Builder::disownSuspects() {
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> RolloutCounts::Builder::disownFirstParts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool PromptVerdicts::Reader::hasQuarantined() const {
+inline bool RegionDelay::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PromptVerdicts::Builder::hasQuarantined() {
+inline bool RegionDelay::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PromptVerdicts::Reader::getQuarantined() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RegionDelay::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptVerdicts::Builder::getQuarantined() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RegionDelay::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PromptVerdicts::Builder::setQuarantined( ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void RegionDelay::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PromptVerdicts::Builder::initQuarantined(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder RegionDelay::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PromptVerdicts::Builder::adoptQuarantined(
-    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void RegionDelay::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>> PromptVerdicts::Builder::disownQuarantined() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RegionDelay::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NamedRate::Reader::hasReplica() const {
+inline bool RegionDelay::Reader::hasRegion() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NamedRate::Builder::hasReplica() {
+inline bool RegionDelay::Builder::hasRegion() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NamedRate::Reader::getReplica() const {
+inline  ::capnp::Text::Reader RegionDelay::Reader::getRegion() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NamedRate::Builder::getReplica() {
+inline  ::capnp::Text::Builder RegionDelay::Builder::getRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NamedRate::Builder::setReplica( ::capnp::Text::Reader value) {
+inline void RegionDelay::Builder::setRegion( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NamedRate::Builder::initReplica(unsigned int size) {
+inline  ::capnp::Text::Builder RegionDelay::Builder::initRegion(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void NamedRate::Builder::adoptReplica(
+inline void RegionDelay::Builder::adoptRegion(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NamedRate::Builder::disownReplica() {
+inline ::capnp::Orphan< ::capnp::Text> RegionDelay::Builder::disownRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t NamedRate::Reader::getStartMs() const {
+inline  ::uint64_t RegionDelay::Reader::getCount() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t NamedRate::Builder::getStartMs() {
+inline  ::uint64_t RegionDelay::Builder::getCount() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NamedRate::Builder::setStartMs( ::uint64_t value) {
+inline void RegionDelay::Builder::setCount( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NamedRate::Reader::getHasEnded() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool NamedRate::Builder::getHasEnded() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void NamedRate::Builder::setHasEnded(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline double NamedRate::Reader::getPerSecond() const {
+inline double RegionDelay::Reader::getMs() const {
   return _reader.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline double NamedRate::Builder::getPerSecond() {
+inline double RegionDelay::Builder::getMs() {
   return _builder.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void NamedRate::Builder::setPerSecond(double value) {
+inline void RegionDelay::Builder::setMs(double value) {
   _builder.setDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t NamedRate::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t NamedRate::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void NamedRate::Builder::setAgeMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool SyncRequest::Reader::hasEntry() const {
@@ -3888,6 +5275,88 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncRequest::Reader::hasRolloutCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasRolloutCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getRolloutCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getRolloutCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setRolloutCounts( ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initRolloutCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptRolloutCounts(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownRolloutCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SyncRequest::Reader::getRolloutRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getRolloutRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setRolloutRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncRequest::Reader::hasRegionDelays() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasRegionDelays() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getRegionDelays() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getRegionDelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setRegionDelays( ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initRegionDelays(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptRegionDelays(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownRegionDelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool CostGrant::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4375,6 +5844,88 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncReply::Reader::hasRollouts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasRollouts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getRollouts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setRollouts( ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initRollouts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptRollouts(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownRollouts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RolloutDirective,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SyncReply::Reader::getRolloutRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncReply::Builder::getRolloutRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setRolloutRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncReply::Reader::hasRegionDelays() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasRegionDelays() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getRegionDelays() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getRegionDelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setRegionDelays( ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initRegionDelays(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptRegionDelays(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownRegionDelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/internal/tanagerstall_fleet_wire.hpp
+++ b/src/tanagerstall/internal/tanagerstall_fleet_wire.hpp
@@ -4,6 +4,7 @@
 #include "tanagerstall/internal/fleet.capnp.h"
 #include "tanagerstall/internal/tanagerstall_wire.hpp"
 #include "tanagerstall/version/tanagerstall_fleet_state.hpp"
+#include "tanagerstall/version/tanagerstall_rollout.hpp"
 
 #include <kj/debug.h>
 
@@ -55,6 +56,45 @@
   return usage;
 }
 
+inline wire::RolloutState
+WriteState(RolloutState aState)
+{
+  return static_cast<wire::RolloutState>(aState);
+}
+
+/// Throws kj::Exception if the state is unknown.
+inline RolloutState
+ReadState(wire::RolloutState aState)
+{
+  KJ_REQUIRE(aState <= wire::RolloutState::ROLLED_BACK,
+             "unknown state of a roll-out");
+  return static_cast<RolloutState>(aState);
+}
+
+inline void
+WriteRollout(wire::Rollout::Builder aTo, const Rollout& aFrom)
+{
+  aTo.setId(aFrom.id_);
+  aTo.setService(ToText(aFrom.order_.service_));
+  aTo.setVersion(ToText(aFrom.order_.version_));
+  aTo.setDurationMs(static_cast<std::uint64_t>(aFrom.order_.duration_.count()));
+  aTo.setOrderedAtMs(aFrom.order_.orderedAt_.time_since_epoch().count());
+  aTo.setState(WriteState(aFrom.state_));
+  aTo.setEndedAtMs(aFrom.endedAt_.time_since_epoch().count());
+}
+
+inline Rollout
+ReadRollout(wire::Rollout::Reader aFrom)
+{
+  return { aFrom.getId(),
+           { ToString(aFrom.getService()),
+             ToString(aFrom.getVersion()),
+             std::chrono::milliseconds(aFrom.getDurationMs()),
+             WallTime(std::chrono::milliseconds(aFrom.getOrderedAtMs())) },
+           ReadState(aFrom.getState()),
+           WallTime(std::chrono::milliseconds(aFrom.getEndedAtMs())) };
+}
+
 } // namespace tanagerstall
 
 #endif
--- a/src/tanagerstall/process/presence/tanagerstall_replica.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica.hpp
@@ -41,6 +41,8 @@
   bool isReclaimable_ = false;
   /// How long its answers remain slower than usual after a start.
   std::chrono::milliseconds warmUpTime_{ 0 };
+  /// The version of its software; "" if it named none.
+  std::string version_{};
 
   bool operator==(const Replica&) const = default;
 };
--- /dev/null
+++ b/src/tanagerstall/version/tanagerstall_rollout.hpp
@@ -0,0 +1,62 @@
+#ifndef TANAGERSTALL_ROLLOUT_HPP_INCLUDED
+#define TANAGERSTALL_ROLLOUT_HPP_INCLUDED
+
+#include "tanagerstall/process/tanagerstall_clock.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace tanagerstall {
+
+enum class RolloutState : std::uint8_t
+{
+  Running,
+  /// All requests go to replicas of the new version.
+  Completed,
+  /// No request goes to replicas of the new version.
+  RolledBack
+};
+
+/// An operator's order to move a service's traffic to another version.
+struct RolloutOrder
+{
+  std::string service_;
+  /// The version that the traffic moves to.
+  std::string version_;
+  /// The time from the order to its deadline.
+  std::chrono::milliseconds duration_{ 0 };
+  /// When a control process received the order.
+  WallTime orderedAt_;
+
+  bool operator==(const RolloutOrder&) const = default;
+};
+
+/// The latest roll-out of a service, as the replicated log records it.
+struct Rollout
+{
+  /// Identifies the order; a later order has a greater id.
+  std::uint64_t id_ = 0;
+  RolloutOrder order_;
+  RolloutState state_ = RolloutState::Running;
+  /// When it was completed or rolled back. Replicas of other versions that had
+  /// started before it was completed get no requests.
+  WallTime endedAt_;
+
+  bool operator==(const Rollout&) const = default;
+};
+
+/// What became of an order when it was applied.
+enum class RolloutReply : std::uint8_t
+{
+  Accepted,
+  /// The same order was accepted before.
+  Repeated,
+  /// Another roll-out of the service is running.
+  Conflict,
+  /// An earlier roll-out has already moved the traffic to this version.
+  InForce
+};
+
+} // namespace tanagerstall
+
+#endif
