Order an organisation's requests by route; reserve replicas by demand

A fifth of the replicas was reserved for long responses and mostly idle meanwhile, and the leader ordered replicas as if all responses were in time.

RankOf orders requests by organisation, then by route; LongResponseDemand and LongAnswerShare reserve replicas for the long responses in progress while others are late more often; the placement expects fewer requests on a replica while a fifth of the responses is late.

--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -234,6 +234,11 @@
     service.setWaiting(load.waiting_);
     service.setArrivals(load.arrivals_);
     service.setRefused(load.refused_);
+    service.setLongRunning(load.longRunning_);
+    service.setInTime(load.inTime_);
+    service.setLate(load.late_);
+    service.setLongInTime(load.longInTime_);
+    service.setLongLate(load.longLate_);
   }
 }
 
@@ -276,10 +281,11 @@
     };
   }
   for (auto service : aFrom.getServices()) {
-    report.services_[ToString(service.getName())] = { service.getRunning(),
-                                                      service.getWaiting(),
-                                                      service.getArrivals(),
-                                                      service.getRefused() };
+    report.services_[ToString(service.getName())] = {
+      service.getRunning(), service.getWaiting(),     service.getArrivals(),
+      service.getRefused(), service.getLongRunning(), service.getInTime(),
+      service.getLate(),    service.getLongInTime(),  service.getLongLate()
+    };
   }
   return report;
 }
@@ -334,6 +340,13 @@
   WriteDelays([&](unsigned aSize) { return aTo.initRegionDelays(aSize); },
               aFrom.regionDelays_,
               [](auto aDelay, double aMean) { aDelay.setMs(aMean); });
+  auto longResponses = aTo.initLongResponses(aFrom.longResponses_.size());
+  next = 0;
+  for (const auto& [service, count] : aFrom.longResponses_) {
+    longResponses[next].setName(ToText(service));
+    longResponses[next].setCount(count);
+    ++next;
+  }
   if (aFrom.promptVerdicts_) {
     WriteVerdicts(aTo.initPromptVerdicts(), *aFrom.promptVerdicts_);
   }
@@ -382,6 +395,10 @@
     answer.regionDelays_[ToString(delay.getService())]
                         [ToString(delay.getRegion())] = delay.getMs();
   }
+  for (auto count : aFrom.getLongResponses()) {
+    answer.longResponses_[ToString(count.getName())] =
+      static_cast<std::uint32_t>(count.getCount());
+  }
   if (aFrom.hasPromptVerdicts()) {
     answer.promptVerdicts_ = ReadVerdicts(aFrom.getPromptVerdicts());
   }
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -26,6 +26,15 @@
   std::uint32_t waiting_ = 0;
   std::uint64_t arrivals_ = 0;
   std::uint64_t refused_ = 0;
+  /// Those of `running_` whose responses are long.
+  std::uint32_t longRunning_ = 0;
+  /// Requests whose response began within the target latency of their route,
+  /// and those whose response didn't, without and with long responses; counted
+  /// since the entry started.
+  std::uint64_t inTime_ = 0;
+  std::uint64_t late_ = 0;
+  std::uint64_t longInTime_ = 0;
+  std::uint64_t longLate_ = 0;
 };
 
 /// The upper bounds of the buckets are 1 ms times powers of 2; the last bucket
@@ -170,6 +179,9 @@
   std::uint64_t rolloutRevision_ = 0;
   /// Sent by the leader only.
   RegionDelays regionDelays_;
+  /// The number of long responses for which replicas are to be reserved, by
+  /// service; sent by the leader only.
+  std::map<std::string, std::uint32_t> longResponses_;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -86,6 +86,11 @@
   waiting @2 :UInt32;
   arrivals @3 :UInt64;
   refused @4 :UInt64;
+  longRunning @5 :UInt32;
+  inTime @6 :UInt64;
+  late @7 :UInt64;
+  longInTime @8 :UInt64;
+  longLate @9 :UInt64;
 }
 
 struct PromptCrash {
@@ -249,6 +254,9 @@
   rolloutRevision @20 :UInt64;
   regionDelays @21 :List(RegionDelay);
   # Sent by the leader.
+  longResponses @22 :List(NamedCount);
+  # Sent by the leader: for how many long responses of a service replicas are to
+  # be reserved.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -202,7 +202,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bdcd1f1d9c4ae99f, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bdcd1f1d9c4ae99f, 8, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -384,7 +384,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 7, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 7, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1303,6 +1303,16 @@
 
   inline  ::uint64_t getRefused() const;
 
+  inline  ::uint32_t getLongRunning() const;
+
+  inline  ::uint64_t getInTime() const;
+
+  inline  ::uint64_t getLate() const;
+
+  inline  ::uint64_t getLongInTime() const;
+
+  inline  ::uint64_t getLongLate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1350,6 +1360,21 @@
   inline  ::uint64_t getRefused();
   inline void setRefused( ::uint64_t value);
 
+  inline  ::uint32_t getLongRunning();
+  inline void setLongRunning( ::uint32_t value);
+
+  inline  ::uint64_t getInTime();
+  inline void setInTime( ::uint64_t value);
+
+  inline  ::uint64_t getLate();
+  inline void setLate( ::uint64_t value);
+
+  inline  ::uint64_t getLongInTime();
+  inline void setLongInTime( ::uint64_t value);
+
+  inline  ::uint64_t getLongLate();
+  inline void setLongLate( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2673,6 +2698,9 @@
   inline bool hasRegionDelays() const;
   inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader getRegionDelays() const;
 
+  inline bool hasLongResponses() const;
+  inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader getLongResponses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2809,6 +2837,13 @@
   inline void adoptRegionDelays(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> disownRegionDelays();
 
+  inline bool hasLongResponses();
+  inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder getLongResponses();
+  inline void setLongResponses( ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder initLongResponses(unsigned int size);
+  inline void adoptLongResponses(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>> disownLongResponses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4012,6 +4047,76 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ServiceLoad::Reader::getLongRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceLoad::Builder::getLongRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setLongRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServiceLoad::Reader::getInTime() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServiceLoad::Builder::getInTime() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setInTime( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServiceLoad::Reader::getLate() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServiceLoad::Builder::getLate() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setLate( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServiceLoad::Reader::getLongInTime() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServiceLoad::Builder::getLongInTime() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setLongInTime( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServiceLoad::Reader::getLongLate() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServiceLoad::Builder::getLongLate() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void ServiceLoad::Builder::setLongLate( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PromptCrash::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5926,6 +6031,40 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool SyncReply::Reader::hasLongResponses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasLongResponses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getLongResponses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getLongResponses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setLongResponses( ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initLongResponses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptLongResponses(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownLongResponses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/process/tanagerstall_entry_loads.cpp
+++ b/src/tanagerstall/process/tanagerstall_entry_loads.cpp
@@ -9,6 +9,11 @@
 
 /// A limit that is younger may be over before another replica is up.
 constexpr std::chrono::milliseconds kLastingLimit{ 1500 };
+/// With fewer responses a second their lateness says little.
+constexpr double kMinResponseRate = 5.0;
+/// Sums over all entries are made once in this time, so that the work of an
+/// answer doesn't depend on their number.
+constexpr Duration kSumInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -23,6 +28,17 @@
     std::uint64_t added =
       isContinued ? load.arrivals_ - known[service].arrivals_ : 0;
     arrivals_[service].Add(static_cast<double>(added));
+    if (isContinued) {
+      const ServiceLoad& last = known[service];
+      ServiceTimeliness& timeliness = timeliness_[service];
+      auto add = [](RequestRate& aTo, std::uint64_t aNow, std::uint64_t aLast) {
+        aTo.Add(static_cast<double>(aNow - aLast));
+      };
+      add(timeliness.others_.inTime_, load.inTime_, last.inTime_);
+      add(timeliness.others_.late_, load.late_, last.late_);
+      add(timeliness.long_.inTime_, load.longInTime_, last.longInTime_);
+      add(timeliness.long_.late_, load.longLate_, last.longLate_);
+    }
   }
   known = aReport.services_;
   rates_[aReport.entry_.id_] = aReport.requestRate_;
@@ -57,6 +73,63 @@
   return running;
 }
 
+std::uint32_t
+EntryLoads::LongRunning(const std::string& aService) const
+{
+  std::uint32_t running = 0;
+  for (const auto& [entry, services] : services_) {
+    auto load = services.find(aService);
+    running += load == services.end() ? 0 : load->second.longRunning_;
+  }
+  return running;
+}
+
+void
+EntryLoads::Timeliness::Update(TimePoint aNow)
+{
+  inTimePerSecond_ = inTime_.Update(aNow);
+  latePerSecond_ = late_.Update(aNow);
+}
+
+LateShare
+EntryLoads::ShareOf(double aLate, double aInTime)
+{
+  double all = aLate + aInTime;
+  return all < kMinResponseRate ? std::nullopt : LateShare(aLate / all);
+}
+
+LateShare
+EntryLoads::AllLate(const std::string& aService) const
+{
+  auto it = timeliness_.find(aService);
+  if (it == timeliness_.end()) {
+    return std::nullopt;
+  }
+  const auto& [longOnes, others, demand] = it->second;
+  return ShareOf(longOnes.latePerSecond_ + others.latePerSecond_,
+                 longOnes.inTimePerSecond_ + others.inTimePerSecond_);
+}
+
+const std::map<std::string, std::uint32_t>&
+EntryLoads::LongResponses(TimePoint aNow)
+{
+  if (aNow - longResponsesAt_ < kSumInterval) {
+    return longResponses_;
+  }
+  longResponsesAt_ = aNow;
+  for (auto& [service, timeliness] : timeliness_) {
+    auto& [longOnes, others, demand] = timeliness;
+    longOnes.Update(aNow);
+    others.Update(aNow);
+    longResponses_[service] =
+      demand.Update(LongRunning(service),
+                    ShareOf(longOnes.latePerSecond_, longOnes.inTimePerSecond_),
+                    ShareOf(others.latePerSecond_, others.inTimePerSecond_),
+                    aNow);
+  }
+  return longResponses_;
+}
+
 double
 WithdrawnCapacity(const std::vector<Replica>& aPresent,
                   const NamedRates& aNamed,
@@ -97,6 +170,7 @@
     input.running_ = aLoads.Running(name);
     input.withdrawn_ = WithdrawnCapacity(
       replicas->second, aNamed, aLoads.ArrivalRate(name, aNow));
+    input.lateShare_ = aLoads.AllLate(name);
     inputs.push_back(std::move(input));
   }
   return inputs;
--- a/src/tanagerstall/process/tanagerstall_entry_loads.hpp
+++ b/src/tanagerstall/process/tanagerstall_entry_loads.hpp
@@ -4,6 +4,7 @@
 #include "tanagerstall/connection/tanagerstall_fleet_messages.hpp"
 #include "tanagerstall/process/presence/tanagerstall_entry_working_set.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
+#include "tanagerstall/process/tanagerstall_long_response_demand.hpp"
 #include "tanagerstall/process/tanagerstall_replica_placement.hpp"
 #include "tanagerstall/request/tanagerstall_named_rate.hpp"
 #include "tanagerstall/request/tanagerstall_request_rate.hpp"
@@ -11,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,13 +30,41 @@
   const RequestRates& Rates() const { return rates_; }
   /// The requests that all entries run at the replicas of a service.
   std::uint32_t Running(const std::string& aService) const;
+  /// The number of long responses for which replicas are to be reserved, by
+  /// service.
+  const std::map<std::string, std::uint32_t>& LongResponses(TimePoint aNow);
+  /// The share of all recent responses of a service that were late.
+  LateShare AllLate(const std::string& aService) const;
 
 private:
   RequestRates rates_;
   /// By entry and service.
   std::map<std::string, std::map<std::string, ServiceLoad>> services_;
+  /// Recent responses that began in time, and those that didn't.
+  struct Timeliness
+  {
+    RequestRate inTime_;
+    RequestRate late_;
+    double inTimePerSecond_ = 0.0;
+    double latePerSecond_ = 0.0;
+
+    void Update(TimePoint aNow);
+  };
+  struct ServiceTimeliness
+  {
+    Timeliness long_;
+    Timeliness others_;
+    LongResponseDemand demand_;
+  };
+
+  static LateShare ShareOf(double aLate, double aInTime);
+  std::uint32_t LongRunning(const std::string& aService) const;
+
   /// By service.
   std::map<std::string, RequestRate> arrivals_;
+  std::map<std::string, ServiceTimeliness> timeliness_;
+  std::map<std::string, std::uint32_t> longResponses_;
+  TimePoint longResponsesAt_;
 };
 
 /// Returns the capacity, in replicas, that those present withdraw by the rates
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -301,6 +301,7 @@
       answer.grants_ =
         leases_.Grant(aReport.entry_.id_, aReport.grantRequests_, now);
       answer.allowsAdvance_ = true;
+      answer.longResponses_ = loads_.LongResponses(now);
       answer.nearlyExhausted_ = leases_.NearlyExhausted(now);
     }
     return answer;
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -202,8 +202,11 @@
       }
       forwarder_.Limits().ApplyGrants(
         aAnswer.grants_, aAnswer.shareDivisor_, advance);
-      threads_.Post([this, divisor = aAnswer.shareDivisor_] {
+      threads_.Post([this,
+                     divisor = aAnswer.shareDivisor_,
+                     longResponses = aAnswer.longResponses_] {
         forwarder_.SetShareDivisor(divisor);
+        forwarder_.SetLongResponses(longResponses);
       });
     }
     if (aAnswer.promptVerdicts_) {
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::string_view kLastEventId = "Last-Event-Id";
-constexpr std::uint32_t kLeastUrgent = 9;
 /// A prompt with more parts counts as one without shared parts.
 constexpr std::size_t kMaxSharedParts = 64;
 
@@ -171,8 +170,7 @@
     add(aProtocol.organisation_, aRequest.organisation_->name_);
   }
   if (aRequest.route_->kind_ == RequestKind::Stream) {
-    auto urgency = std::min(1 + 2 * aRequest.Priority(), kLeastUrgent);
-    add(aProtocol.urgency_, std::to_string(urgency));
+    add(aProtocol.urgency_, std::to_string(aRequest.Rank()));
   }
   if (isResumed) {
     add(std::string(kLastEventId), aRequest.lastEventId_);
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -5,6 +5,7 @@
 #include "tanagerstall/process/presence/tanagerstall_replica.hpp"
 #include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
 #include "tanagerstall/request/tanagerstall_prompt_evidence.hpp"
+#include "tanagerstall/request/tanagerstall_request_rank.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
 #include <memory>
@@ -74,11 +75,12 @@
     return organisation_ == nullptr ? std::string_view() : organisation_->name_;
   }
 
-  std::uint32_t Priority() const
+  /// Where the request stands among the others of its service; 0 comes first.
+  std::uint32_t Rank() const
   {
-    return organisation_ != nullptr && organisation_->priority_
-             ? *organisation_->priority_
-             : route_->priority_;
+    return RankOf(organisation_ == nullptr ? std::nullopt
+                                           : organisation_->priority_,
+                  route_->priority_);
   }
 };
 
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -28,6 +28,25 @@
 /// one, which fits its largest response.
 constexpr BufferBudget::Limits kBufferLimits{ 32UL << 20U, 16UL << 20U };
 
+/// Counts a long response as in progress while it exists.
+class LongResponse
+{
+public:
+  LongResponse(ServiceLoad& aLoad, WorkClass aWork)
+    : load_(aLoad)
+    , isLong_(aWork == WorkClass::Long)
+  {
+    load_.longRunning_ += isLong_ ? 1 : 0;
+  }
+  ~LongResponse() { load_.longRunning_ -= isLong_ ? 1 : 0; }
+  LongResponse(const LongResponse&) = delete;
+  LongResponse& operator=(const LongResponse&) = delete;
+
+private:
+  ServiceLoad& load_;
+  bool isLong_;
+};
+
 /// Lists an attempt among those in progress while it exists.
 class AttemptInProgress
 {
@@ -102,6 +121,13 @@
   chooser_.RateLimits().Adopt(aRates, clock_.Now());
 }
 
+void
+Forwarder::SetLongResponses(
+  const std::map<std::string, std::uint32_t>& aLongResponses)
+{
+  chooser_.SetLongResponses(aLongResponses, clock_.Now());
+}
+
 void
 Forwarder::ApplyVerdicts(const PromptVerdicts& aVerdicts)
 {
@@ -286,7 +312,27 @@
   ++load.arrivals_;
   metrics_.Count(Counter::Requests);
   retries_.OnRequest(request->service_);
+  LongResponse longResponse(load, WorkClassOf(*request));
   Run(aExchange, *request);
+  CountLatency(*request, load);
+}
+
+/// Counts whether the response began within the target latency of the route. A
+/// request without a response counts once it has waited for longer.
+void
+Forwarder::CountLatency(const ForwardedRequest& aRequest, ServiceLoad& aLoad)
+{
+  Duration target = aRequest.route_->targetLatency_;
+  if (target == Duration::zero()) {
+    return;
+  }
+  TimePoint begunAt = aRequest.firstPartAt_.value_or(clock_.Now());
+  bool isLong = WorkClassOf(aRequest) == WorkClass::Long;
+  if (begunAt - aRequest.arrivedAt_ > target) {
+    ++(isLong ? aLoad.longLate_ : aLoad.late_);
+  } else if (aRequest.firstPartAt_) {
+    ++(isLong ? aLoad.longInTime_ : aLoad.inTime_);
+  }
 }
 
 /// Returns the refusal of a request that no replica took. If all replicas have
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -74,6 +74,9 @@
   void SetShareDivisor(std::uint32_t aDivisor);
   /// Adopts the rate limits of replicas that other entries have learnt.
   void AdoptRates(const NamedRates& aRates);
+  /// Adopts the number of long responses for which replicas are reserved.
+  void SetLongResponses(
+    const std::map<std::string, std::uint32_t>& aLongResponses);
   /// Adopts the leader's verdicts on prompt parts.
   void ApplyVerdicts(const PromptVerdicts& aVerdicts);
   /// Limits() and GetMetrics() may be called, and their results used, from
@@ -115,6 +118,7 @@
   std::optional<HttpResponse> CheckBackoff(const ForwardedRequest& aRequest);
   std::optional<HttpResponse> CheckPrompt(const ForwardedRequest& aRequest);
   const std::string& PickService(const Route& aRoute);
+  void CountLatency(const ForwardedRequest& aRequest, ServiceLoad& aLoad);
   void Run(HttpExchange& aExchange, ForwardedRequest& aRequest);
   void EndUnanswered(HttpExchange& aExchange,
                      ForwardedRequest& aRequest,
--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_long_answer_share.cpp
@@ -0,0 +1,51 @@
+#include "tanagerstall/request/tanagerstall_long_answer_share.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tanagerstall {
+
+namespace {
+
+/// The part of the reserved slots that should be in use, so that a response
+/// finds one free when several begin at once.
+constexpr double kSlotUse = 0.7;
+/// Reserved at most, also until the demand is known.
+constexpr double kMaxShare = 0.2;
+/// Reserved at least, since a long response takes no room from the others only
+/// while it has a replica to go to.
+constexpr double kMinShare = 0.05;
+/// The time in which the share follows a change of the demand.
+constexpr std::chrono::duration<double> kSmoothingTime{ 2.0 };
+
+} // namespace
+
+void
+LongAnswerShare::Update(const std::string& aService,
+                        std::uint32_t aLongResponses,
+                        std::uint64_t aSlots,
+                        TimePoint aNow)
+{
+  if (aSlots == 0) {
+    return;
+  }
+  double needed =
+    std::clamp(aLongResponses / (kSlotUse * static_cast<double>(aSlots)),
+               kMinShare,
+               kMaxShare);
+  auto [it, isNew] = shares_.try_emplace(aService, Smoothed{ kMaxShare, aNow });
+  Smoothed& smoothed = it->second;
+  std::chrono::duration<double> elapsed = aNow - smoothed.updatedAt_;
+  smoothed.share_ +=
+    (needed - smoothed.share_) * (1.0 - std::exp(-(elapsed / kSmoothingTime)));
+  smoothed.updatedAt_ = aNow;
+}
+
+double
+LongAnswerShare::Of(const std::string& aService) const
+{
+  auto it = shares_.find(aService);
+  return it == shares_.end() ? kMaxShare : it->second.share_;
+}
+
+} // namespace tanagerstall
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -44,8 +44,6 @@
 constexpr double kMaxSlowness = 8.0;
 /// The observed slowness decays by a factor of e in this time, in seconds.
 constexpr std::chrono::duration<double> kSlownessDecay{ 3.0 };
-/// The part of a region's replicas that is reserved for long responses.
-constexpr double kLongAnswerShare = 0.2;
 /// With fewer replicas in a region, none are reserved.
 constexpr std::size_t kMinReplicasToSplit = 4;
 
@@ -71,10 +69,8 @@
 {
   replicas_ = std::move(aReplicas);
   present_.clear();
-  forLongAnswers_.clear();
-  forOthers_.clear();
+  PartitionReplicas();
   for (const auto& [service, replicas] : *replicas_) {
-    PartitionReplicas(replicas);
     for (const auto& replica : replicas) {
       present_[replica.id_] = &replica;
     }
@@ -86,9 +82,22 @@
   });
 }
 
+void
+ReplicaChooser::PartitionReplicas()
+{
+  forLongAnswers_.clear();
+  forOthers_.clear();
+  for (const auto& [service, replicas] : *replicas_) {
+    PartitionService(service, replicas);
+  }
+}
+
 /// Reserves a part of a service's replicas in this region for long responses.
+/// The replicas of a smaller part are among those of a larger one, so entries
+/// that differ by little in it reserve nearly the same ones.
 void
-ReplicaChooser::PartitionReplicas(const std::vector<Replica>& aReplicas)
+ReplicaChooser::PartitionService(const std::string& aService,
+                                 const std::vector<Replica>& aReplicas)
 {
   std::vector<std::pair<std::uint64_t, const std::string*>> near;
   for (const auto& replica : aReplicas) {
@@ -100,8 +109,9 @@
     return;
   }
   std::sort(near.begin(), near.end());
+  double reservedShare = longAnswerShare_.Of(aService);
   auto reserved = static_cast<std::size_t>(std::max(
-    1L, std::lround(static_cast<double>(near.size()) * kLongAnswerShare)));
+    1L, std::lround(static_cast<double>(near.size()) * reservedShare)));
   for (std::size_t i = 0; i < near.size(); ++i) {
     (i < reserved ? forLongAnswers_ : forOthers_).insert(*near[i].second);
   }
@@ -124,6 +134,25 @@
   return rateLimits_.Record(aReplica, aPerSecond, aSentAt, aNow);
 }
 
+void
+ReplicaChooser::SetLongResponses(
+  const std::map<std::string, std::uint32_t>& aLongResponses,
+  TimePoint aNow)
+{
+  for (const auto& [service, count] : aLongResponses) {
+    auto it = replicas_->find(service);
+    if (it == replicas_->end()) {
+      continue;
+    }
+    std::uint64_t slots = 0;
+    for (const auto& replica : it->second) {
+      slots += replica.slots_;
+    }
+    longAnswerShare_.Update(service, count, slots, aNow);
+  }
+  PartitionReplicas();
+}
+
 void
 ReplicaChooser::SetShareDivisor(std::uint32_t aDivisor)
 {
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 #include "tanagerstall/process/tanagerstall_work_class.hpp"
+#include "tanagerstall/request/tanagerstall_long_answer_share.hpp"
 #include "tanagerstall/request/tanagerstall_replica_rate_limits.hpp"
 #include "tanagerstall/request/tanagerstall_requested_backoff.hpp"
 #include "tanagerstall/request/tanagerstall_return_limit.hpp"
@@ -100,6 +101,10 @@
                   TimePoint aNow);
   /// The limits that this entry knows, and those that others have learnt.
   ReplicaRateLimits& RateLimits() { return rateLimits_; }
+  /// Adopts the number of long responses for which replicas are reserved.
+  void SetLongResponses(
+    const std::map<std::string, std::uint32_t>& aLongResponses,
+    TimePoint aNow);
   /// Sets the number by which this entry divides what all entries share.
   void SetShareDivisor(std::uint32_t aDivisor);
   /// Whether a request may be sent to the replica now, although it was chosen
@@ -153,7 +158,9 @@
   const Replica* Pick(const std::vector<const Replica*>& aFrom,
                       const ChoiceRequest& aRequest,
                       TimePoint aNow);
-  void PartitionReplicas(const std::vector<Replica>& aReplicas);
+  void PartitionReplicas();
+  void PartitionService(const std::string& aService,
+                        const std::vector<Replica>& aReplicas);
   std::vector<const Replica*> FilterByWork(
     const std::vector<const Replica*>& aFrom,
     WorkClass aWork) const;
@@ -166,6 +173,7 @@
   RequestedBackoff backoff_;
   ReplicaRateLimits rateLimits_;
   std::map<std::string, ReturnLimit> returnLimits_;
+  LongAnswerShare longAnswerShare_;
   /// The replicas that can be chosen, by id; owned by `replicas_`.
   std::map<std::string, const Replica*> present_;
   /// Replicas of this region that are reserved for long responses, and the
