Refuse requests that replicas can't serve in time

A request was forwarded whenever the limits allowed it, and under overload waited at a replica until its deadline. AdmissionControl at each entry divides the work that waits for a first response part by the work served per second. While that wait endangers the target latency of more urgent ranks, it refuses less urgent requests, then a part of the rank itself, with 503 "overloaded" and Retry-After. A request whose first part isn't expected before its deadline is refused as well. A returned request that would be late comes last. It applies to services with an engine and routes with target latencies.

--- a/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
@@ -45,7 +45,12 @@
 const ForwardRefusal kQuarantined{ 503,
                                    "prompt_quarantined",
                                    "a prompt part crashes replicas" };
-
+const ForwardRefusal kOverloaded{ 503,
+                                  "overloaded",
+                                  "too little capacity for its priority" };
+const ForwardRefusal kTooLate{ 503,
+                               "overloaded",
+                               "no response expected before the deadline" };
 const ForwardRefusal kStopping{ 503,
                                 "stopping",
                                 "the entry stops before the deadline",
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
@@ -28,6 +28,10 @@
 extern const ForwardRefusal kUnavailable;
 extern const ForwardRefusal kBackingOff;
 extern const ForwardRefusal kQuarantined;
+/// More urgent requests need the capacity.
+extern const ForwardRefusal kOverloaded;
+/// No response is expected before the request's deadline.
+extern const ForwardRefusal kTooLate;
 /// The entry stops before the request's deadline; another entry may serve it.
 extern const ForwardRefusal kStopping;
 
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -3,6 +3,7 @@
 #include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
 #include "tanagerstall/request/tanagerstall_forward_refusal.hpp"
+#include "tanagerstall/request/tanagerstall_request_admission.hpp"
 #include "tanagerstall/request/tanagerstall_request_log.hpp"
 #include "tanagerstall/request/tanagerstall_request_work.hpp"
 
@@ -58,6 +59,7 @@
   , chooser_({ settings_.failureDomain_, settings_.regions_ },
              std::random_device()())
   , limits_(std::random_device()())
+  , admission_(std::random_device()())
   , recorder_(chooser_, quarantine_, metrics_, clock_)
   , usage_(settings_.usageWindow_, hooks_.wallClock_)
   , retries_(settings_.retryRatio_, settings_.retrySlack_)
@@ -87,12 +89,14 @@
 {
   if (!plan_ || aPlan->number_ > plan_->number_) {
     plan_ = std::move(aPlan);
+    admission_.SetPlan(*plan_);
   }
 }
 
 void
 Forwarder::SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas)
 {
+  admission_.SetReplicas(*aReplicas);
   chooser_.SetReplicas(std::move(aReplicas));
 }
 
@@ -113,6 +117,7 @@
 {
   retries_.SetShareDivisor(aDivisor);
   chooser_.SetShareDivisor(aDivisor);
+  admission_.SetShareDivisor(aDivisor);
 }
 
 std::optional<HttpResponse>
@@ -181,6 +186,21 @@
   return Refuse(aRequest, UnavailableRefusal(aRequest.service_));
 }
 
+/// Refuses a request that would delay more urgent ones, or that can't be served
+/// in time.
+std::optional<HttpResponse>
+Forwarder::CheckAdmission(const ForwardedRequest& aRequest)
+{
+  auto refusal = RefuseByAdmission(admission_, aRequest, clock_.Now());
+  if (!refusal) {
+    return std::nullopt;
+  }
+  ServiceLoad& load = loads_[aRequest.service_];
+  ++load.arrivals_;
+  ++load.refused_;
+  return Refuse(aRequest, *refusal);
+}
+
 /// Takes the cost from the organisation's limit, waiting for control to grant
 /// more if the entry holds too little.
 CostDecision
@@ -255,6 +275,9 @@
   if (auto refusal = CheckBackoff(request)) {
     return tl::make_unexpected(*refusal);
   }
+  if (auto refusal = CheckAdmission(request)) {
+    return tl::make_unexpected(*refusal);
+  }
   if (auto refusal = CheckRate(aExchange, request)) {
     return tl::make_unexpected(*refusal);
   }
@@ -335,6 +358,7 @@
   bool canRetry = true;
   std::optional<HttpResponse> failure;
   AttemptResult last;
+  AdmissionObserver admission(admission_, aRequest, clock_);
   while (canRetry && !hasEndedRequests_ &&
          !quarantine_.RemainingFor(parts, clock_.Now())) {
     ChoiceRequest choice{ aRequest.service_,
@@ -361,6 +385,7 @@
          }
          hasRun = true;
          aRequest.firstPartAt_ = clock_.Now();
+         admission.OnFirstPart();
        },
         [&](Duration aSinceFirst) {
           if (!isSuccessCounted &&
@@ -473,6 +498,7 @@
     load.running_ = chooser_.Running(service);
   }
   report.services_ = loads_;
+  report.admissionSums_ = admission_.Report(clock_.Now());
   report.requestRate_ = arrivals_.Update(clock_.Now());
   report.promptEvidence_ = quarantine_.Report(clock_.Now());
   report.namedRates_ = chooser_.RateLimits().Report(clock_.Now());
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -5,6 +5,7 @@
 #include "tanagerstall/connection/tanagerstall_fleet_messages.hpp"
 #include "tanagerstall/connection/tanagerstall_http_server.hpp"
 #include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
+#include "tanagerstall/request/tanagerstall_admission_control.hpp"
 #include "tanagerstall/request/tanagerstall_attempt_recorder.hpp"
 #include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
@@ -44,6 +45,7 @@
 {
   std::vector<UsageWindow> usage_;
   std::map<std::string, ServiceLoad> services_;
+  AdmissionSumsByService admissionSums_;
   /// Requests per second from callers; refused ones count for a part.
   double requestRate_ = 0.0;
   PromptEvidence promptEvidence_;
@@ -76,6 +78,18 @@
   void AdoptRates(const NamedRates& aRates);
   /// Adopts the leader's verdicts on prompt parts.
   void ApplyVerdicts(const PromptVerdicts& aVerdicts);
+  /// Adopts the sums over all entries that answer this entry's report of
+  /// `aReportedAt`.
+  void AdoptAdmissionSums(const AdmissionSumsByService& aSums,
+                          TimePoint aReportedAt)
+  {
+    admission_.AdoptSums(aSums, aReportedAt);
+  }
+  /// The level of each service to which admission applies.
+  std::map<std::string, double> AdmissionLevels()
+  {
+    return admission_.Levels(clock_.Now());
+  }
   /// Limits() and GetMetrics() may be called, and their results used, from
   /// any thread.
   CostLimits& Limits() { return limits_; }
@@ -113,6 +127,7 @@
                          const PlanOrganisation& aOrganisation,
                          double aCost);
   std::optional<HttpResponse> CheckBackoff(const ForwardedRequest& aRequest);
+  std::optional<HttpResponse> CheckAdmission(const ForwardedRequest& aRequest);
   std::optional<HttpResponse> CheckPrompt(const ForwardedRequest& aRequest);
   const std::string& PickService(const Route& aRoute);
   void Run(HttpExchange& aExchange, ForwardedRequest& aRequest);
@@ -133,6 +148,7 @@
   BufferBudget buffers_;
   ReplicaChooser chooser_;
   CostLimits limits_;
+  AdmissionControl admission_;
   PromptQuarantine quarantine_;
   Metrics metrics_;
   AttemptRecorder recorder_;
--- a/tests/tanagerstall_admission_simulation.hpp
+++ b/tests/tanagerstall_admission_simulation.hpp
@@ -218,12 +218,16 @@
   std::uint64_t late_ = 0;
   std::uint64_t expired_ = 0;
   std::uint64_t refused_ = 0;
+  /// Of those that arrived during the overload of the pattern.
+  std::uint64_t overloadArrivals_ = 0;
+  std::uint64_t overloadInTime_ = 0;
   std::uint64_t largeArrivals_ = 0;
   std::uint64_t largeRefused_ = 0;
 
-  double InTimeShare() const
+  double OverloadInTimeShare() const
   {
-    return static_cast<double>(inTime_) / static_cast<double>(arrivals_);
+    return static_cast<double>(overloadInTime_) /
+           static_cast<double>(overloadArrivals_);
   }
 };
 
@@ -258,6 +262,8 @@
 {
   const char* name_;
   Duration length_;
+  Duration overloadFrom_;
+  Duration overloadTo_;
   /// The factor on the arrivals of a kind and organisation.
   std::function<double(Duration, std::size_t, std::uint32_t)> factor_;
   /// The part of the replicas that is gone during [2 s, 12 s).
@@ -273,23 +279,35 @@
     return aTime >= aFrom && aTime < aTo;
   };
   static const std::vector<LoadPattern> kPatterns{
-    { "usual", 8s, [](Duration, std::size_t, std::uint32_t) { return 1.0; } },
+    { "usual",
+      8s,
+      0s,
+      8s,
+      [](Duration, std::size_t, std::uint32_t) { return 1.0; } },
     { "rank 0 at 2.3",
       12s,
+      2s,
+      8s,
       [=](Duration aTime, std::size_t aKind, std::uint32_t) {
         return aKind == 0 && during(aTime, 2s, 8s) ? 2.3 : 1.0;
       } },
     { "organisation at 6",
       12s,
+      2s,
+      8s,
       [=](Duration aTime, std::size_t, std::uint32_t aOrganisation) {
         return aOrganisation == 3 && during(aTime, 2s, 8s) ? 6.0 : 1.0;
       } },
     { "third lost",
       15s,
+      2s,
+      12s,
       [](Duration, std::size_t, std::uint32_t) { return 1.0; },
       1.0 / 3.0 },
     { "wave",
       20s,
+      0s,
+      10s,
       [](Duration aTime, std::size_t, std::uint32_t) {
         return 1.0 + 0.3 * std::sin(2.0 * 3.14159265 * InSeconds(aTime) / 20.0);
       } },
@@ -339,7 +357,8 @@
                       std::uint64_t aSeed)
     : setup_(aSetup)
     , pattern_(aPattern)
-    , random_(aSeed)
+    , arrivals_(aSeed)
+    , random_(aSeed + 1)
     , work_(aSetup.entries_, std::vector<float>(aSetup.Replicas(), 0.0F))
   {
     replicaHooks_.onFirstPart_ = [this](const RequestPointer& aIt) {
@@ -351,6 +370,7 @@
                       kSimulatedKinds[aIt->kind_].target_;
       KindResult& kind = result_.kinds_[aIt->kind_];
       ++(isInTime ? kind.inTime_ : kind.late_);
+      kind.overloadInTime_ += isInTime && IsInOverload(*aIt) ? 1 : 0;
     };
     replicaHooks_.onExpired_ = [this](const RequestPointer& aIt) {
       EndSent(aIt, true);
@@ -409,6 +429,12 @@
     return aRequest.deadline_ - kSimulatedKinds[aRequest.kind_].timeout_;
   }
 
+  bool IsInOverload(const SimulatedRequest& aRequest) const
+  {
+    Duration at = FirstArrival(aRequest) - begin_;
+    return at >= pattern_.overloadFrom_ && at < pattern_.overloadTo_;
+  }
+
   double Factor(std::size_t aKind, std::uint32_t aOrganisation) const
   {
     return pattern_.factor_(events_.Now() - begin_, aKind, aOrganisation);
@@ -420,7 +446,7 @@
     constexpr double kMaxFactor = 6.0;
     double ratePerS = setup_.Rate() * kMaxFactor;
     auto wait = std::chrono::duration<double>(
-      std::exponential_distribution<double>(ratePerS)(random_));
+      std::exponential_distribution<double>(ratePerS)(arrivals_));
     TimePoint at = events_.Now() + std::chrono::duration_cast<Duration>(wait);
     if (at >= begin_ + pattern_.length_) {
       return;
@@ -434,29 +460,31 @@
   void Arrive()
   {
     std::uniform_real_distribution<double> part(0.0, 1.0);
-    double drawn = part(random_);
+    double drawn = part(arrivals_);
     std::size_t kind = drawn < 0.40 ? 0 : drawn < 0.86 ? 1 : 2;
-    auto organisation = static_cast<std::uint32_t>(random_() % kOrganisations);
-    if (part(random_) * 6.0 > Factor(kind, organisation)) {
+    auto organisation =
+      static_cast<std::uint32_t>(arrivals_() % kOrganisations);
+    if (part(arrivals_) * 6.0 > Factor(kind, organisation)) {
       return;
     }
     const SimulatedKind& is = kSimulatedKinds[kind];
     auto request = std::make_shared<SimulatedRequest>();
     request->kind_ = kind;
-    request->entry_ = random_() % setup_.entries_;
+    request->entry_ = arrivals_() % setup_.entries_;
     request->organisation_ = organisation;
-    request->session_ = random_() % 2000 + 1;
+    request->session_ = arrivals_() % 2000 + 1;
     // Sizes vary by a half around the mean.
-    double size = 0.5 + part(random_);
+    double size = 0.5 + part(arrivals_);
     auto own = static_cast<std::uint32_t>(size * is.ownTokens_);
     request->promptTokens_ = is.sharedTokens_ + own;
     request->tokensToRead_ =
-      own + (part(random_) < kCacheMisses ? is.sharedTokens_ : 0);
+      own + (part(arrivals_) < kCacheMisses ? is.sharedTokens_ : 0);
     request->outputTokens_ =
-      static_cast<std::uint32_t>((0.5 + part(random_)) * is.outputTokens_);
+      static_cast<std::uint32_t>((0.5 + part(arrivals_)) * is.outputTokens_);
     request->arrivedAt_ = events_.Now();
     request->deadline_ = events_.Now() + is.timeout_;
     ++result_.kinds_[kind].arrivals_;
+    result_.kinds_[kind].overloadArrivals_ += IsInOverload(*request) ? 1 : 0;
     result_.kinds_[kind].largeArrivals_ += size >= 1.4 ? 1 : 0;
     Call(request);
   }
@@ -582,6 +610,8 @@
 
   SimulationSetup setup_;
   const LoadPattern& pattern_;
+  /// Draws the requests, which are the same whatever becomes of them.
+  std::mt19937_64 arrivals_;
   std::mt19937_64 random_;
   EventQueue events_;
   TimePoint begin_;
