Admit by the sums over all entries

With 300 entries each sees 10 requests a second, too few to tell an overload from chance. Entries report the work that waits and is served by rank to the leader, which adds the reports of the last second and returns the sums. New fields are at the end of the messages; an old leader sends no sums, so entries decide alone. The level is a gauge of each service.

--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -6,6 +6,8 @@
 #include <functional>
 #include <kj/debug.h>
 
+#include <cmath>
+
 namespace tanagerstall {
 
 namespace {
@@ -179,6 +181,49 @@
   }
 }
 
+void
+WriteAdmission(capnp::List<wire::AdmissionSums>::Builder aTo,
+               const AdmissionSumsByService& aFrom)
+{
+  unsigned next = 0;
+  for (const auto& [service, sums] : aFrom) {
+    auto to = aTo[next++];
+    to.setService(ToText(service));
+    to.setRunning(sums.running_);
+    auto ranks = to.initRanks(static_cast<unsigned>(sums.ranks_.size()));
+    unsigned nextRank = 0;
+    for (const auto& [rank, work] : sums.ranks_) {
+      auto toRank = ranks[nextRank++];
+      toRank.setRank(rank);
+      toRank.setWaiting(static_cast<float>(work.waiting_));
+      toRank.setServedPerS(static_cast<float>(work.servedPerS_));
+    }
+  }
+}
+
+/// Returns an amount of work; a value that is none counts as 0.
+double
+ReadWork(float aFrom)
+{
+  return std::isfinite(aFrom) && aFrom > 0.0F ? static_cast<double>(aFrom)
+                                              : 0.0;
+}
+
+AdmissionSumsByService
+ReadAdmission(capnp::List<wire::AdmissionSums>::Reader aFrom)
+{
+  AdmissionSumsByService all;
+  for (auto from : aFrom) {
+    AdmissionSums& sums = all[ToString(from.getService())];
+    sums.running_ = from.getRunning();
+    for (auto rank : from.getRanks()) {
+      sums.ranks_[rank.getRank()] = { ReadWork(rank.getWaiting()),
+                                      ReadWork(rank.getServedPerS()) };
+    }
+  }
+  return all;
+}
+
 } // namespace
 
 void
@@ -210,6 +255,9 @@
                 aDelay.setCount(aSums.count_);
                 aDelay.setMs(aSums.sumMs_);
               });
+  WriteAdmission(
+    aTo.initAdmission(static_cast<unsigned>(aFrom.admission_.size())),
+    aFrom.admission_);
   auto usage = aTo.initUsage(aFrom.usage_.size());
   for (unsigned i = 0; i < aFrom.usage_.size(); ++i) {
     WriteUsage(usage[i], aFrom.usage_[i]);
@@ -263,6 +311,7 @@
     report.regionDelays_[ToString(delay.getService())][ToString(
       delay.getRegion())] = { delay.getCount(), delay.getMs() };
   }
+  report.admission_ = ReadAdmission(aFrom.getAdmission());
   for (auto usage : aFrom.getUsage()) {
     report.usage_.push_back(ReadUsage(usage));
   }
@@ -334,6 +383,9 @@
   WriteDelays([&](unsigned aSize) { return aTo.initRegionDelays(aSize); },
               aFrom.regionDelays_,
               [](auto aDelay, double aMean) { aDelay.setMs(aMean); });
+  WriteAdmission(
+    aTo.initAdmission(static_cast<unsigned>(aFrom.admission_.size())),
+    aFrom.admission_);
   if (aFrom.promptVerdicts_) {
     WriteVerdicts(aTo.initPromptVerdicts(), *aFrom.promptVerdicts_);
   }
@@ -382,6 +434,7 @@
     answer.regionDelays_[ToString(delay.getService())]
                         [ToString(delay.getRegion())] = delay.getMs();
   }
+  answer.admission_ = ReadAdmission(aFrom.getAdmission());
   if (aFrom.hasPromptVerdicts()) {
     answer.promptVerdicts_ = ReadVerdicts(aFrom.getPromptVerdicts());
   }
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
+#include "tanagerstall/request/tanagerstall_admission_sums.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
 #include "tanagerstall/request/tanagerstall_named_rate.hpp"
 #include "tanagerstall/request/tanagerstall_prompt_evidence.hpp"
@@ -127,6 +128,8 @@
   std::uint64_t rolloutRevision_ = 0;
   /// Sent to the leader only.
   RegionDelaySums regionDelays_;
+  /// Sent to the leader only.
+  AdmissionSumsByService admission_;
 };
 
 /// The answer of a control process.
@@ -170,6 +173,8 @@
   std::uint64_t rolloutRevision_ = 0;
   /// Sent by the leader only.
   RegionDelays regionDelays_;
+  /// The sums over all entries; sent by the leader only.
+  AdmissionSumsByService admission_;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -171,6 +171,20 @@
   # The sum of `count` delays in a report, the mean in an answer.
 }
 
+struct AdmissionWork {
+  rank @0 :UInt32;
+  waiting @1 :Float32;
+  # Work in tokens that was sent and waits for its first response part.
+  servedPerS @2 :Float32;
+}
+
+struct AdmissionSums {
+  # Of one entry in a report, of all entries in an answer.
+  service @0 :Text;
+  running @1 :UInt32;
+  ranks @2 :List(AdmissionWork);
+}
+
 struct SyncRequest {
   entry @0 :Control.EntryInfo;
   controlRun @1 :UInt64;
@@ -206,6 +220,8 @@
   # The revision of the receiver's directives that the entry follows.
   regionDelays @20 :List(RegionDelay);
   # Sent to the leader.
+  admission @21 :List(AdmissionSums);
+  # Sent to the leader.
 }
 
 struct CostGrant {
@@ -249,6 +265,8 @@
   rolloutRevision @20 :UInt64;
   regionDelays @21 :List(RegionDelay);
   # Sent by the leader.
+  admission @22 :List(AdmissionSums);
+  # Sent by the leader.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -51,6 +51,8 @@
 CAPNP_DECLARE_SCHEMA(8baf6d4e8da11383);
 CAPNP_DECLARE_SCHEMA(c0edefa625f6cd5c);
 CAPNP_DECLARE_SCHEMA(f015d053ac114193);
+CAPNP_DECLARE_SCHEMA(9fa3c9bd292da564);
+CAPNP_DECLARE_SCHEMA(e81c0c9f889e7b87);
 CAPNP_DECLARE_SCHEMA(a8bf46aabef2c4ea);
 CAPNP_DECLARE_SCHEMA(ac458a8c09f8367d);
 CAPNP_DECLARE_SCHEMA(c45ee92c61620b2a);
@@ -346,6 +348,36 @@
   };
 };
 
+struct AdmissionWork {
+  AdmissionWork() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9fa3c9bd292da564, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AdmissionSums {
+  AdmissionSums() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e81c0c9f889e7b87, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct SyncRequest {
   SyncRequest() = delete;
 
@@ -354,7 +386,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 9, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -384,7 +416,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 7, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 7, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2298,6 +2330,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class AdmissionWork::Reader {
+public:
+  typedef AdmissionWork Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getRank() const;
+
+  inline float getWaiting() const;
+
+  inline float getServedPerS() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AdmissionWork::Builder {
+public:
+  typedef AdmissionWork Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getRank();
+  inline void setRank( ::uint32_t value);
+
+  inline float getWaiting();
+  inline void setWaiting(float value);
+
+  inline float getServedPerS();
+  inline void setServedPerS(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AdmissionWork::Pipeline {
+public:
+  typedef AdmissionWork Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AdmissionSums::Reader {
+public:
+  typedef AdmissionSums Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint32_t getRunning() const;
+
+  inline bool hasRanks() const;
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Reader getRanks() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AdmissionSums::Builder {
+public:
+  typedef AdmissionSums Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
+
+  inline bool hasRanks();
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Builder getRanks();
+  inline void setRanks( ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Builder initRanks(unsigned int size);
+  inline void adoptRanks(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>> disownRanks();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AdmissionSums::Pipeline {
+public:
+  typedef AdmissionSums Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SyncRequest::Reader {
 public:
   typedef SyncRequest Reads;
@@ -2365,6 +2579,9 @@
   inline bool hasRegionDelays() const;
   inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader getRegionDelays() const;
 
+  inline bool hasAdmission() const;
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader getAdmission() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2488,6 +2705,13 @@
   inline void adoptRegionDelays(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> disownRegionDelays();
 
+  inline bool hasAdmission();
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder getAdmission();
+  inline void setAdmission( ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder initAdmission(unsigned int size);
+  inline void adoptAdmission(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>> disownAdmission();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2673,6 +2897,9 @@
   inline bool hasRegionDelays() const;
   inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader getRegionDelays() const;
 
+  inline bool hasAdmission() const;
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader getAdmission() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2809,6 +3036,13 @@
   inline void adoptRegionDelays(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> disownRegionDelays();
 
+  inline bool hasAdmission();
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder getAdmission();
+  inline void setAdmission( ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder initAdmission(unsigned int size);
+  inline void adoptAdmission(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>> disownAdmission();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4893,6 +5127,130 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t AdmissionWork::Reader::getRank() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AdmissionWork::Builder::getRank() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionWork::Builder::setRank( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AdmissionWork::Reader::getWaiting() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float AdmissionWork::Builder::getWaiting() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionWork::Builder::setWaiting(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AdmissionWork::Reader::getServedPerS() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float AdmissionWork::Builder::getServedPerS() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionWork::Builder::setServedPerS(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AdmissionSums::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AdmissionSums::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AdmissionSums::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AdmissionSums::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AdmissionSums::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AdmissionSums::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AdmissionSums::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AdmissionSums::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t AdmissionSums::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AdmissionSums::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionSums::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AdmissionSums::Reader::hasRanks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AdmissionSums::Builder::hasRanks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Reader AdmissionSums::Reader::getRanks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Builder AdmissionSums::Builder::getRanks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AdmissionSums::Builder::setRanks( ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Builder AdmissionSums::Builder::initRanks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AdmissionSums::Builder::adoptRanks(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>> AdmissionSums::Builder::disownRanks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool SyncRequest::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5357,6 +5715,40 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool SyncRequest::Reader::hasAdmission() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasAdmission() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getAdmission() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getAdmission() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setAdmission( ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initAdmission(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptAdmission(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownAdmission() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline bool CostGrant::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5926,6 +6318,40 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool SyncReply::Reader::hasAdmission() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasAdmission() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getAdmission() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getAdmission() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setAdmission( ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initAdmission(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptAdmission(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownAdmission() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/process/tanagerstall_admission_levels.cpp
+++ b/src/tanagerstall/process/tanagerstall_admission_levels.cpp
@@ -13,6 +13,15 @@
 
 } // namespace
 
+void
+AdmissionLevels::StartLeading(TimePoint aNow)
+{
+  reports_.clear();
+  total_.clear();
+  addedAt_.reset();
+  sumsFrom_ = aNow + kReportTime;
+}
+
 void
 AdmissionLevels::Record(const std::string& aEntry,
                         const AdmissionSumsByService& aSums,
@@ -24,7 +33,8 @@
 const AdmissionSumsByService&
 AdmissionLevels::Sums(TimePoint aNow)
 {
-  if (isAdded_ && aNow - addedAt_ < kSumInterval) {
+  bool isCurrent = addedAt_ && aNow - *addedAt_ < kSumInterval;
+  if (isCurrent || aNow < sumsFrom_) {
     return total_;
   }
   std::erase_if(reports_, [&](const auto& aIt) {
@@ -37,7 +47,6 @@
     }
   }
   addedAt_ = aNow;
-  isAdded_ = true;
   return total_;
 }
 
--- a/src/tanagerstall/process/tanagerstall_admission_levels.hpp
+++ b/src/tanagerstall/process/tanagerstall_admission_levels.hpp
@@ -5,16 +5,19 @@
 #include "tanagerstall/request/tanagerstall_admission_sums.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace tanagerstall {
 
-/// Adds what entries report for their admission. The leader keeps it in memory;
-/// a new leader knows all entries again after one report of each. A state
-/// machine without I/O.
+/// Adds what entries report for their admission. The leader keeps it in memory.
+/// A state machine without I/O.
 class AdmissionLevels
 {
 public:
+  /// Forgets all reports. No sums are returned until each entry has had the
+  /// time to report.
+  void StartLeading(TimePoint aNow);
   /// Replaces what the entry reported before.
   void Record(const std::string& aEntry,
               const AdmissionSumsByService& aSums,
@@ -31,8 +34,9 @@
 
   std::map<std::string, Report> reports_;
   AdmissionSumsByService total_;
-  TimePoint addedAt_;
-  bool isAdded_ = false;
+  TimePoint sumsFrom_ = TimePoint::max();
+  /// When the sums were last added.
+  std::optional<TimePoint> addedAt_;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -8,6 +8,7 @@
 #include "tanagerstall/process/presence/tanagerstall_departure.hpp"
 #include "tanagerstall/process/presence/tanagerstall_entry_working_set.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
+#include "tanagerstall/process/tanagerstall_admission_levels.hpp"
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
 #include "tanagerstall/process/tanagerstall_leader_tasks.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
@@ -200,6 +201,9 @@
         entriesServer_.Notify();
       }
     }
+    if (isLeading_ && aReport.isToLeader_) {
+      admission_.Record(aReport.entry_.id_, aReport.admission_, clock_.Now());
+    }
     if (isLeading_ && aReport.promptEvidence_) {
       detector_.RecordReport(
         RunOf(aReport.entry_), *aReport.promptEvidence_, clock_.Now());
@@ -300,6 +304,7 @@
       TimePoint now = clock_.Now();
       answer.grants_ =
         leases_.Grant(aReport.entry_.id_, aReport.grantRequests_, now);
+      answer.admission_ = admission_.Sums(now);
       answer.allowsAdvance_ = true;
       answer.nearlyExhausted_ = leases_.NearlyExhausted(now);
     }
@@ -366,6 +371,7 @@
         if (isLeading_ && !wasLeading) {
           leases_.StartLeading(now);
           detector_.StartLeading();
+          admission_.StartLeading(now);
           entriesServer_.Notify();
         }
         namedRates_.Update(now);
@@ -426,6 +432,7 @@
   CostLeases leases_;
   PromptCrashDetector detector_{ runId_ };
   NamedRateTable namedRates_{ runId_ };
+  AdmissionLevels admission_;
   bool isLeading_ = false;
   LoopDelay loopDelay_{ kTickInterval };
   UsageTotals usageTotals_;
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -83,29 +83,30 @@
                      static_cast<double>(callers_.ActiveExchanges()) },
                    { "declaration",
                      static_cast<double>(appliedDeclaration_) } };
-    AddReplicaGauges(gauges,
+    AddServiceGauges(gauges,
                      "replicas_backing_off",
                      forwarder_.CountReplicas(ReplicaAvailability::BackingOff));
-    AddReplicaGauges(gauges,
+    AddServiceGauges(gauges,
                      "replicas_leaving",
                      forwarder_.CountReplicas(ReplicaAvailability::Leaving));
-    AddReplicaGauges(
+    AddServiceGauges(
       gauges, "replicas_rate_limited", forwarder_.CountRateLimitedReplicas());
+    AddServiceGauges(gauges, "admission_level", forwarder_.AdmissionLevels());
     aExchange.Respond(MetricsResponse(
       aExchange.Request(), forwarder_.GetMetrics().Collect(), gauges));
   }
 
   /// Adds a gauge for each service. Runs on the traffic thread, as the server
   /// of metrics does.
-  static void AddReplicaGauges(
-    Gauges& aGauges,
-    const std::string& aName,
-    const std::map<std::string, std::size_t>& aCounts)
+  template<class Value>
+  static void AddServiceGauges(Gauges& aGauges,
+                               const std::string& aName,
+                               const std::map<std::string, Value>& aValues)
   {
-    for (const auto& [service, count] : aCounts) {
+    for (const auto& [service, value] : aValues) {
       std::string name = aName;
       name.append("{service=\"").append(service).append("\"}");
-      aGauges[name] = static_cast<double>(count);
+      aGauges[name] = static_cast<double>(value);
     }
   }
 
@@ -133,6 +134,7 @@
         forwarder_.Limits().NextGrantRequests(clock_.Now());
     }
     if (aIsLeader) {
+      report.admission_ = traffic_.admissionSums_;
       report.promptEvidence_ = traffic_.promptEvidence_;
       report.promptRevision_ =
         aControl == verdictsFrom_ ? verdictsRevision_ : 0;
@@ -202,8 +204,12 @@
       }
       forwarder_.Limits().ApplyGrants(
         aAnswer.grants_, aAnswer.shareDivisor_, advance);
-      threads_.Post([this, divisor = aAnswer.shareDivisor_] {
+      threads_.Post([this,
+                     divisor = aAnswer.shareDivisor_,
+                     sums = aAnswer.admission_,
+                     reportedAt = aAnswer.reportedAt_] {
         forwarder_.SetShareDivisor(divisor);
+        forwarder_.AdoptAdmissionSums(sums, reportedAt);
       });
     }
     if (aAnswer.promptVerdicts_) {
--- a/tests/admission_tests.cpp
+++ b/tests/admission_tests.cpp
@@ -88,6 +88,7 @@
     , begin_(aSimulation.Events().Now())
   {
     TrafficPlan plan = MakePlan();
+    leader_.StartLeading(begin_ - 2s);
     for (std::size_t i = 0; i < aEntries; ++i) {
       entries_.emplace_back(kSeed + i);
       entries_.back().SetPlan(plan);
