--- a/src/daemons/tanagerstall_load.cpp
+++ b/src/daemons/tanagerstall_load.cpp
@@ -114,6 +114,10 @@
     std::cout << "| " << cost.upstreams_ << " | " << cost.median_.count()
               << " | " << cost.p99_.count() << " |\n";
   }
+  auto admission = MeasureAdmission(4300, kRequests);
+  std::cout << "| " << admission.upstreams_ << ", admission | "
+            << admission.median_.count() << " | " << admission.p99_.count()
+            << " |\n";
   return 0;
 }
 
--- a/src/tanagerstall/process/experiment/tanagerstall_decision_benchmark.hpp
+++ b/src/tanagerstall/process/experiment/tanagerstall_decision_benchmark.hpp
@@ -22,6 +22,11 @@
 MeasureDecisions(const std::vector<std::size_t>& aUpstreams,
                  std::size_t aRequests);
 
+/// Measures the wall time that admission takes for one request of an overloaded
+/// service: the decision, and the observation of the request if it is sent.
+DecisionCost
+MeasureAdmission(std::size_t aReplicas, std::size_t aRequests);
+
 } // namespace tanagerstall
 
 #endif
--- a/src/tanagerstall/request/tanagerstall_admission_control.cpp
+++ b/src/tanagerstall/request/tanagerstall_admission_control.cpp
@@ -133,8 +133,9 @@
 {
   slots_.clear();
   for (const auto& [service, replicas] : aReplicas) {
+    std::uint64_t& slots = slots_[service];
     for (const auto& replica : replicas) {
-      slots_[service] += replica.slots_;
+      slots += replica.slots_;
     }
   }
   for (auto& [name, service] : services_) {
