Tell a returned request by what its rank usually has left

A caller may state less time than the route's timeout in its first call; all its requests would have counted as returned and late, and been refused throughout an overload. The time used counts from the largest part of the timeout that recent requests of the rank had, and each tenth caller is never refused by the level, also if it returns late.

--- a/src/tanagerstall/request/tanagerstall_admission_control.cpp
+++ b/src/tanagerstall/request/tanagerstall_admission_control.cpp
@@ -39,9 +39,12 @@
 /// How long a caller keeps its place among the requests of its rank. Shorter
 /// than most overloads, so that no caller is refused throughout.
 constexpr Duration kPlaceTime = std::chrono::seconds(2);
-/// A request with less of its route's timeout left was refused before. It
-/// moves forward in its rank by this factor.
+/// A request was refused before if its time left, as a part of its route's
+/// timeout, is below this fraction of the largest part of recent requests.
 constexpr double kReturnedTimeLeft = 0.95;
+/// The weight of the newest request in the largest part, if its part is less.
+constexpr double kTimeLeftSmoothing = 0.002;
+/// Such a request moves forward in its rank by this factor.
 constexpr double kReturnedFactor = 0.5;
 /// The weight of the entry's own sums while those over all entries are fresh
 /// and show an overload. Own sums aren't delayed, which damps oscillations.
@@ -63,15 +66,6 @@
   return aKey;
 }
 
-/// Whether the caller seems to have used a part of its time for an earlier
-/// call.
-bool
-HasReturned(const AdmissionRequest& aRequest)
-{
-  return InSeconds(aRequest.timeLeft_) <
-         kReturnedTimeLeft * InSeconds(aRequest.timeout_);
-}
-
 double
 InterpolateLinearly(double aFrom, double aTo, double aPart)
 {
@@ -310,18 +304,26 @@
 {
   auto turn = static_cast<std::uint64_t>(aNow.time_since_epoch() / kPlaceTime);
   std::uint64_t hash = Mix(aRequest.caller_ ^ Mix(salt_ + turn));
-  double fraction = static_cast<double>(hash >> 11U) * 0x1.0p-53;
-  return HasReturned(aRequest) ? fraction * kReturnedFactor : fraction;
+  return static_cast<double>(hash >> 11U) * 0x1.0p-53;
 }
 
-/// Whether a request that was refused before would miss its target latency, by
-/// the time that its caller has already used.
-bool
-AdmissionControl::WillBeLate(const AdmissionRequest& aRequest,
-                             Duration aEstimate)
+/// Returns the time that the caller has used for an earlier call; zero if there
+/// seems to be none. Callers may state less time than the route's timeout in
+/// their first call, so it counts from what recent requests of the rank had.
+Duration
+AdmissionControl::UsedTime(const AdmissionRequest& aRequest, Rank& aRank)
 {
-  Duration used = aRequest.timeout_ - aRequest.timeLeft_;
-  return HasReturned(aRequest) && used + aEstimate > aRequest.target_;
+  if (aRequest.timeout_ <= Duration::zero()) {
+    return Duration::zero();
+  }
+  double part = InSeconds(aRequest.timeLeft_) / InSeconds(aRequest.timeout_);
+  double& largest = aRank.largestTimeLeft_;
+  largest = std::max(part, largest + kTimeLeftSmoothing * (part - largest));
+  if (part >= kReturnedTimeLeft * largest) {
+    return Duration::zero();
+  }
+  return std::chrono::duration_cast<Duration>((largest - part) *
+                                              aRequest.timeout_);
 }
 
 AdmissionDecision
@@ -334,26 +336,32 @@
   }
   Service& service = it->second;
   Level level = LevelOf(it->first, service, aNow);
-  double fraction = FractionOf(aRequest, aNow);
-  auto place = static_cast<double>(std::distance(
-    service.ranks_.begin(), service.ranks_.lower_bound(aRequest.rank_)));
   decision.estimate_ =
     service.estimate_.Estimate(aRequest.rank_, aRequest.promptTokens_, aNow);
-  if (WillBeLate(aRequest, decision.estimate_)) {
-    // It would delay others and earn little itself.
-    place = static_cast<double>(service.ranks_.size()) - 1.0;
-    fraction = 1.0;
+  double fraction = FractionOf(aRequest, aNow);
+  bool isInFloor = fraction < kFloor;
+  auto rank = service.ranks_.lower_bound(aRequest.rank_);
+  auto place = static_cast<double>(std::distance(service.ranks_.begin(), rank));
+  Duration used = rank == service.ranks_.end()
+                    ? Duration::zero()
+                    : UsedTime(aRequest, rank->second);
+  if (used > Duration::zero()) {
+    // One that misses its target latency anyway would delay others and earn
+    // little.
+    bool willBeLate = used + decision.estimate_ > aRequest.target_;
+    decision.priority_ = willBeLate ? static_cast<double>(service.ranks_.size())
+                                    : place + fraction * kReturnedFactor;
+  } else {
+    decision.priority_ = place + fraction;
   }
-  decision.priority_ = place + fraction;
   decision.level_ = level.admitted_;
   decision.sharedAge_ = level.sharedAge_;
   bool isOverloaded =
     level.admitted_ < static_cast<double>(service.ranks_.size());
   decision.isHopeless_ =
     isOverloaded && decision.estimate_ > aRequest.timeLeft_;
-  decision.isRefused_ =
-    decision.isHopeless_ ||
-    (decision.priority_ > level.admitted_ && fraction >= kFloor);
+  decision.isRefused_ = decision.isHopeless_ ||
+                        (decision.priority_ > level.admitted_ && !isInFloor);
   if (decision.isRefused_) {
     if (!service.refusesSince_ || aNow - service.refusedAt_ > kOverloadGap) {
       service.refusesSince_ = aNow;
--- a/src/tanagerstall/request/tanagerstall_admission_control.hpp
+++ b/src/tanagerstall/request/tanagerstall_admission_control.hpp
@@ -102,6 +102,8 @@
     std::uint32_t waitingRequests_ = 0;
     /// The work served, decayed exponentially.
     double served_ = 0.0;
+    /// The largest time left of recent requests, as a part of the timeout.
+    double largestTimeLeft_ = 0.0;
   };
 
   struct Service
@@ -141,7 +143,7 @@
   static Level LevelBy(const AdmissionSums& aSums,
                        const Service& aService,
                        double aShares);
-  static bool WillBeLate(const AdmissionRequest& aRequest, Duration aEstimate);
+  static Duration UsedTime(const AdmissionRequest& aRequest, Rank& aRank);
   double FractionOf(const AdmissionRequest& aRequest, TimePoint aNow) const;
   Duration RetryAfter(const AdmissionRequest& aRequest,
                       const Service& aService,
--- a/tests/admission_tests.cpp
+++ b/tests/admission_tests.cpp
@@ -388,6 +388,25 @@
   BOOST_TEST(times.size() < 200U);
 }
 
+// Guards against callers that state less time than the route's timeout and are
+// taken for ones that were refused before, and against refusing all that were.
+BOOST_AUTO_TEST_CASE(Callers_with_little_time_keep_their_share)
+{
+  auto countRefused = [](Duration aOthersLeft) {
+    auto control = MakeOverloaded(MakePlan(), 16, kNow);
+    int refused = 0;
+    for (std::uint64_t caller = 0; caller < 1000; ++caller) {
+      auto request = MakeRequest(0, 500);
+      request.caller_ = caller;
+      request.timeLeft_ = caller % 2 == 0 ? aOthersLeft : 4500ms;
+      refused += control.Decide(request, kNow).isRefused_ ? 1 : 0;
+    }
+    return refused;
+  };
+  BOOST_TEST(countRefused(4500ms) <= 950);
+  BOOST_TEST(countRefused(6s) <= 950);
+}
+
 // Guards against refusals where the configuration doesn't ask for admission or
 // the capacity is unknown.
 BOOST_AUTO_TEST_CASE(Nothing_is_refused_without_engine_target_or_slots)
