Let all entries begin and end admission together

Entries ask the leader at different times, so only some of them saw a short overload and began to refuse, for 2 s. The leader now returns the longest wait of the last second with the sums, by which all entries begin. During an overload an entry's own counts are no longer reduced by their spread, and weigh 0.25 instead of 0.3.

--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -197,6 +197,7 @@
       toRank.setRank(rank);
       toRank.setWaiting(static_cast<float>(work.waiting_));
       toRank.setServedPerS(static_cast<float>(work.servedPerS_));
+      toRank.setPeakWaitS(static_cast<float>(work.peakWaitS_));
     }
   }
 }
@@ -218,7 +219,8 @@
     sums.running_ = from.getRunning();
     for (auto rank : from.getRanks()) {
       sums.ranks_[rank.getRank()] = { ReadWork(rank.getWaiting()),
-                                      ReadWork(rank.getServedPerS()) };
+                                      ReadWork(rank.getServedPerS()),
+                                      ReadWork(rank.getPeakWaitS()) };
     }
   }
   return all;
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -176,6 +176,8 @@
   waiting @1 :Float32;
   # Work in tokens that was sent and waits for its first response part.
   servedPerS @2 :Float32;
+  peakWaitS @3 :Float32;
+  # In an answer: the longest wait within the last second.
 }
 
 struct AdmissionSums {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -2353,6 +2353,8 @@
 
   inline float getServedPerS() const;
 
+  inline float getPeakWaitS() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2390,6 +2392,9 @@
   inline float getServedPerS();
   inline void setServedPerS(float value);
 
+  inline float getPeakWaitS();
+  inline void setPeakWaitS(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5169,6 +5174,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline float AdmissionWork::Reader::getPeakWaitS() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float AdmissionWork::Builder::getPeakWaitS() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionWork::Builder::setPeakWaitS(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool AdmissionSums::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tanagerstall/process/tanagerstall_admission_levels.cpp
+++ b/src/tanagerstall/process/tanagerstall_admission_levels.cpp
@@ -1,5 +1,7 @@
 #include "tanagerstall/process/tanagerstall_admission_levels.hpp"
 
+#include <algorithm>
+
 namespace tanagerstall {
 
 namespace {
@@ -11,12 +13,16 @@
 /// which there are thousands per second.
 constexpr Duration kSumInterval = std::chrono::milliseconds(20);
 
+/// Each entry gets an answer in each period, so that all learn of a peak.
+constexpr Duration kPeakPeriod = std::chrono::milliseconds(500);
+
 } // namespace
 
 void
 AdmissionLevels::StartLeading(TimePoint aNow)
 {
   reports_.clear();
+  peaks_.clear();
   total_.clear();
   addedAt_.reset();
   sumsFrom_ = aNow + kReportTime;
@@ -30,6 +36,36 @@
   reports_[aEntry] = { aSums, aNow };
 }
 
+void
+AdmissionLevels::StartPeriod(TimePoint aNow)
+{
+  if (aNow - periodStartedAt_ < kPeakPeriod) {
+    return;
+  }
+  std::erase_if(
+    peaks_, [this](const auto& aIt) { return !total_.contains(aIt.first); });
+  for (auto& [service, ranks] : peaks_) {
+    for (auto& [rank, peak] : ranks) {
+      peak = { 0.0, peak.current_ };
+    }
+  }
+  periodStartedAt_ = aNow;
+}
+
+void
+AdmissionLevels::AddPeaks(const std::string& aService, AdmissionSums& aSums)
+{
+  double waiting = 0.0;
+  double served = 0.0;
+  for (auto& [rank, work] : aSums.ranks_) {
+    waiting += work.waiting_;
+    served += work.servedPerS_;
+    Peak& peak = peaks_[aService][rank];
+    peak.current_ = std::max(peak.current_, waiting / std::max(served, 1.0));
+    work.peakWaitS_ = std::max(peak.current_, peak.last_);
+  }
+}
+
 const AdmissionSumsByService&
 AdmissionLevels::Sums(TimePoint aNow)
 {
@@ -46,6 +82,10 @@
       total_[service] += sums;
     }
   }
+  StartPeriod(aNow);
+  for (auto& [service, sums] : total_) {
+    AddPeaks(service, sums);
+  }
   addedAt_ = aNow;
   return total_;
 }
--- a/src/tanagerstall/process/tanagerstall_admission_levels.hpp
+++ b/src/tanagerstall/process/tanagerstall_admission_levels.hpp
@@ -32,7 +32,20 @@
     TimePoint at_;
   };
 
+  /// The longest wait of a rank, in seconds, in the current period and in the
+  /// one before.
+  struct Peak
+  {
+    double current_ = 0.0;
+    double last_ = 0.0;
+  };
+
+  void StartPeriod(TimePoint aNow);
+  void AddPeaks(const std::string& aService, AdmissionSums& aSums);
+
   std::map<std::string, Report> reports_;
+  std::map<std::string, std::map<std::uint32_t, Peak>> peaks_;
+  TimePoint periodStartedAt_;
   AdmissionSumsByService total_;
   TimePoint sumsFrom_ = TimePoint::max();
   /// When the sums were last added.
--- a/src/tanagerstall/request/tanagerstall_admission_control.cpp
+++ b/src/tanagerstall/request/tanagerstall_admission_control.cpp
@@ -48,7 +48,7 @@
 constexpr double kReturnedFactor = 0.5;
 /// The weight of the entry's own sums while those over all entries are fresh
 /// and show an overload. Own sums aren't delayed, which damps oscillations.
-constexpr double kOwnWeight = 0.3;
+constexpr double kOwnWeight = 0.25;
 /// Callers honour a Retry-After of at most a third of their remaining time.
 constexpr int kRetryPart = 3;
 /// An overload has ended if nothing was refused for so long.
@@ -206,12 +206,14 @@
   }
   double waiting = 0.0;
   double served = 0.0;
+  double peak = 0.0;
   double position = 0.0;
   for (const auto& [rank, state] : aService.ranks_) {
     auto work = aSums.ranks_.find(rank);
     if (work != aSums.ranks_.end()) {
       waiting += work->second.waiting_;
       served += work->second.servedPerS_;
+      peak = work->second.peakWaitS_;
     }
     double place = position;
     position += 1.0;
@@ -223,7 +225,9 @@
       level.wait_,
       std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
         std::min(wait, InSeconds(std::chrono::hours(1))))));
-    level.pressure_ = std::max(level.pressure_, wait / state.budget_);
+    // By the peak, all entries see the same overloads, whenever they ask.
+    level.pressure_ =
+      std::max(level.pressure_, std::max(wait, peak) / state.budget_);
     // The priority, as a part of all ranks, whose threshold is this wait.
     double part =
       (kHighestWait - wait / state.budget_) / (kHighestWait - kLowestWait);
@@ -260,7 +264,9 @@
 {
   Decay(aService, aNow);
   AdmissionSums sums = OwnSums(aService, aNow);
-  ReduceBySpread(sums, aService);
+  if (aNow >= aService.overloadedUntil_) {
+    ReduceBySpread(sums, aService);
+  }
   Level own = LevelBy(sums, aService, 1.0 / divisor_);
   auto shared = shared_.find(aName);
   if (!sharedAt_ || shared == shared_.end() || aNow - *sharedAt_ >= kStaleAge) {
--- a/src/tanagerstall/request/tanagerstall_admission_sums.hpp
+++ b/src/tanagerstall/request/tanagerstall_admission_sums.hpp
@@ -14,6 +14,9 @@
   double waiting_ = 0.0;
   /// Of the requests that got their first part, per second.
   double servedPerS_ = 0.0;
+  /// The longest wait, in seconds, of this and more urgent ranks within the
+  /// last second, by the sums over all entries; 0 in an entry's own.
+  double peakWaitS_ = 0.0;
 
   bool operator==(const AdmissionWork&) const = default;
 };
