--- a/src/tanagerstall/request/tanagerstall_admission_control.cpp
+++ b/src/tanagerstall/request/tanagerstall_admission_control.cpp
@@ -238,7 +238,7 @@
   return level;
 }
 
-/// Reduces what one entry counts by a standard deviation, since a few requests
+/// Reduces what one entry counts by standard deviations, since a few requests
 /// more than usual at one of many entries show no overload.
 void
 AdmissionControl::ReduceBySpread(AdmissionSums& aSums, const Service& aService)
