--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -3,9 +3,10 @@
 #include "tanagerstall/connection/tanagerstall_prompt_codec.hpp"
 #include "tanagerstall/internal/tanagerstall_entry_wire.hpp"
 
-#include <functional>
 #include <kj/debug.h>
 
+#include <cmath>
+
 namespace tanagerstall {
 
 namespace {
@@ -155,28 +156,49 @@
   return directives;
 }
 
-/// Writes one element for each service and region; `aWrite` writes its value.
-template<class Value, class WriteValue>
 void
-WriteDelays(
-  const std::function<capnp::List<wire::RegionDelay>::Builder(unsigned)>& aInit,
-  const std::map<std::string, std::map<std::string, Value>>& aFrom,
-  const WriteValue& aWrite)
+WriteAdmission(capnp::List<wire::AdmissionSums>::Builder aTo,
+               const AdmissionSumsByService& aFrom)
 {
-  std::size_t size = 0;
-  for (const auto& [service, regions] : aFrom) {
-    size += regions.size();
-  }
-  auto to = aInit(static_cast<unsigned>(size));
   unsigned next = 0;
-  for (const auto& [service, regions] : aFrom) {
-    for (const auto& [region, value] : regions) {
-      to[next].setService(ToText(service));
-      to[next].setRegion(ToText(region));
-      aWrite(to[next], value);
-      ++next;
+  for (const auto& [service, sums] : aFrom) {
+    auto to = aTo[next++];
+    to.setService(ToText(service));
+    to.setRunning(sums.running_);
+    auto ranks = to.initRanks(static_cast<unsigned>(sums.ranks_.size()));
+    unsigned nextRank = 0;
+    for (const auto& [rank, work] : sums.ranks_) {
+      auto toRank = ranks[nextRank++];
+      toRank.setRank(rank);
+      toRank.setWaiting(static_cast<float>(work.waiting_));
+      toRank.setServedPerS(static_cast<float>(work.servedPerS_));
+      toRank.setPeakWaitS(static_cast<float>(work.peakWaitS_));
+    }
+  }
+}
+
+/// Returns an amount of work; a value that is none counts as 0.
+double
+ReadWork(float aFrom)
+{
+  return std::isfinite(aFrom) && aFrom > 0.0F ? static_cast<double>(aFrom)
+                                              : 0.0;
+}
+
+AdmissionSumsByService
+ReadAdmission(capnp::List<wire::AdmissionSums>::Reader aFrom)
+{
+  AdmissionSumsByService all;
+  for (auto from : aFrom) {
+    AdmissionSums& sums = all[ToString(from.getService())];
+    sums.running_ = from.getRunning();
+    for (auto rank : from.getRanks()) {
+      sums.ranks_[rank.getRank()] = { ReadWork(rank.getWaiting()),
+                                      ReadWork(rank.getServedPerS()),
+                                      ReadWork(rank.getPeakWaitS()) };
     }
   }
+  return all;
 }
 
 } // namespace
@@ -204,12 +226,9 @@
   WriteCounts(aTo.initRolloutCounts(aFrom.rolloutCounts_.size()),
               aFrom.rolloutCounts_);
   aTo.setRolloutRevision(aFrom.rolloutRevision_);
-  WriteDelays([&](unsigned aSize) { return aTo.initRegionDelays(aSize); },
-              aFrom.regionDelays_,
-              [](auto aDelay, const DelaySums& aSums) {
-                aDelay.setCount(aSums.count_);
-                aDelay.setMs(aSums.sumMs_);
-              });
+  WriteAdmission(
+    aTo.initAdmission(static_cast<unsigned>(aFrom.admission_.size())),
+    aFrom.admission_);
   auto usage = aTo.initUsage(aFrom.usage_.size());
   for (unsigned i = 0; i < aFrom.usage_.size(); ++i) {
     WriteUsage(usage[i], aFrom.usage_[i]);
@@ -264,10 +283,7 @@
   report.rateRevision_ = aFrom.getRateRevision();
   report.rolloutCounts_ = ReadCounts(aFrom.getRolloutCounts());
   report.rolloutRevision_ = aFrom.getRolloutRevision();
-  for (auto delay : aFrom.getRegionDelays()) {
-    report.regionDelays_[ToString(delay.getService())][ToString(
-      delay.getRegion())] = { delay.getCount(), delay.getMs() };
-  }
+  report.admission_ = ReadAdmission(aFrom.getAdmission());
   for (auto usage : aFrom.getUsage()) {
     report.usage_.push_back(ReadUsage(usage));
   }
@@ -337,9 +353,6 @@
                     *aFrom.rollouts_);
   }
   aTo.setRolloutRevision(aFrom.rolloutRevision_);
-  WriteDelays([&](unsigned aSize) { return aTo.initRegionDelays(aSize); },
-              aFrom.regionDelays_,
-              [](auto aDelay, double aMean) { aDelay.setMs(aMean); });
   auto longResponses = aTo.initLongResponses(aFrom.longResponses_.size());
   next = 0;
   for (const auto& [service, count] : aFrom.longResponses_) {
@@ -347,6 +360,9 @@
     longResponses[next].setCount(count);
     ++next;
   }
+  WriteAdmission(
+    aTo.initAdmission(static_cast<unsigned>(aFrom.admission_.size())),
+    aFrom.admission_);
   if (aFrom.promptVerdicts_) {
     WriteVerdicts(aTo.initPromptVerdicts(), *aFrom.promptVerdicts_);
   }
@@ -391,14 +407,11 @@
     answer.rollouts_ = ReadDirectives(aFrom.getRollouts());
   }
   answer.rolloutRevision_ = aFrom.getRolloutRevision();
-  for (auto delay : aFrom.getRegionDelays()) {
-    answer.regionDelays_[ToString(delay.getService())]
-                        [ToString(delay.getRegion())] = delay.getMs();
-  }
   for (auto count : aFrom.getLongResponses()) {
     answer.longResponses_[ToString(count.getName())] =
       static_cast<std::uint32_t>(count.getCount());
   }
+  answer.admission_ = ReadAdmission(aFrom.getAdmission());
   if (aFrom.hasPromptVerdicts()) {
     answer.promptVerdicts_ = ReadVerdicts(aFrom.getPromptVerdicts());
   }
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerstall/process/presence/tanagerstall_entry_directory.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
+#include "tanagerstall/request/tanagerstall_admission_sums.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
 #include "tanagerstall/request/tanagerstall_named_rate.hpp"
 #include "tanagerstall/request/tanagerstall_prompt_evidence.hpp"
@@ -75,21 +76,6 @@
   bool operator==(const RolloutDirective&) const = default;
 };
 
-/// Times to the first part of responses beyond what the size of the prompt
-/// explains, summed since the entry started.
-struct DelaySums
-{
-  std::uint64_t count_ = 0;
-  double sumMs_ = 0.0;
-
-  bool operator==(const DelaySums&) const = default;
-};
-
-/// By service and region of the replica.
-using RegionDelaySums = std::map<std::string, std::map<std::string, DelaySums>>;
-/// The mean delay in ms over all entries, by service and region of the replica.
-using RegionDelays = std::map<std::string, std::map<std::string, double>>;
-
 /// An entry's request to a control process.
 struct EntryReport
 {
@@ -135,7 +121,7 @@
   /// The revision of this control process's directives that the entry follows.
   std::uint64_t rolloutRevision_ = 0;
   /// Sent to the leader only.
-  RegionDelaySums regionDelays_;
+  AdmissionSumsByService admission_;
 };
 
 /// The answer of a control process.
@@ -177,11 +163,11 @@
   /// revision of them.
   std::optional<std::vector<RolloutDirective>> rollouts_;
   std::uint64_t rolloutRevision_ = 0;
-  /// Sent by the leader only.
-  RegionDelays regionDelays_;
   /// The number of long responses for which replicas are to be reserved, by
   /// service; sent by the leader only.
   std::map<std::string, std::uint32_t> longResponses_;
+  /// The sums over all entries; sent by the leader only.
+  AdmissionSumsByService admission_;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -167,13 +167,20 @@
   firstParts @7 :List(UInt64);
 }
 
-struct RegionDelay {
-  # Times to the first part of responses beyond what the prompt's size explains.
+struct AdmissionWork {
+  rank @0 :UInt32;
+  waiting @1 :Float32;
+  # Work in tokens that was sent and waits for its first response part.
+  servedPerS @2 :Float32;
+  peakWaitS @3 :Float32;
+  # In an answer: the longest wait within the last second.
+}
+
+struct AdmissionSums {
+  # Of one entry in a report, of all entries in an answer.
   service @0 :Text;
-  region @1 :Text;
-  count @2 :UInt64;
-  ms @3 :Float64;
-  # The sum of `count` delays in a report, the mean in an answer.
+  running @1 :UInt32;
+  ranks @2 :List(AdmissionWork);
 }
 
 struct SyncRequest {
@@ -209,7 +216,7 @@
   # Sent to the leader.
   rolloutRevision @19 :UInt64;
   # The revision of the receiver's directives that the entry follows.
-  regionDelays @20 :List(RegionDelay);
+  admission @20 :List(AdmissionSums);
   # Sent to the leader.
 }
 
@@ -252,11 +259,11 @@
   rollouts @19 :List(RolloutDirective);
   # Set only if they differ from the revision in the request.
   rolloutRevision @20 :UInt64;
-  regionDelays @21 :List(RegionDelay);
-  # Sent by the leader.
-  longResponses @22 :List(NamedCount);
+  longResponses @21 :List(NamedCount);
   # Sent by the leader: for how many long responses of a service replicas are to
   # be reserved.
+  admission @22 :List(AdmissionSums);
+  # Sent by the leader.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -50,7 +50,8 @@
 CAPNP_DECLARE_SCHEMA(b1178fde8d21965d);
 CAPNP_DECLARE_SCHEMA(8baf6d4e8da11383);
 CAPNP_DECLARE_SCHEMA(c0edefa625f6cd5c);
-CAPNP_DECLARE_SCHEMA(f015d053ac114193);
+CAPNP_DECLARE_SCHEMA(9fa3c9bd292da564);
+CAPNP_DECLARE_SCHEMA(e81c0c9f889e7b87);
 CAPNP_DECLARE_SCHEMA(a8bf46aabef2c4ea);
 CAPNP_DECLARE_SCHEMA(ac458a8c09f8367d);
 CAPNP_DECLARE_SCHEMA(c45ee92c61620b2a);
@@ -331,15 +332,30 @@
   };
 };
 
-struct RegionDelay {
-  RegionDelay() = delete;
+struct AdmissionWork {
+  AdmissionWork() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f015d053ac114193, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9fa3c9bd292da564, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AdmissionSums {
+  AdmissionSums() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e81c0c9f889e7b87, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2222,9 +2238,100 @@
 };
 #endif  // !CAPNP_LITE
 
-class RegionDelay::Reader {
+class AdmissionWork::Reader {
 public:
-  typedef RegionDelay Reads;
+  typedef AdmissionWork Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getRank() const;
+
+  inline float getWaiting() const;
+
+  inline float getServedPerS() const;
+
+  inline float getPeakWaitS() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AdmissionWork::Builder {
+public:
+  typedef AdmissionWork Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getRank();
+  inline void setRank( ::uint32_t value);
+
+  inline float getWaiting();
+  inline void setWaiting(float value);
+
+  inline float getServedPerS();
+  inline void setServedPerS(float value);
+
+  inline float getPeakWaitS();
+  inline void setPeakWaitS(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AdmissionWork::Pipeline {
+public:
+  typedef AdmissionWork Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AdmissionSums::Reader {
+public:
+  typedef AdmissionSums Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2242,12 +2349,10 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasRegion() const;
-  inline  ::capnp::Text::Reader getRegion() const;
-
-  inline  ::uint64_t getCount() const;
+  inline  ::uint32_t getRunning() const;
 
-  inline double getMs() const;
+  inline bool hasRanks() const;
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Reader getRanks() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2261,9 +2366,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RegionDelay::Builder {
+class AdmissionSums::Builder {
 public:
-  typedef RegionDelay Builds;
+  typedef AdmissionSums Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2284,18 +2389,15 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasRegion();
-  inline  ::capnp::Text::Builder getRegion();
-  inline void setRegion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
-
-  inline  ::uint64_t getCount();
-  inline void setCount( ::uint64_t value);
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
 
-  inline double getMs();
-  inline void setMs(double value);
+  inline bool hasRanks();
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Builder getRanks();
+  inline void setRanks( ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Builder initRanks(unsigned int size);
+  inline void adoptRanks(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>> disownRanks();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2307,9 +2409,9 @@
 };
 
 #if !CAPNP_LITE
-class RegionDelay::Pipeline {
+class AdmissionSums::Pipeline {
 public:
-  typedef RegionDelay Pipelines;
+  typedef AdmissionSums Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2387,8 +2489,8 @@
 
   inline  ::uint64_t getRolloutRevision() const;
 
-  inline bool hasRegionDelays() const;
-  inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader getRegionDelays() const;
+  inline bool hasAdmission() const;
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader getAdmission() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2506,12 +2608,12 @@
   inline  ::uint64_t getRolloutRevision();
   inline void setRolloutRevision( ::uint64_t value);
 
-  inline bool hasRegionDelays();
-  inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder getRegionDelays();
-  inline void setRegionDelays( ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder initRegionDelays(unsigned int size);
-  inline void adoptRegionDelays(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> disownRegionDelays();
+  inline bool hasAdmission();
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder getAdmission();
+  inline void setAdmission( ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder initAdmission(unsigned int size);
+  inline void adoptAdmission(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>> disownAdmission();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2695,12 +2797,12 @@
 
   inline  ::uint64_t getRolloutRevision() const;
 
-  inline bool hasRegionDelays() const;
-  inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader getRegionDelays() const;
-
   inline bool hasLongResponses() const;
   inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader getLongResponses() const;
 
+  inline bool hasAdmission() const;
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader getAdmission() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2830,13 +2932,6 @@
   inline  ::uint64_t getRolloutRevision();
   inline void setRolloutRevision( ::uint64_t value);
 
-  inline bool hasRegionDelays();
-  inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder getRegionDelays();
-  inline void setRegionDelays( ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder initRegionDelays(unsigned int size);
-  inline void adoptRegionDelays(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> disownRegionDelays();
-
   inline bool hasLongResponses();
   inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder getLongResponses();
   inline void setLongResponses( ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader value);
@@ -2844,6 +2939,13 @@
   inline void adoptLongResponses(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>> disownLongResponses();
 
+  inline bool hasAdmission();
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder getAdmission();
+  inline void setAdmission( ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder initAdmission(unsigned int size);
+  inline void adoptAdmission(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>> disownAdmission();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4902,102 +5004,144 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool RegionDelay::Reader::hasService() const {
+inline  ::uint32_t AdmissionWork::Reader::getRank() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AdmissionWork::Builder::getRank() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionWork::Builder::setRank( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AdmissionWork::Reader::getWaiting() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float AdmissionWork::Builder::getWaiting() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionWork::Builder::setWaiting(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AdmissionWork::Reader::getServedPerS() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float AdmissionWork::Builder::getServedPerS() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionWork::Builder::setServedPerS(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AdmissionWork::Reader::getPeakWaitS() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float AdmissionWork::Builder::getPeakWaitS() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionWork::Builder::setPeakWaitS(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AdmissionSums::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegionDelay::Builder::hasService() {
+inline bool AdmissionSums::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RegionDelay::Reader::getService() const {
+inline  ::capnp::Text::Reader AdmissionSums::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RegionDelay::Builder::getService() {
+inline  ::capnp::Text::Builder AdmissionSums::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegionDelay::Builder::setService( ::capnp::Text::Reader value) {
+inline void AdmissionSums::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RegionDelay::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder AdmissionSums::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RegionDelay::Builder::adoptService(
+inline void AdmissionSums::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RegionDelay::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> AdmissionSums::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RegionDelay::Reader::hasRegion() const {
+inline  ::uint32_t AdmissionSums::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AdmissionSums::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AdmissionSums::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AdmissionSums::Reader::hasRanks() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegionDelay::Builder::hasRegion() {
+inline bool AdmissionSums::Builder::hasRanks() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RegionDelay::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Reader AdmissionSums::Reader::getRanks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RegionDelay::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Builder AdmissionSums::Builder::getRanks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RegionDelay::Builder::setRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void AdmissionSums::Builder::setRanks( ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RegionDelay::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>::Builder AdmissionSums::Builder::initRanks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RegionDelay::Builder::adoptRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void AdmissionSums::Builder::adoptRanks(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RegionDelay::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>> AdmissionSums::Builder::disownRanks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RegionDelay::Reader::getCount() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t RegionDelay::Builder::getCount() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void RegionDelay::Builder::setCount( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline double RegionDelay::Reader::getMs() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline double RegionDelay::Builder::getMs() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void RegionDelay::Builder::setMs(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool SyncRequest::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5428,37 +5572,37 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SyncRequest::Reader::hasRegionDelays() const {
+inline bool SyncRequest::Reader::hasAdmission() const {
   return !_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool SyncRequest::Builder::hasRegionDelays() {
+inline bool SyncRequest::Builder::hasAdmission() {
   return !_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getRegionDelays() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getAdmission() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getRegionDelays() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getAdmission() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void SyncRequest::Builder::setRegionDelays( ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SyncRequest::Builder::setAdmission( ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initRegionDelays(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initAdmission(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline void SyncRequest::Builder::adoptRegionDelays(
-    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SyncRequest::Builder::adoptAdmission(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownRegionDelays() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownAdmission() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
@@ -5997,71 +6141,71 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SyncReply::Reader::hasRegionDelays() const {
+inline bool SyncReply::Reader::hasLongResponses() const {
   return !_reader.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline bool SyncReply::Builder::hasRegionDelays() {
+inline bool SyncReply::Builder::hasLongResponses() {
   return !_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getRegionDelays() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getLongResponses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getRegionDelays() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getLongResponses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline void SyncReply::Builder::setRegionDelays( ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SyncReply::Builder::setLongResponses( ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initRegionDelays(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initLongResponses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
-inline void SyncReply::Builder::adoptRegionDelays(
-    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SyncReply::Builder::adoptLongResponses(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownRegionDelays() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownLongResponses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
-inline bool SyncReply::Reader::hasLongResponses() const {
+inline bool SyncReply::Reader::hasAdmission() const {
   return !_reader.getPointerField(
       ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
 }
-inline bool SyncReply::Builder::hasLongResponses() {
+inline bool SyncReply::Builder::hasAdmission() {
   return !_builder.getPointerField(
       ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getLongResponses() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getAdmission() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getLongResponses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getAdmission() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
-inline void SyncReply::Builder::setLongResponses( ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SyncReply::Builder::setAdmission( ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<10>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initLongResponses(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initAdmission(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<10>() * ::capnp::POINTERS), size);
 }
-inline void SyncReply::Builder::adoptLongResponses(
-    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SyncReply::Builder::adoptAdmission(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownLongResponses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::NamedCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownAdmission() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::AdmissionSums,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
