Don't tell entries of renewals that change nothing they use

The remaining warm-up time of a replica falls with each announcement, and no entry uses it, yet each announcement of a warming replica was a change that all control processes sent to all entries. An announcement that differs only in the sequence number or in that time is a renewal now. A table without changes after a position no longer searches its replicas for them.

Nine rows of replica_table_tests name the fields whose difference is a change.

--- a/src/tanagerstall/process/presence/tanagerstall_replica_order.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_order.cpp
@@ -24,4 +24,13 @@
   return RankOf(aLeft) > RankOf(aRight);
 }
 
+bool
+IsEqualForEntries(const Replica& aLeft, const Replica& aRight)
+{
+  Replica left = aLeft;
+  left.sequence_ = aRight.sequence_;
+  left.warmUpTime_ = aRight.warmUpTime_;
+  return left == aRight;
+}
+
 } // namespace tanagerstall
--- a/src/tanagerstall/process/presence/tanagerstall_replica_order.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_order.hpp
@@ -13,6 +13,11 @@
 bool
 Supersedes(const Replica& aLeft, const Replica& aRight);
 
+/// Whether both differ at most in what entries don't use: the sequence number
+/// and the remaining warm-up time, which change with each announcement.
+bool
+IsEqualForEntries(const Replica& aLeft, const Replica& aRight);
+
 } // namespace tanagerstall
 
 #endif
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
@@ -70,9 +70,8 @@
     return false;
   }
   KnownReplica& known = replicas_[aReplica.id_];
-  Replica last = known.replica_;
-  last.sequence_ = aReplica.sequence_;
-  bool isRenewal = known.stamp_ != 0 && last == aReplica;
+  bool isRenewal =
+    known.stamp_ != 0 && IsEqualForEntries(known.replica_, aReplica);
   known.replica_ = aReplica;
   known.receivedAt_ = aNow;
   if (!isRenewal) {
@@ -153,6 +152,9 @@
 ReplicaTable::ChangedAfter(std::uint64_t aStamp) const
 {
   std::vector<Replica> changed;
+  if (aStamp >= stamp_) {
+    return changed;
+  }
   for (const auto& [id, known] : replicas_) {
     if (known.stamp_ > aStamp) {
       changed.push_back(known.replica_);
--- a/tests/replica_table_tests.cpp
+++ b/tests/replica_table_tests.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 
 using namespace tanagerstall;
 using namespace std::chrono_literals;
@@ -159,6 +160,61 @@
 
 namespace {
 
+/// A second announcement that differs from the first one.
+struct RenewalCase
+{
+  const char* name_;
+  std::function<void(Replica&)> change_;
+  bool isChange_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const RenewalCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<RenewalCase> kRenewalCases{
+  { "the sequence only", [](Replica&) {}, false },
+  { "the remaining warm-up time",
+    [](Replica& aIt) { aIt.warmUpTime_ = 800ms; },
+    false },
+  { "the service", [](Replica& aIt) { aIt.service_ = "other"; }, true },
+  { "the address", [](Replica& aIt) { aIt.address_ = "10.0.0.9:80"; }, true },
+  { "the failure domain",
+    [](Replica& aIt) { aIt.failureDomain_ = "b"; },
+    true },
+  { "the slots", [](Replica& aIt) { aIt.slots_ = 7; }, true },
+  { "the state",
+    [](Replica& aIt) { aIt.state_ = ReplicaState::Draining; },
+    true },
+  { "whether it is reclaimable",
+    [](Replica& aIt) { aIt.isReclaimable_ = true; },
+    true },
+  { "the version", [](Replica& aIt) { aIt.version_ = "v2"; }, true },
+};
+
+} // namespace
+
+// Guards against renewals that all entries are told of although they use
+// nothing that differs, and against changes that they are not told of.
+BOOST_DATA_TEST_CASE(Only_what_entries_use_is_a_change,
+                     data::make(kRenewalCases))
+{
+  ReplicaTable table(kTimeToLive);
+  Replica replica = MakeReplica("r1", 1, 1);
+  replica.warmUpTime_ = 2s;
+  table.Announce(replica, kStart);
+  auto stamp = table.Stamp();
+  replica.sequence_ = 2;
+  sample.change_(replica);
+  BOOST_TEST(table.Announce(replica, kStart + 1s));
+  BOOST_TEST((table.Stamp() != stamp) == sample.isChange_);
+  BOOST_TEST(table.ChangedAfter(stamp).empty() != sample.isChange_);
+}
+
+namespace {
+
 /// Reports of two control processes; the order must make no difference.
 struct ViewCase
 {
