Publish changes of replicas to entries in batches

Each change woke every entry that waited, so that a control process answered entries x changes times. Entries learn of changes when a publication is due: at once after a quiet period, then at an interval that follows from the number of entries that follow, so that publications cause 400 answers a second at most; 20 ms with 8 entries, 0.95 s with 380. Other control processes, and entries that don't serve yet, learn of changes at once as before, since what one process has acknowledged must outlast its loss. The list of changes is read and written once for all entries at the same position.

--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -181,6 +181,16 @@
 
 } // namespace
 
+EncodedReplicas::EncodedReplicas(const std::vector<Replica>& aReplicas)
+{
+  auto root = message_.initRoot<wire::SyncReply>();
+  auto replicas = root.initReplicas(aReplicas.size());
+  for (unsigned i = 0; i < aReplicas.size(); ++i) {
+    WriteReplica(replicas[i], aReplicas[i]);
+  }
+  reader_ = replicas.asReader();
+}
+
 void
 WriteReport(wire::SyncRequest::Builder aTo, const EntryReport& aFrom)
 {
@@ -289,9 +299,13 @@
 {
   aTo.setControlRun(aFrom.replicas_.run_);
   aTo.setStamp(aFrom.replicas_.stamp_);
-  auto replicas = aTo.initReplicas(aFrom.replicas_.changed_.size());
-  for (unsigned i = 0; i < aFrom.replicas_.changed_.size(); ++i) {
-    WriteReplica(replicas[i], aFrom.replicas_.changed_[i]);
+  if (aFrom.replicas_.encoded_) {
+    aTo.setReplicas(aFrom.replicas_.encoded_->Reader());
+  } else {
+    auto replicas = aTo.initReplicas(aFrom.replicas_.changed_.size());
+    for (unsigned i = 0; i < aFrom.replicas_.changed_.size(); ++i) {
+      WriteReplica(replicas[i], aFrom.replicas_.changed_[i]);
+    }
   }
   aTo.setRegion(ToText(aFrom.region_));
   aTo.setPlanNumber(aFrom.planNumber_);
--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.hpp
@@ -4,8 +4,24 @@
 #include "tanagerstall/connection/tanagerstall_fleet_messages.hpp"
 #include "tanagerstall/internal/tanagerstall_fleet_wire.hpp"
 
+#include <capnp/message.h>
+#include <vector>
+
 namespace tanagerstall {
 
+/// Changes of replicas as answers contain them. Written once and copied into
+/// each answer, which takes less time than to write them again.
+class EncodedReplicas
+{
+public:
+  explicit EncodedReplicas(const std::vector<Replica>& aReplicas);
+  capnp::List<wire::ReplicaFact>::Reader Reader() const { return reader_; }
+
+private:
+  capnp::MallocMessageBuilder message_;
+  capnp::List<wire::ReplicaFact>::Reader reader_;
+};
+
 /// Convert between entry reports and their RPC messages.
 void
 WriteReport(wire::SyncRequest::Builder aTo, const EntryReport& aFrom);
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
@@ -150,13 +150,19 @@
 
 std::vector<Replica>
 ReplicaTable::ChangedAfter(std::uint64_t aStamp) const
+{
+  return ChangedBetween(aStamp, stamp_);
+}
+
+std::vector<Replica>
+ReplicaTable::ChangedBetween(std::uint64_t aFrom, std::uint64_t aTo) const
 {
   std::vector<Replica> changed;
-  if (aStamp >= stamp_) {
+  if (aFrom >= aTo) {
     return changed;
   }
   for (const auto& [id, known] : replicas_) {
-    if (known.stamp_ > aStamp) {
+    if (known.stamp_ > aFrom && known.stamp_ <= aTo) {
       changed.push_back(known.replica_);
     }
   }
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
@@ -45,6 +45,9 @@
   std::uint64_t Stamp() const { return stamp_; }
   /// Returns the replicas that changed after a stamp, in any state.
   std::vector<Replica> ChangedAfter(std::uint64_t aStamp) const;
+  /// The same without those that changed again after `aTo`.
+  std::vector<Replica> ChangedBetween(std::uint64_t aFrom,
+                                      std::uint64_t aTo) const;
   /// Returns the replicas that accept new work.
   std::vector<Replica> Ready() const;
 
--- a/src/tanagerstall/process/presence/tanagerstall_replica_view.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_view.hpp
@@ -18,6 +18,8 @@
 using ReplicasByService =
   std::map<std::string, std::vector<Replica>, std::less<>>;
 
+class EncodedReplicas;
+
 /// The replica changes that a control process sends to an entry.
 struct ReplicaReport
 {
@@ -27,6 +29,8 @@
   /// The stamp up to which `changed_` is complete.
   std::uint64_t stamp_ = 0;
   std::vector<Replica> changed_;
+  /// Sent instead of `changed_` if it is set; not read from messages.
+  std::shared_ptr<const EncodedReplicas> encoded_{};
 };
 
 /// Merges the replica tables of all control processes at an entry. A replica
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -1,5 +1,6 @@
 #include "tanagerstall/process/tanagerstall_fleet_control.hpp"
 
+#include "tanagerstall/connection/tanagerstall_encoded_changes.hpp"
 #include "tanagerstall/connection/tanagerstall_fleet_client.hpp"
 #include "tanagerstall/connection/tanagerstall_fleet_server.hpp"
 #include "tanagerstall/connection/tanagerstall_on_loop.hpp"
@@ -7,6 +8,7 @@
 #include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 #include "tanagerstall/process/presence/tanagerstall_departure.hpp"
 #include "tanagerstall/process/presence/tanagerstall_entry_working_set.hpp"
+#include "tanagerstall/process/presence/tanagerstall_replica_batches.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
 #include "tanagerstall/process/tanagerstall_leader_tasks.hpp"
@@ -49,6 +51,15 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+/// Whether the report is one of another control process, or of an entry that
+/// doesn't serve yet. Neither waits for a publication: what one control process
+/// acknowledged must outlast its loss, so the others learn of it at once.
+bool
+NeedsAllAtOnce(const EntryReport& aReport)
+{
+  return aReport.entry_.weight_ == 0;
+}
+
 /// Identifies one run of an entry.
 std::string
 RunOf(const EntryInfo& aEntry)
@@ -183,6 +194,9 @@
   {
     loopDelay_.CountReport();
     entries_.Observe(aReport.entry_, clock_.Now());
+    if (!NeedsAllAtOnce(aReport)) {
+      batches_.RecordFollower(aReport.entry_.id_, clock_.Now());
+    }
     if (!aReport.isBrief_) {
       usageTotals_.Merge(RunOf(aReport.entry_), aReport.usage_);
       loads_.Record(aReport);
@@ -267,16 +281,61 @@
     return wantsGrant || wantsDeclaration || missesLeader ||
            LacksVerdicts(aReport) || LacksRates(aReport) ||
            aReport.newestDeclaration_ < number ||
-           aReport.controlRun_ != runId_ || aReport.stamp_ < replicas_.Stamp();
+           aReport.controlRun_ != runId_ || aReport.stamp_ < StampFor(aReport);
+  }
+
+  /// The last change of replicas that the sender of the report may learn of.
+  std::uint64_t StampFor(const EntryReport& aReport) const
+  {
+    return NeedsAllAtOnce(aReport) ? replicas_.Stamp() : publishedStamp_;
+  }
+
+  ReplicaReport MakeReplicaReport(const EntryReport& aReport)
+  {
+    bool isKnown = aReport.controlRun_ == runId_;
+    std::uint64_t from = isKnown ? aReport.stamp_ : 0;
+    // An entry that has just begun to serve may know more than was published.
+    std::uint64_t to = std::max(from, StampFor(aReport));
+    auto changes = encodedChanges_.Get(
+      runId_, from, to, [&] { return replicas_.ChangedBetween(from, to); });
+    return { runId_, to, {}, std::move(changes) };
+  }
+
+  /// Passes changes of replicas on: to the other control processes at once, to
+  /// the entries when the next publication is due.
+  void OnReplicasChanged()
+  {
+    TimePoint now = clock_.Now();
+    if (now >= batches_.NextAt()) {
+      PublishReplicas(now);
+      return;
+    }
+    entriesServer_.Notify();
+    if (!std::exchange(isPublicationPending_, true)) {
+      auto wait = std::chrono::duration_cast<std::chrono::microseconds>(
+        batches_.NextAt() - now);
+      tasks_.Add(
+        timer_.afterDelay((wait.count() + 1) * kj::MICROSECONDS).then([this] {
+          if (isPublicationPending_) {
+            PublishReplicas(clock_.Now());
+          }
+        }));
+    }
+  }
+
+  void PublishReplicas(TimePoint aNow)
+  {
+    isPublicationPending_ = false;
+    publishedStamp_ = replicas_.Stamp();
+    batches_.RecordPublication(aNow);
+    encodedChanges_.Clear();
+    entriesServer_.Notify();
   }
 
   ControlAnswer MakeAnswer(const EntryReport& aReport)
   {
     ControlAnswer answer;
-    bool isKnown = aReport.controlRun_ == runId_;
-    answer.replicas_ = { runId_,
-                         replicas_.Stamp(),
-                         replicas_.ChangedAfter(isKnown ? aReport.stamp_ : 0) };
+    answer.replicas_ = MakeReplicaReport(aReport);
     answer.region_ = settings_.region_;
     answer.planNumber_ = fleet_.Current().number_;
     if (aReport.wantsDeclaration_ &&
@@ -329,7 +388,7 @@
              { { "replica", aId }, { "start_ms", run.value_or(0) } });
     if (run) {
       replicas_.Leave(aId, *run, now);
-      entriesServer_.Notify();
+      OnReplicasChanged();
     }
     return run.has_value();
   }
@@ -341,7 +400,7 @@
       LogEvent(Severity::Info, "replica expired", { { "replica", id } });
     }
     if (!expired.empty()) {
-      entriesServer_.Notify();
+      OnReplicasChanged();
     }
   }
 
@@ -420,6 +479,11 @@
   DeclarationHistory history_;
   RaftMember member_;
   ReplicaTable replicas_;
+  ReplicaBatches batches_;
+  EncodedChanges encodedChanges_;
+  /// The last change of replicas that entries may learn of.
+  std::uint64_t publishedStamp_ = 0;
+  bool isPublicationPending_ = false;
   EntryDirectory entries_;
   EntryWorkingSet workingSet_;
   MemberDirectory members_;
@@ -507,7 +571,7 @@
                  { "service", aReplica.service_ },
                  { "draining", aReplica.state_ == ReplicaState::Draining },
                  { "sequence", aReplica.sequence_ } });
-      state_->entriesServer_.Notify();
+      state_->OnReplicasChanged();
     }
     return isAccepted;
   });
--- a/tests/tanagerstall_distribution_simulation.hpp
+++ b/tests/tanagerstall_distribution_simulation.hpp
@@ -4,6 +4,7 @@
 #include "tanagerstall_event_queue.hpp"
 
 #include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
+#include "tanagerstall/process/presence/tanagerstall_replica_batches.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 
@@ -175,6 +176,9 @@
   {
     ReplicaTable table_{ std::chrono::seconds(5) };
     std::uint64_t run_ = 0;
+    ReplicaBatches batches_;
+    std::uint64_t published_ = 0;
+    bool isPublicationPending_ = false;
     std::list<Waiting> waiting_;
     Traffic traffic_;
     /// The sizes of answers, by the positions before and after.
@@ -284,7 +288,7 @@
     auto stamp = control.table_.Stamp();
     control.table_.Announce(Describe(aId, running), events_.Now());
     if (control.table_.Stamp() != stamp) {
-      Notify(running.control_);
+      OnReplicasChanged(running.control_);
     }
     At(kAnnounceInterval, [this, aId] { Announce(aId); });
   }
@@ -308,14 +312,14 @@
     for (std::size_t i = 0; i < Observed(); ++i) {
       departed_[i].emplace(id, events_.Now());
     }
-    Notify(running.control_);
+    OnReplicasChanged(running.control_);
     Start(true, Duration(0));
   }
 
   void TickControl(std::uint32_t aControl)
   {
     if (!controls_[aControl].table_.Tick(events_.Now()).empty()) {
-      Notify(aControl);
+      OnReplicasChanged(aControl);
     }
     At(kTick, [this, aControl] { TickControl(aControl); });
   }
@@ -393,13 +397,15 @@
   {
     const Control& control = controls_[aControl];
     return aReport.controlRun_ != control.run_ ||
-           aReport.stamp_ < control.table_.Stamp();
+           aReport.stamp_ < control.published_;
   }
 
   void OnReport(std::uint32_t aEntry,
                 std::uint32_t aControl,
                 const EntryReport& aReport)
   {
+    controls_[aControl].batches_.RecordFollower(aReport.entry_.id_,
+                                                events_.Now());
     if (aReport.isBrief_ || HasUpdate(aControl, aReport)) {
       Answer(aEntry, aControl, aReport);
       return;
@@ -418,6 +424,24 @@
     });
   }
 
+  void OnReplicasChanged(std::uint32_t aControl)
+  {
+    Control& control = controls_[aControl];
+    if (!std::exchange(control.isPublicationPending_, true)) {
+      events_.At(control.batches_.NextAt(),
+                 [this, aControl] { Publish(aControl); });
+    }
+  }
+
+  void Publish(std::uint32_t aControl)
+  {
+    Control& control = controls_[aControl];
+    control.isPublicationPending_ = false;
+    control.published_ = control.table_.Stamp();
+    control.batches_.RecordPublication(events_.Now());
+    Notify(aControl);
+  }
+
   void Notify(std::uint32_t aControl)
   {
     auto& waiting = controls_[aControl].waiting_;
@@ -440,14 +464,14 @@
     Control& control = controls_[aControl];
     bool isKnown = aReport.controlRun_ == control.run_;
     std::uint64_t from = isKnown ? aReport.stamp_ : 0;
-    std::uint64_t to = control.table_.Stamp();
+    std::uint64_t to = control.published_;
     bool isObserved = aEntry < Observed();
     auto [size, isNew] =
       control.sizes_.try_emplace({ from, to, 0 }, std::size_t(0));
     auto answer = std::make_shared<ControlAnswer>();
     answer->replicas_ = { control.run_, to, {} };
     if (isNew || isObserved) {
-      answer->replicas_.changed_ = control.table_.ChangedAfter(from);
+      answer->replicas_.changed_ = control.table_.ChangedBetween(from, to);
       answer->region_ = "region-1";
       answer->members_.resize(controls_.size(), "10.30.10.10:7000");
       answer->isLeader_ = aControl == 0;
