Send longer lists of replicas compressed

A process that starts, or that reconnects, gets all replicas: 846 KB of payload for 4,300 of them, from which a link between regions suffers when many do so at once. A list of eight or more is compressed with zstd, once for all entries at the same position, if the report says that its sender reads it; earlier builds don't say so and get plain lists.

--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -14,6 +14,11 @@
 /// expired.
 constexpr std::uint8_t kExpiredWhileReady = 3;
 
+/// Shorter lists are sent as they are.
+constexpr std::size_t kMinPackedReplicas = 8;
+/// Many times the replicas that a fleet has.
+constexpr std::size_t kMaxUnpackedBytes = 64U << 20U;
+
 std::uint8_t
 StandingOf(const Replica& aReplica)
 {
@@ -60,6 +65,41 @@
            ToString(aFrom.getVersion()) };
 }
 
+std::vector<Replica>
+ReadReplicas(capnp::List<wire::ReplicaFact>::Reader aFrom)
+{
+  std::vector<Replica> replicas;
+  replicas.reserve(aFrom.size());
+  for (auto replica : aFrom) {
+    replicas.push_back(ReadReplica(replica));
+  }
+  return replicas;
+}
+
+std::vector<Replica>
+UnpackReplicas(capnp::Data::Reader aFrom)
+{
+  auto bytes = Decompress(ToBytes(aFrom), {}, kMaxUnpackedBytes);
+  KJ_REQUIRE(bytes.has_value(), "replicas can't be decompressed");
+  FlatMessage message(*bytes);
+  return ReadReplicas(message.Root<wire::SyncReply>().getReplicas());
+}
+
+void
+WriteReplicas(wire::SyncReply::Builder aTo, const ReplicaReport& aFrom)
+{
+  if (!aFrom.encoded_) {
+    auto replicas = aTo.initReplicas(aFrom.changed_.size());
+    for (unsigned i = 0; i < aFrom.changed_.size(); ++i) {
+      WriteReplica(replicas[i], aFrom.changed_[i]);
+    }
+  } else if (aFrom.isPacked_ && !aFrom.encoded_->Packed().empty()) {
+    aTo.setPackedReplicas(ToData(aFrom.encoded_->Packed()));
+  } else {
+    aTo.setReplicas(aFrom.encoded_->Reader());
+  }
+}
+
 void
 WriteRates(capnp::List<wire::NamedRate>::Builder aTo, const NamedRates& aFrom)
 {
@@ -189,6 +229,9 @@
     WriteReplica(replicas[i], aReplicas[i]);
   }
   reader_ = replicas.asReader();
+  if (aReplicas.size() >= kMinPackedReplicas) {
+    packed_ = Compress(Flatten(message_), {}).value_or(Bytes());
+  }
 }
 
 void
@@ -214,6 +257,7 @@
   WriteCounts(aTo.initRolloutCounts(aFrom.rolloutCounts_.size()),
               aFrom.rolloutCounts_);
   aTo.setRolloutRevision(aFrom.rolloutRevision_);
+  aTo.setReadsPackedReplicas(aFrom.readsPackedReplicas_);
   WriteDelays([&](unsigned aSize) { return aTo.initRegionDelays(aSize); },
               aFrom.regionDelays_,
               [](auto aDelay, const DelaySums& aSums) {
@@ -269,6 +313,7 @@
   report.rateRevision_ = aFrom.getRateRevision();
   report.rolloutCounts_ = ReadCounts(aFrom.getRolloutCounts());
   report.rolloutRevision_ = aFrom.getRolloutRevision();
+  report.readsPackedReplicas_ = aFrom.getReadsPackedReplicas();
   for (auto delay : aFrom.getRegionDelays()) {
     report.regionDelays_[ToString(delay.getService())][ToString(
       delay.getRegion())] = { delay.getCount(), delay.getMs() };
@@ -299,14 +344,7 @@
 {
   aTo.setControlRun(aFrom.replicas_.run_);
   aTo.setStamp(aFrom.replicas_.stamp_);
-  if (aFrom.replicas_.encoded_) {
-    aTo.setReplicas(aFrom.replicas_.encoded_->Reader());
-  } else {
-    auto replicas = aTo.initReplicas(aFrom.replicas_.changed_.size());
-    for (unsigned i = 0; i < aFrom.replicas_.changed_.size(); ++i) {
-      WriteReplica(replicas[i], aFrom.replicas_.changed_[i]);
-    }
-  }
+  WriteReplicas(aTo, aFrom.replicas_);
   aTo.setRegion(ToText(aFrom.region_));
   aTo.setPlanNumber(aFrom.planNumber_);
   if (aFrom.declaration_) {
@@ -359,9 +397,9 @@
   ControlAnswer answer;
   answer.replicas_.run_ = aFrom.getControlRun();
   answer.replicas_.stamp_ = aFrom.getStamp();
-  for (auto replica : aFrom.getReplicas()) {
-    answer.replicas_.changed_.push_back(ReadReplica(replica));
-  }
+  answer.replicas_.changed_ = aFrom.hasPackedReplicas()
+                                ? UnpackReplicas(aFrom.getPackedReplicas())
+                                : ReadReplicas(aFrom.getReplicas());
   answer.region_ = ToString(aFrom.getRegion());
   answer.planNumber_ = aFrom.getPlanNumber();
   if (aFrom.getDocument().size() > 0) {
--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.hpp
@@ -16,10 +16,13 @@
 public:
   explicit EncodedReplicas(const std::vector<Replica>& aReplicas);
   capnp::List<wire::ReplicaFact>::Reader Reader() const { return reader_; }
+  /// The compressed list; empty if it is so short that this saves nothing.
+  const Bytes& Packed() const { return packed_; }
 
 private:
   capnp::MallocMessageBuilder message_;
   capnp::List<wire::ReplicaFact>::Reader reader_;
+  Bytes packed_;
 };
 
 /// Convert between entry reports and their RPC messages.
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -127,6 +127,8 @@
   std::uint64_t rolloutRevision_ = 0;
   /// Sent to the leader only.
   RegionDelaySums regionDelays_;
+  /// Whether the answer may contain compressed changes of replicas.
+  bool readsPackedReplicas_ = false;
 };
 
 /// The answer of a control process.
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -206,6 +206,7 @@
   # The revision of the receiver's directives that the entry follows.
   regionDelays @20 :List(RegionDelay);
   # Sent to the leader.
+  readsPackedReplicas @21 :Bool;
 }
 
 struct CostGrant {
@@ -249,6 +250,9 @@
   rolloutRevision @20 :UInt64;
   regionDelays @21 :List(RegionDelay);
   # Sent by the leader.
+  packedReplicas @22 :Data;
+  # A message with this type that has only replicas, compressed with zstd. Sent
+  # instead of replicas, if the request says that the sender reads it.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -384,7 +384,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 7, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 7, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2365,6 +2365,8 @@
   inline bool hasRegionDelays() const;
   inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader getRegionDelays() const;
 
+  inline bool getReadsPackedReplicas() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2488,6 +2490,9 @@
   inline void adoptRegionDelays(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> disownRegionDelays();
 
+  inline bool getReadsPackedReplicas();
+  inline void setReadsPackedReplicas(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2673,6 +2678,9 @@
   inline bool hasRegionDelays() const;
   inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader getRegionDelays() const;
 
+  inline bool hasPackedReplicas() const;
+  inline  ::capnp::Data::Reader getPackedReplicas() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2809,6 +2817,13 @@
   inline void adoptRegionDelays(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> disownRegionDelays();
 
+  inline bool hasPackedReplicas();
+  inline  ::capnp::Data::Builder getPackedReplicas();
+  inline void setPackedReplicas( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPackedReplicas(unsigned int size);
+  inline void adoptPackedReplicas(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPackedReplicas();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5357,6 +5372,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool SyncRequest::Reader::getReadsPackedReplicas() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<164>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncRequest::Builder::getReadsPackedReplicas() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<164>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setReadsPackedReplicas(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<164>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CostGrant::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5926,6 +5955,40 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool SyncReply::Reader::hasPackedReplicas() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasPackedReplicas() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader SyncReply::Reader::getPackedReplicas() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder SyncReply::Builder::getPackedReplicas() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setPackedReplicas( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder SyncReply::Builder::initPackedReplicas(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptPackedReplicas(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> SyncReply::Builder::disownPackedReplicas() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/process/presence/tanagerstall_replica_view.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_view.hpp
@@ -31,6 +31,8 @@
   std::vector<Replica> changed_;
   /// Sent instead of `changed_` if it is set; not read from messages.
   std::shared_ptr<const EncodedReplicas> encoded_{};
+  /// Whether `encoded_` is sent compressed if that saves bytes.
+  bool isPacked_ = false;
 };
 
 /// Merges the replica tables of all control processes at an entry. A replica
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -263,6 +263,7 @@
     report.entry_.weight_ = 0;
     report.entry_.revision_ = fleet_.Current().number_;
     report.newestDeclaration_ = report.entry_.revision_;
+    report.readsPackedReplicas_ = true;
     std::tie(report.controlRun_, report.stamp_) = view_.Position(aControl);
     return report;
   }
@@ -298,7 +299,7 @@
     std::uint64_t to = std::max(from, StampFor(aReport));
     auto changes = encodedChanges_.Get(
       runId_, from, to, [&] { return replicas_.ChangedBetween(from, to); });
-    return { runId_, to, {}, std::move(changes) };
+    return { runId_, to, {}, std::move(changes), aReport.readsPackedReplicas_ };
   }
 
   /// Passes changes of replicas on: to the other control processes at once, to
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -123,6 +123,7 @@
     auto [run, stamp] = view_.Position(aControl);
     report.controlRun_ = run;
     report.stamp_ = stamp;
+    report.readsPackedReplicas_ = true;
     if (!aIsBrief) {
       report.usage_ = traffic_.usage_;
       report.services_ = traffic_.services_;
--- a/tests/fleet_distribution_tests.cpp
+++ b/tests/fleet_distribution_tests.cpp
@@ -6,6 +6,8 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <iomanip>
+#include <sstream>
 
 using namespace tanagerstall;
 using namespace std::chrono_literals;
@@ -35,23 +37,24 @@
 
 constexpr double kMaxAnswersOfChanges = 420.0;
 
-void
-Print(const char* aRole, const TrafficRate& aRate)
+/// Returns payload, messages, answers and changes of one process in a second.
+std::string
+Describe(const char* aRole, const TrafficRate& aRate)
 {
-  BOOST_TEST_MESSAGE("  " << aRole << ": " << aRate.bytes_ / 1000
-                          << " kB/s, messages " << aRate.messages_
-                          << ", answers " << aRate.answers_ << ", changes "
-                          << aRate.changes_);
+  std::ostringstream out;
+  out << std::fixed << std::setprecision(1) << "; " << aRole << " "
+      << aRate.bytes_ / 1000 << " kB/s, " << aRate.messages_ << " messages, "
+      << aRate.answers_ << " answers, " << aRate.changes_ << " changes";
+  return out.str();
 }
 
 void
 Print(const DistributionFleet& aFleet, const DistributionSimulation& aRun)
 {
-  BOOST_TEST_MESSAGE(aFleet);
-  Print("entry", aRun.EntryRate());
-  Print("control process", aRun.FollowerRate());
-  Print("leader", aRun.LeaderRate());
-  BOOST_TEST_MESSAGE("  departure after "
+  BOOST_TEST_MESSAGE(aFleet
+                     << Describe("entry", aRun.EntryRate())
+                     << Describe("control", aRun.FollowerRate())
+                     << Describe("leader", aRun.LeaderRate()) << "; departure "
                      << InMilliseconds(aRun.SlowestDeparture()) << " ms");
 }
 
--- a/tests/tanagerstall_distribution_simulation.hpp
+++ b/tests/tanagerstall_distribution_simulation.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerstall_event_queue.hpp"
 
+#include "tanagerstall/connection/tanagerstall_encoded_changes.hpp"
 #include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_batches.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
@@ -179,6 +180,7 @@
     ReplicaBatches batches_;
     std::uint64_t published_ = 0;
     bool isPublicationPending_ = false;
+    EncodedChanges encoded_;
     std::list<Waiting> waiting_;
     Traffic traffic_;
     /// The sizes of answers, by the positions before and after.
@@ -438,6 +440,7 @@
     Control& control = controls_[aControl];
     control.isPublicationPending_ = false;
     control.published_ = control.table_.Stamp();
+    control.encoded_.Clear();
     control.batches_.RecordPublication(events_.Now());
     Notify(aControl);
   }
@@ -471,7 +474,11 @@
     auto answer = std::make_shared<ControlAnswer>();
     answer->replicas_ = { control.run_, to, {} };
     if (isNew || isObserved) {
-      answer->replicas_.changed_ = control.table_.ChangedBetween(from, to);
+      answer->replicas_.encoded_ =
+        control.encoded_.Get(control.run_, from, to, [&] {
+          return control.table_.ChangedBetween(from, to);
+        });
+      answer->replicas_.isPacked_ = true;
       answer->region_ = "region-1";
       answer->members_.resize(controls_.size(), "10.30.10.10:7000");
       answer->isLeader_ = aControl == 0;
