--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -15,6 +15,11 @@
 /// expired.
 constexpr std::uint8_t kExpiredWhileReady = 3;
 
+/// Shorter lists are sent as they are.
+constexpr std::size_t kMinPackedReplicas = 8;
+/// Many times the replicas that a fleet has.
+constexpr std::size_t kMaxUnpackedBytes = 64U << 20U;
+
 std::uint8_t
 StandingOf(const Replica& aReplica)
 {
@@ -61,6 +66,41 @@
            ToString(aFrom.getVersion()) };
 }
 
+std::vector<Replica>
+ReadReplicas(capnp::List<wire::ReplicaFact>::Reader aFrom)
+{
+  std::vector<Replica> replicas;
+  replicas.reserve(aFrom.size());
+  for (auto replica : aFrom) {
+    replicas.push_back(ReadReplica(replica));
+  }
+  return replicas;
+}
+
+std::vector<Replica>
+UnpackReplicas(capnp::Data::Reader aFrom)
+{
+  auto bytes = Decompress(ToBytes(aFrom), {}, kMaxUnpackedBytes);
+  KJ_REQUIRE(bytes.has_value(), "replicas can't be decompressed");
+  FlatMessage message(*bytes);
+  return ReadReplicas(message.Root<wire::SyncReply>().getReplicas());
+}
+
+void
+WriteReplicas(wire::SyncReply::Builder aTo, const ReplicaReport& aFrom)
+{
+  if (!aFrom.encoded_) {
+    auto replicas = aTo.initReplicas(aFrom.changed_.size());
+    for (unsigned i = 0; i < aFrom.changed_.size(); ++i) {
+      WriteReplica(replicas[i], aFrom.changed_[i]);
+    }
+  } else if (aFrom.isPacked_ && !aFrom.encoded_->Packed().empty()) {
+    aTo.setPackedReplicas(ToData(aFrom.encoded_->Packed()));
+  } else {
+    aTo.setReplicas(aFrom.encoded_->Reader());
+  }
+}
+
 void
 WriteRates(capnp::List<wire::NamedRate>::Builder aTo, const NamedRates& aFrom)
 {
@@ -203,6 +243,19 @@
 
 } // namespace
 
+EncodedReplicas::EncodedReplicas(const std::vector<Replica>& aReplicas)
+{
+  auto root = message_.initRoot<wire::SyncReply>();
+  auto replicas = root.initReplicas(aReplicas.size());
+  for (unsigned i = 0; i < aReplicas.size(); ++i) {
+    WriteReplica(replicas[i], aReplicas[i]);
+  }
+  reader_ = replicas.asReader();
+  if (aReplicas.size() >= kMinPackedReplicas) {
+    packed_ = Compress(Flatten(message_), {}).value_or(Bytes());
+  }
+}
+
 void
 WriteReport(wire::SyncRequest::Builder aTo, const EntryReport& aFrom)
 {
@@ -229,6 +282,7 @@
   WriteAdmission(
     aTo.initAdmission(static_cast<unsigned>(aFrom.admission_.size())),
     aFrom.admission_);
+  aTo.setReadsPackedReplicas(aFrom.readsPackedReplicas_);
   auto usage = aTo.initUsage(aFrom.usage_.size());
   for (unsigned i = 0; i < aFrom.usage_.size(); ++i) {
     WriteUsage(usage[i], aFrom.usage_[i]);
@@ -284,6 +338,7 @@
   report.rolloutCounts_ = ReadCounts(aFrom.getRolloutCounts());
   report.rolloutRevision_ = aFrom.getRolloutRevision();
   report.admission_ = ReadAdmission(aFrom.getAdmission());
+  report.readsPackedReplicas_ = aFrom.getReadsPackedReplicas();
   for (auto usage : aFrom.getUsage()) {
     report.usage_.push_back(ReadUsage(usage));
   }
@@ -311,10 +366,7 @@
 {
   aTo.setControlRun(aFrom.replicas_.run_);
   aTo.setStamp(aFrom.replicas_.stamp_);
-  auto replicas = aTo.initReplicas(aFrom.replicas_.changed_.size());
-  for (unsigned i = 0; i < aFrom.replicas_.changed_.size(); ++i) {
-    WriteReplica(replicas[i], aFrom.replicas_.changed_[i]);
-  }
+  WriteReplicas(aTo, aFrom.replicas_);
   aTo.setRegion(ToText(aFrom.region_));
   aTo.setPlanNumber(aFrom.planNumber_);
   if (aFrom.declaration_) {
@@ -374,9 +426,9 @@
   ControlAnswer answer;
   answer.replicas_.run_ = aFrom.getControlRun();
   answer.replicas_.stamp_ = aFrom.getStamp();
-  for (auto replica : aFrom.getReplicas()) {
-    answer.replicas_.changed_.push_back(ReadReplica(replica));
-  }
+  answer.replicas_.changed_ = aFrom.hasPackedReplicas()
+                                ? UnpackReplicas(aFrom.getPackedReplicas())
+                                : ReadReplicas(aFrom.getReplicas());
   answer.region_ = ToString(aFrom.getRegion());
   answer.planNumber_ = aFrom.getPlanNumber();
   if (aFrom.getDocument().size() > 0) {
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -122,6 +122,8 @@
   std::uint64_t rolloutRevision_ = 0;
   /// Sent to the leader only.
   AdmissionSumsByService admission_;
+  /// Whether the answer may contain compressed changes of replicas.
+  bool readsPackedReplicas_ = false;
 };
 
 /// The answer of a control process.
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -218,6 +218,7 @@
   # The revision of the receiver's directives that the entry follows.
   admission @20 :List(AdmissionSums);
   # Sent to the leader.
+  readsPackedReplicas @21 :Bool;
 }
 
 struct CostGrant {
@@ -264,6 +265,9 @@
   # be reserved.
   admission @22 :List(AdmissionSums);
   # Sent by the leader.
+  packedReplicas @23 :Data;
+  # A message with this type that has only replicas, compressed with zstd. Sent
+  # instead of replicas, if the request says that the sender reads it.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
@@ -70,9 +70,8 @@
     return false;
   }
   KnownReplica& known = replicas_[aReplica.id_];
-  Replica last = known.replica_;
-  last.sequence_ = aReplica.sequence_;
-  bool isRenewal = known.stamp_ != 0 && last == aReplica;
+  bool isRenewal =
+    known.stamp_ != 0 && IsEqualForEntries(known.replica_, aReplica);
   known.replica_ = aReplica;
   known.receivedAt_ = aNow;
   if (!isRenewal) {
@@ -121,10 +120,9 @@
   // The replica has announced itself elsewhere, not here.
   known.replica_.hasExpired_ = true;
   known.receivedAt_ = aNow;
-  // The stamp stays, since entries have the report from the other process. One
-  // that starts later gets it with all that is known.
-  stamp_ = std::max<std::uint64_t>(stamp_, 1);
-  known.stamp_ = stamp_;
+  // Entries get it from here too: the process that heard it may be lost before
+  // it has told them.
+  known.stamp_ = ++stamp_;
 }
 
 std::vector<std::string>
@@ -151,10 +149,19 @@
 
 std::vector<Replica>
 ReplicaTable::ChangedAfter(std::uint64_t aStamp) const
+{
+  return ChangedBetween(aStamp, stamp_);
+}
+
+std::vector<Replica>
+ReplicaTable::ChangedBetween(std::uint64_t aFrom, std::uint64_t aTo) const
 {
   std::vector<Replica> changed;
+  if (aFrom >= aTo) {
+    return changed;
+  }
   for (const auto& [id, known] : replicas_) {
-    if (known.stamp_ > aStamp) {
+    if (known.stamp_ > aFrom && known.stamp_ <= aTo) {
       changed.push_back(known.replica_);
     }
   }
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
@@ -32,7 +32,7 @@
              TimePoint aNow);
   /// Records that a replica drains or has departed, as another control process
   /// reports, so that this one rejects delayed announcements as well, also
-  /// after the other restarts. Entries are not notified of it again.
+  /// after the other restarts, and tells entries.
   void AdoptReport(const Replica& aReplica, TimePoint aNow);
   /// Marks replicas as expired, whose ids it returns, and removes those that
   /// departed or expired long ago.
@@ -45,6 +45,9 @@
   std::uint64_t Stamp() const { return stamp_; }
   /// Returns the replicas that changed after a stamp, in any state.
   std::vector<Replica> ChangedAfter(std::uint64_t aStamp) const;
+  /// The same without those that changed again after `aTo`.
+  std::vector<Replica> ChangedBetween(std::uint64_t aFrom,
+                                      std::uint64_t aTo) const;
   /// Returns the replicas that accept new work.
   std::vector<Replica> Ready() const;
 
