Record roll-outs in the replicated state

Orders of roll-outs had types and wire messages, but no place in the log. FleetState now applies startRollout and endRollout. The reply to an order (accepted, repeated, conflict, in force) is decided when it is applied, so all members agree on it. The change hook also runs when a roll-out starts or ends.

--- a/src/tanagerstall/process/tanagerstall_clock.hpp
+++ b/src/tanagerstall/process/tanagerstall_clock.hpp
@@ -53,8 +53,8 @@
   TimePoint now_{ std::chrono::hours(1) };
 };
 
-/// Returns the system time, for records that people read. It is never used to
-/// order events.
+/// Returns the system time, for records that people read and for the times in
+/// orders of operators. It is never used to order events.
 WallTime
 ReadWallTime();
 
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -67,7 +67,7 @@
     , hooks_(std::move(aHooks))
     , threads_(1)
     , timer_(loop_.Io().provider->getTimer())
-    , fleet_([this] { OnDeclaration(); })
+    , fleet_([this] { OnFleetChange(); })
     , member_(loop_, clock_, settings_.member_)
     , replicas_(settings_.replicaTimeToLive_)
     , leaderTasks_(
@@ -142,14 +142,20 @@
       MetricsResponse(aExchange.Request(), counters_.Collect(), gauges));
   }
 
-  void OnDeclaration()
+  void OnFleetChange()
   {
     if (!isBuilt_) {
       return;
     }
-    if (fleet_.Current().number_ == 0) {
-      return;
+    if (fleet_.Current().number_ != appliedDeclaration_) {
+      appliedDeclaration_ = fleet_.Current().number_;
+      OnDeclaration();
     }
+    entriesServer_.Notify();
+  }
+
+  void OnDeclaration()
+  {
     history_.Add(fleet_.Current());
     if (auto plan = hooks_.decodePlan_(fleet_.Current().document_)) {
       plan_ = std::move(*plan);
@@ -159,7 +165,6 @@
              "declaration applied",
              { { "number", fleet_.Current().number_ },
                { "bytes", fleet_.Current().document_.size() } });
-    entriesServer_.Notify();
   }
 
   void SetLimits()
@@ -417,6 +422,8 @@
   bool isBuilt_ = false;
   std::uint64_t runId_ = MakeRunId();
   FleetState fleet_;
+  /// The number of the declaration that was applied last.
+  std::uint64_t appliedDeclaration_ = 0;
   DeclarationHistory history_;
   RaftMember member_;
   ReplicaTable replicas_;
--- a/src/tanagerstall/version/tanagerstall_fleet_state.cpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.cpp
@@ -3,6 +3,8 @@
 #include "tanagerstall/internal/tanagerstall_fleet_wire.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
+#include <algorithm>
+
 namespace tanagerstall {
 
 namespace {
@@ -10,26 +12,65 @@
 /// Windows retained so that a usage report can be repeated with equal counts.
 constexpr std::size_t kKeptWindows = 64;
 
-Bytes
-EncodeSnapshot(const Declaration& aDeclaration,
-               const std::map<std::int64_t, CountsByName>& aUsage)
+/// How far apart two equal orders may have been received and count as one. An
+/// operator repeats an order at other processes until it is acknowledged, for
+/// at most 6 s; the rest covers differences between the processes' clocks.
+constexpr std::chrono::milliseconds kRepeatWindow = std::chrono::seconds(10);
+
+bool
+IsRepetition(const Rollout& aEarlier, const RolloutOrder& aOrder)
 {
-  capnp::MallocMessageBuilder message;
-  auto snapshot = message.initRoot<wire::FleetSnapshot>();
-  snapshot.setNumber(aDeclaration.number_);
-  snapshot.setDocument(ToData(ViewOf(aDeclaration.document_)));
-  auto usage = snapshot.initUsage(aUsage.size());
+  const RolloutOrder& first = aEarlier.order_;
+  if (first.service_ != aOrder.service_ || first.version_ != aOrder.version_ ||
+      first.duration_ != aOrder.duration_) {
+    return false;
+  }
+  // The order that was received first may be applied last.
+  return aEarlier.state_ == RolloutState::Running ||
+         std::chrono::abs(aOrder.orderedAt_ - first.orderedAt_) <=
+           kRepeatWindow;
+}
+
+/// Returns what becomes of an order, given the latest roll-out of its service.
+RolloutReply
+Judge(const Rollout& aLatest, const RolloutOrder& aOrder)
+{
+  if (IsRepetition(aLatest, aOrder)) {
+    return RolloutReply::Repeated;
+  }
+  if (aLatest.state_ == RolloutState::Running) {
+    return RolloutReply::Conflict;
+  }
+  bool isInForce = aLatest.state_ == RolloutState::Completed &&
+                   aLatest.order_.version_ == aOrder.version_;
+  return isInForce ? RolloutReply::InForce : RolloutReply::Accepted;
+}
+
+void
+WriteRollouts(wire::FleetSnapshot::Builder aTo, const RolloutsByService& aFrom)
+{
+  auto rollouts = aTo.initRollouts(aFrom.size());
   unsigned i = 0;
-  for (const auto& [window, counts] : aUsage) {
-    WriteUsage(usage[i++], { window, counts });
+  for (const auto& [service, rollout] : aFrom) {
+    WriteRollout(rollouts[i++], rollout);
   }
-  return Flatten(message);
+}
+
+RolloutsByService
+ReadRollouts(wire::FleetSnapshot::Reader aFrom)
+{
+  RolloutsByService rollouts;
+  for (auto from : aFrom.getRollouts()) {
+    Rollout rollout = ReadRollout(from);
+    rollouts[rollout.order_.service_] = rollout;
+  }
+  return rollouts;
 }
 
 } // namespace
 
-FleetState::FleetState(ChangeHook aOnDeclaration)
-  : onDeclaration_(std::move(aOnDeclaration))
+FleetState::FleetState(ChangeHook aOnChange)
+  : onChange_(std::move(aOnChange))
 {
 }
 
@@ -37,11 +78,18 @@
 FleetState::AsStateMachine()
 {
   return { [this](BytesView aCommand) { return Apply(aCommand); },
-           [this](BytesView) { return EncodeSnapshot(current_, {}); },
+           [this](BytesView aQuery) { return AnswerQuery(aQuery); },
            [this] { return TakeSnapshot(); },
            [this](BytesView aSnapshot) { InstallSnapshot(aSnapshot); } };
 }
 
+const Rollout*
+FleetState::FindRollout(const std::string& aService) const
+{
+  auto it = rollouts_.find(aService);
+  return it == rollouts_.end() ? nullptr : &it->second;
+}
+
 std::optional<CountsByName>
 FleetState::AgreedUsage(std::int64_t aWindow) const
 {
@@ -76,6 +124,38 @@
   return Flatten(message);
 }
 
+Bytes
+FleetState::EncodeStartRollout(const RolloutOrder& aOrder)
+{
+  capnp::MallocMessageBuilder message;
+  WriteRollout(message.initRoot<wire::FleetCommand>().initStartRollout(),
+               { 0, aOrder, RolloutState::Running, {} });
+  return Flatten(message);
+}
+
+Bytes
+FleetState::EncodeEndRollout(std::uint64_t aId,
+                             RolloutState aState,
+                             WallTime aEndedAt)
+{
+  capnp::MallocMessageBuilder message;
+  auto end = message.initRoot<wire::FleetCommand>().initEndRollout();
+  end.setId(aId);
+  end.setState(WriteState(aState));
+  end.setEndedAtMs(aEndedAt.time_since_epoch().count());
+  return Flatten(message);
+}
+
+Bytes
+FleetState::EncodeQuery(FleetQuery aQuery)
+{
+  // Builds without roll-outs send empty queries.
+  if (aQuery == FleetQuery::All) {
+    return {};
+  }
+  return { static_cast<std::uint8_t>(aQuery) };
+}
+
 Declaration
 FleetState::DecodeDeclaration(BytesView aBytes)
 {
@@ -91,22 +171,58 @@
   return ReadUsage(message.Root<wire::UsageWindow>());
 }
 
+RolloutsByService
+FleetState::DecodeRollouts(BytesView aBytes)
+{
+  FlatMessage message(aBytes);
+  return ReadRollouts(message.Root<wire::FleetSnapshot>());
+}
+
+RolloutReply
+FleetState::DecodeRolloutReply(BytesView aBytes)
+{
+  KJ_REQUIRE(aBytes.size() == 1 && aBytes.front() <= static_cast<std::uint8_t>(
+                                                       RolloutReply::InForce),
+             "unknown reply to a roll-out");
+  return static_cast<RolloutReply>(aBytes.front());
+}
+
 Bytes
 FleetState::Apply(BytesView aCommand)
 {
   FlatMessage message(aCommand);
   auto command = message.Root<wire::FleetCommand>();
-  if (command.isDeclare()) {
-    auto declare = command.getDeclare();
-    ApplyDeclare(declare.getNumber(),
-                 ReadEncoding(declare.getEncoding()),
-                 ToBytes(declare.getDocument()));
-    return {};
+  switch (command.which()) {
+    case wire::FleetCommand::DECLARE: {
+      auto declare = command.getDeclare();
+      ApplyDeclare(declare.getNumber(),
+                   ReadEncoding(declare.getEncoding()),
+                   ToBytes(declare.getDocument()));
+      return {};
+    }
+    case wire::FleetCommand::USAGE:
+      return ApplyUsage(ReadUsage(command.getUsage()));
+    case wire::FleetCommand::START_ROLLOUT: {
+      auto reply = ApplyStart(ReadRollout(command.getStartRollout()).order_);
+      return { static_cast<std::uint8_t>(reply) };
+    }
+    case wire::FleetCommand::END_ROLLOUT: {
+      auto end = command.getEndRollout();
+      ApplyEnd(end.getId(),
+               ReadState(end.getState()),
+               WallTime(std::chrono::milliseconds(end.getEndedAtMs())));
+      return {};
+    }
   }
+  KJ_FAIL_REQUIRE("unknown command", static_cast<int>(command.which()));
+}
+
+Bytes
+FleetState::ApplyUsage(const UsageWindow& aUsage)
+{
   // The first counts of a window are final, so that every report of the window
   // is identical.
-  auto usage = ReadUsage(command.getUsage());
-  auto [it, isNew] = usage_.emplace(usage.window_, usage.counts_);
+  auto [it, isNew] = usage_.emplace(aUsage.window_, aUsage.counts_);
   capnp::MallocMessageBuilder reply;
   WriteUsage(reply.initRoot<wire::UsageWindow>(), { it->first, it->second });
   while (usage_.size() > kKeptWindows) {
@@ -115,6 +231,57 @@
   return Flatten(reply);
 }
 
+RolloutReply
+FleetState::ApplyStart(const RolloutOrder& aOrder)
+{
+  const Rollout* latest = FindRollout(aOrder.service_);
+  RolloutReply reply =
+    latest == nullptr ? RolloutReply::Accepted : Judge(*latest, aOrder);
+  if (reply != RolloutReply::Accepted) {
+    return reply;
+  }
+  std::uint64_t id = ++lastRolloutId_;
+  rollouts_[aOrder.service_] = { id, aOrder, RolloutState::Running, {} };
+  LogEvent(Severity::Info,
+           "rollout started",
+           { { "service", aOrder.service_ },
+             { "version", aOrder.version_ },
+             { "id", id },
+             { "duration_ms", aOrder.duration_.count() } });
+  NotifyChange();
+  return reply;
+}
+
+void
+FleetState::ApplyEnd(std::uint64_t aId, RolloutState aState, WallTime aEndedAt)
+{
+  auto it = std::find_if(rollouts_.begin(), rollouts_.end(), [aId](auto& aIt) {
+    return aIt.second.id_ == aId;
+  });
+  if (it == rollouts_.end() || it->second.state_ != RolloutState::Running ||
+      aState == RolloutState::Running) {
+    return;
+  }
+  Rollout& rollout = it->second;
+  rollout.state_ = aState;
+  rollout.endedAt_ = aEndedAt;
+  LogEvent(Severity::Info,
+           "rollout ended",
+           { { "service", rollout.order_.service_ },
+             { "version", rollout.order_.version_ },
+             { "id", aId },
+             { "state", NameOf(aState) } });
+  NotifyChange();
+}
+
+void
+FleetState::NotifyChange() const
+{
+  if (onChange_) {
+    onChange_();
+  }
+}
+
 void
 FleetState::ApplyDeclare(std::uint64_t aNumber,
                          DocumentEncoding aEncoding,
@@ -131,15 +298,37 @@
     return;
   }
   current_ = { aNumber, std::move(*document) };
-  if (onDeclaration_) {
-    onDeclaration_();
+  NotifyChange();
+}
+
+Bytes
+FleetState::AnswerQuery(BytesView aQuery) const
+{
+  capnp::MallocMessageBuilder message;
+  auto answer = message.initRoot<wire::FleetSnapshot>();
+  answer.setNumber(current_.number_);
+  if (aQuery.empty()) {
+    answer.setDocument(ToData(ViewOf(current_.document_)));
   }
+  WriteRollouts(answer, rollouts_);
+  return Flatten(message);
 }
 
 Bytes
 FleetState::TakeSnapshot() const
 {
-  return EncodeSnapshot(current_, usage_);
+  capnp::MallocMessageBuilder message;
+  auto snapshot = message.initRoot<wire::FleetSnapshot>();
+  snapshot.setNumber(current_.number_);
+  snapshot.setDocument(ToData(ViewOf(current_.document_)));
+  WriteRollouts(snapshot, rollouts_);
+  snapshot.setLastRolloutId(lastRolloutId_);
+  auto usage = snapshot.initUsage(usage_.size());
+  unsigned i = 0;
+  for (const auto& [window, counts] : usage_) {
+    WriteUsage(usage[i++], { window, counts });
+  }
+  return Flatten(message);
 }
 
 void
@@ -148,14 +337,14 @@
   FlatMessage message(aSnapshot);
   auto snapshot = message.Root<wire::FleetSnapshot>();
   current_ = { snapshot.getNumber(), TextOf(ToBytes(snapshot.getDocument())) };
+  rollouts_ = ReadRollouts(snapshot);
+  lastRolloutId_ = snapshot.getLastRolloutId();
   usage_.clear();
   for (auto window : snapshot.getUsage()) {
     auto usage = ReadUsage(window);
     usage_[usage.window_] = usage.counts_;
   }
-  if (onDeclaration_) {
-    onDeclaration_();
-  }
+  NotifyChange();
 }
 
 } // namespace tanagerstall
--- a/src/tanagerstall/version/tanagerstall_fleet_state.hpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerstall/process/raft/tanagerstall_state_machine.hpp"
 #include "tanagerstall/version/tanagerstall_document_encoding.hpp"
+#include "tanagerstall/version/tanagerstall_rollout.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -30,21 +31,37 @@
   std::string document_;
 };
 
-/// The fleet's replicated state: the declaration with the highest number, and
-/// the agreed usage of recent windows, which may still have to be reported.
+/// The latest roll-out of each service, by service.
+using RolloutsByService = std::map<std::string, Rollout>;
+
+/// What a query of the state returns.
+enum class FleetQuery : std::uint8_t
+{
+  /// The declaration and the roll-outs.
+  All,
+  /// The roll-outs, without the declaration's document.
+  Rollouts
+};
+
+/// The fleet's replicated state: the declaration with the highest number, the
+/// latest roll-out of each service, and the agreed usage of recent windows,
+/// which may still have to be reported.
 class FleetState
 {
 public:
   using ChangeHook = std::function<void()>;
 
-  /// `aOnDeclaration` is called when a newer declaration is applied and after a
-  /// snapshot is installed.
-  explicit FleetState(ChangeHook aOnDeclaration = nullptr);
+  /// `aOnChange` is called when a newer declaration is applied, when a roll-out
+  /// starts or ends, and after a snapshot is installed.
+  explicit FleetState(ChangeHook aOnChange = nullptr);
 
   /// Returns the state machine of this state for a Raft group.
   StateMachine AsStateMachine();
 
   const Declaration& Current() const { return current_; }
+  const RolloutsByService& Rollouts() const { return rollouts_; }
+  /// Returns the latest roll-out of a service, or nullptr if it has none.
+  const Rollout* FindRollout(const std::string& aService) const;
   /// Returns the agreed counts of a window, or nullopt if there are none.
   std::optional<CountsByName> AgreedUsage(std::int64_t aWindow) const;
 
@@ -53,8 +70,19 @@
     const Declaration& aDeclaration,
     DocumentEncoding aEncoding = DocumentEncoding::Compressed);
   static Bytes EncodeUsage(const UsageWindow& aUsage);
-  /// Decodes the result of a query.
+  /// Members of builds without roll-outs can't apply these two commands.
+  static Bytes EncodeStartRollout(const RolloutOrder& aOrder);
+  /// The command has no effect unless the roll-out with this id is running.
+  static Bytes EncodeEndRollout(std::uint64_t aId,
+                                RolloutState aState,
+                                WallTime aEndedAt);
+  static Bytes EncodeQuery(FleetQuery aQuery);
+  /// Decodes the declaration in the result of a query.
   static Declaration DecodeDeclaration(BytesView aBytes);
+  /// Decodes the roll-outs in the result of a query.
+  static RolloutsByService DecodeRollouts(BytesView aBytes);
+  /// Decodes the result of a command that starts a roll-out.
+  static RolloutReply DecodeRolloutReply(BytesView aBytes);
   /// Decodes the result of a usage command: the agreed counts of the window.
   static UsageWindow DecodeUsage(BytesView aBytes);
 
@@ -63,11 +91,18 @@
   void ApplyDeclare(std::uint64_t aNumber,
                     DocumentEncoding aEncoding,
                     BytesView aPayload);
+  Bytes ApplyUsage(const UsageWindow& aUsage);
+  RolloutReply ApplyStart(const RolloutOrder& aOrder);
+  void ApplyEnd(std::uint64_t aId, RolloutState aState, WallTime aEndedAt);
+  void NotifyChange() const;
+  Bytes AnswerQuery(BytesView aQuery) const;
   Bytes TakeSnapshot() const;
   void InstallSnapshot(BytesView aSnapshot);
 
-  ChangeHook onDeclaration_;
+  ChangeHook onChange_;
   Declaration current_;
+  RolloutsByService rollouts_;
+  std::uint64_t lastRolloutId_ = 0;
   std::map<std::int64_t, CountsByName> usage_;
 };
 
--- a/src/tanagerstall/version/tanagerstall_rollout.hpp
+++ b/src/tanagerstall/version/tanagerstall_rollout.hpp
@@ -17,6 +17,21 @@
   RolledBack
 };
 
+/// Returns the name of a state in logs, calls of operators and metrics.
+inline const char*
+NameOf(RolloutState aState)
+{
+  switch (aState) {
+    case RolloutState::Running:
+      return "running";
+    case RolloutState::Completed:
+      return "completed";
+    case RolloutState::RolledBack:
+      return "rolled_back";
+  }
+  return "unknown";
+}
+
 /// An operator's order to move a service's traffic to another version.
 struct RolloutOrder
 {
