Tell which members apply the commands of roll-outs

Builds without roll-outs can't apply startRollout and endRollout. Control processes now say in their answers whether they can (appliesRollouts), and MemberDirectory keeps this beside the encoding of declarations, so that an order is proposed only once all members are known to apply it.

--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -321,6 +321,7 @@
   }
   aTo.setLeads(aFrom.isLeader_);
   aTo.setReadsCompressed(aFrom.readsCompressed_);
+  aTo.setAppliesRollouts(aFrom.appliesRollouts_);
   if (aFrom.namedRates_) {
     WriteRates(aTo.initNamedRates(aFrom.namedRates_->size()),
                *aFrom.namedRates_);
@@ -370,6 +371,7 @@
   }
   answer.isLeader_ = aFrom.getLeads();
   answer.readsCompressed_ = aFrom.getReadsCompressed();
+  answer.appliesRollouts_ = aFrom.getAppliesRollouts();
   if (aFrom.hasNamedRates()) {
     answer.namedRates_ = ReadRates(aFrom.getNamedRates());
   }
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -158,6 +158,8 @@
   bool isLeader_ = false;
   /// Whether the control process applies compressed declarations.
   bool readsCompressed_ = false;
+  /// Whether it applies the commands of roll-outs.
+  bool appliesRollouts_ = false;
   /// The leader's verdicts, if the entry doesn't have them.
   std::optional<PromptVerdicts> promptVerdicts_;
   /// The rate limits of replicas that the leader knows, if the entry doesn't
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -249,6 +249,8 @@
   rolloutRevision @20 :UInt64;
   regionDelays @21 :List(RegionDelay);
   # Sent by the leader.
+  appliesRollouts @22 :Bool;
+  # Whether the sender applies the commands of roll-outs.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -2673,6 +2673,8 @@
   inline bool hasRegionDelays() const;
   inline  ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>::Reader getRegionDelays() const;
 
+  inline bool getAppliesRollouts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2809,6 +2811,9 @@
   inline void adoptRegionDelays(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RegionDelay,  ::capnp::Kind::STRUCT>> disownRegionDelays();
 
+  inline bool getAppliesRollouts();
+  inline void setAppliesRollouts(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5926,6 +5931,20 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool SyncReply::Reader::getAppliesRollouts() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<228>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncReply::Builder::getAppliesRollouts() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<228>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setAppliesRollouts(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<228>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -91,7 +91,9 @@
           [this](const std::string& aControl, const ControlAnswer& aAnswer) {
             view_.ApplyReport(aControl, aAnswer.replicas_, clock_.Now());
             AdoptReports(aAnswer.replicas_);
-            members_.RecordCapability(aControl, aAnswer.readsCompressed_);
+            members_.RecordCapabilities(
+              aControl,
+              { aAnswer.readsCompressed_, aAnswer.appliesRollouts_ });
           } })
     , control_(threads_,
                HttpLimits(),
@@ -297,6 +299,7 @@
     answer.rateRevision_ = namedRates_.Revision();
     answer.members_ = members_.Addresses();
     answer.readsCompressed_ = true;
+    answer.appliesRollouts_ = true;
     answer.shareDivisor_ = workingSet_.ShareDivisor(aReport.entry_.id_);
     answer.isStandby_ =
       aReport.entry_.weight_ > 0 && !workingSet_.IsActive(aReport.entry_.id_);
--- a/src/tanagerstall/process/tanagerstall_member_directory.cpp
+++ b/src/tanagerstall/process/tanagerstall_member_directory.cpp
@@ -18,26 +18,35 @@
 }
 
 void
-MemberDirectory::RecordCapability(const std::string& aAddress,
-                                  bool aReadsCompressed)
+MemberDirectory::RecordCapabilities(const std::string& aAddress,
+                                    const MemberCapabilities& aCapabilities)
 {
-  if (aReadsCompressed) {
-    readCompressed_.insert(aAddress);
-  } else {
-    readCompressed_.erase(aAddress);
-  }
+  capabilities_[aAddress] = aCapabilities;
 }
 
 DocumentEncoding
 MemberDirectory::CommandEncoding() const
 {
-  bool canAllRead =
-    !addresses_.empty() && std::all_of(addresses_.begin(),
-                                       addresses_.end(),
-                                       [this](const std::string& aIt) {
-                                         return readCompressed_.contains(aIt);
-                                       });
-  return canAllRead ? DocumentEncoding::Compressed : DocumentEncoding::Plain;
+  return CanAll(&MemberCapabilities::readsCompressed_)
+           ? DocumentEncoding::Compressed
+           : DocumentEncoding::Plain;
+}
+
+bool
+MemberDirectory::CanAllApplyRollouts() const
+{
+  return CanAll(&MemberCapabilities::appliesRollouts_);
+}
+
+bool
+MemberDirectory::CanAll(bool MemberCapabilities::*aCapability) const
+{
+  return !addresses_.empty() &&
+         std::all_of(
+           addresses_.begin(), addresses_.end(), [&](const std::string& aIt) {
+             auto it = capabilities_.find(aIt);
+             return it != capabilities_.end() && it->second.*aCapability;
+           });
 }
 
 } // namespace tanagerstall
--- a/src/tanagerstall/process/tanagerstall_member_directory.hpp
+++ b/src/tanagerstall/process/tanagerstall_member_directory.hpp
@@ -5,12 +5,21 @@
 #include "tanagerstall/version/tanagerstall_document_encoding.hpp"
 
 #include <cstdint>
-#include <set>
+#include <map>
 #include <string>
 #include <vector>
 
 namespace tanagerstall {
 
+/// What the build of a member can do.
+struct MemberCapabilities
+{
+  /// Whether it applies compressed declarations.
+  bool readsCompressed_ = false;
+  /// Whether it applies the commands of roll-outs.
+  bool appliesRollouts_ = false;
+};
+
 /// The members of the control cluster, as entries and other members connect to
 /// them, and what their builds can do.
 class MemberDirectory
@@ -18,16 +27,21 @@
 public:
   /// `aPort` is the port at which every member serves entries.
   void Update(const Membership& aMembers, std::uint16_t aPort);
-  /// Records whether the member at an address applies compressed declarations.
-  void RecordCapability(const std::string& aAddress, bool aReadsCompressed);
+  /// Records what the member at an address can do.
+  void RecordCapabilities(const std::string& aAddress,
+                          const MemberCapabilities& aCapabilities);
   const std::vector<std::string>& Addresses() const { return addresses_; }
   /// Returns the encoding of declarations that all members are known to apply.
   DocumentEncoding CommandEncoding() const;
+  /// Returns whether all members are known to apply the commands of roll-outs.
+  bool CanAllApplyRollouts() const;
 
 private:
+  bool CanAll(bool MemberCapabilities::*aCapability) const;
+
   std::vector<std::string> addresses_;
-  /// Members that apply compressed declarations.
-  std::set<std::string> readCompressed_;
+  /// By address, of the members that have been heard.
+  std::map<std::string, MemberCapabilities> capabilities_;
 };
 
 } // namespace tanagerstall
--- a/tests/member_directory_tests.cpp
+++ b/tests/member_directory_tests.cpp
@@ -17,7 +17,8 @@
 {
   const char* name_;
   std::vector<std::string> members_;
-  std::map<std::string, bool> readsCompressed_;
+  /// Whether the members are of a build that can do all.
+  std::map<std::string, bool> canAll_;
   DocumentEncoding encoding_;
 };
 
@@ -54,10 +55,10 @@
 
 } // namespace
 
-// Guards against a declaration in the log that a member of an older build can't
-// apply.
+// Guards against a compressed declaration or a roll-out in the log that a
+// member of an older build can't apply.
 BOOST_TEST_DECORATOR(*boost::unit_test::label("configuration"))
-BOOST_DATA_TEST_CASE(Declarations_are_compressed_once_all_members_can_read_them,
+BOOST_DATA_TEST_CASE(Commands_are_proposed_once_all_members_can_apply_them,
                      data::make(kCases),
                      row)
 {
@@ -69,10 +70,24 @@
   }
   MemberDirectory directory;
   directory.Update(members, kPort);
-  for (const auto& [address, canRead] : row.readsCompressed_) {
-    directory.RecordCapability(address, !canRead);
-    directory.RecordCapability(address, canRead);
+  for (const auto& [address, can] : row.canAll_) {
+    directory.RecordCapabilities(address, { !can, !can });
+    directory.RecordCapabilities(address, { can, can });
   }
   BOOST_TEST((directory.CommandEncoding() == row.encoding_));
+  BOOST_TEST(directory.CanAllApplyRollouts() == (row.encoding_ == kCompressed));
   BOOST_TEST(directory.Addresses().size() == row.members_.size());
 }
+
+// Guards against a roll-out in the log while members read compressed
+// declarations but are of a build without roll-outs.
+BOOST_AUTO_TEST_CASE(Each_capability_counts_by_itself)
+{
+  MemberDirectory directory;
+  Member member;
+  member.memberAddress_ = "10.0.0.1:7600";
+  directory.Update({ member }, kPort);
+  directory.RecordCapabilities("10.0.0.1:7601", { true, false });
+  BOOST_TEST((directory.CommandEncoding() == kCompressed));
+  BOOST_TEST(!directory.CanAllApplyRollouts());
+}
