Accept orders of roll-outs at control processes

Operators could not order a roll-out. FleetControl::StartRollout commits an order; ReadRollouts returns the record after a quorum confirmed it. An order is refused because of an unknown service, or because all replicas have the version already, only after a quorum confirmed the declaration or the record: a process that has just started or lags may know neither, and 400 and 409 end an operator's call.

--- a/src/daemons/tanagerctl.cpp
+++ b/src/daemons/tanagerctl.cpp
@@ -34,6 +34,7 @@
                              RequestCommands(),
                              HistogramCommands(),
                              MemberCommands(),
+                             RolloutCommands(),
                              LogCommands() }) {
     commands.insert(commands.end(), group.begin(), group.end());
   }
--- a/src/tanagerstall/process/commands/tanagerstall_operator_command.hpp
+++ b/src/tanagerstall/process/commands/tanagerstall_operator_command.hpp
@@ -91,6 +91,10 @@
 std::vector<OperatorCommand>
 MemberCommands();
 
+/// Commands that order roll-outs and show them.
+std::vector<OperatorCommand>
+RolloutCommands();
+
 } // namespace tanagerstall
 
 #endif
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -13,6 +13,7 @@
 #include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall/process/tanagerstall_loop_delay.hpp"
 #include "tanagerstall/process/tanagerstall_member_directory.hpp"
+#include "tanagerstall/process/tanagerstall_rollout_api.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
 #include "tanagerstall/request/tanagerstall_cost_leases.hpp"
 #include "tanagerstall/request/tanagerstall_named_rate_table.hpp"
@@ -92,12 +93,20 @@
             view_.ApplyReport(aControl, aAnswer.replicas_, clock_.Now());
             AdoptReports(aAnswer.replicas_);
             members_.RecordCapabilities(
-              aControl,
-              { aAnswer.readsCompressed_, aAnswer.appliesRollouts_ });
+              aControl, { aAnswer.readsCompressed_, aAnswer.appliesRollouts_ });
           } })
+    , rolloutApi_(
+        { [&aSelf](Fiber& aFiber, const RolloutOrder& aOrder) {
+           return aSelf.StartRollout(aFiber, aOrder);
+         },
+          [&aSelf](Fiber& aFiber) { return aSelf.ReadRollouts(aFiber); } })
     , control_(threads_,
                HttpLimits(),
                [this, &aSelf](HttpExchange& aExchange) {
+                 if (auto response = rolloutApi_.Handle(aExchange)) {
+                   aExchange.Respond(*response);
+                   return;
+                 }
                  hooks_.handleControl_(aExchange, aSelf);
                })
     , directory_(threads_,
@@ -415,6 +424,59 @@
       *plan_, *view_.Present(now), namedRates_.Rates(now), loads_, now);
   }
 
+  GroupResult Propose(Fiber& aFiber, std::function<Bytes()> aMakeCommand)
+  {
+    return aFiber.Await<GroupResult>([&](const GroupCallback& aDone) {
+      loop_.Post([this, aMakeCommand, aDone] {
+        member_.Propose(GroupName::Configuration, aMakeCommand(), aDone);
+      });
+    });
+  }
+
+  GroupResult Query(Fiber& aFiber, const Bytes& aQuery)
+  {
+    return aFiber.Await<GroupResult>([&](const GroupCallback& aDone) {
+      loop_.Post([this, aQuery, aDone] {
+        member_.Query(GroupName::Configuration, aQuery, aDone);
+      });
+    });
+  }
+
+  RolloutFacts ReadRolloutFacts(const std::string& aService)
+  {
+    TimePoint now = clock_.Now();
+    RolloutFacts facts;
+    facts.isServiceKnown_ = plan_ && plan_->services_.contains(aService);
+    // A command in the log shows that all members applied it.
+    facts.canAllApply_ =
+      members_.CanAllApplyRollouts() || !fleet_.Rollouts().empty();
+    facts.hasHeardAll_ = now - startedAt_ >= settings_.replicaTimeToLive_;
+    auto present = view_.Present(now);
+    if (auto it = present->find(aService); it != present->end()) {
+      facts.replicas_ = it->second;
+    }
+    if (const Rollout* latest = fleet_.FindRollout(aService)) {
+      facts.latest_ = *latest;
+    }
+    return facts;
+  }
+
+  /// Returns the orders of roll-outs as handled on a fiber.
+  RolloutOrders OrdersOn(Fiber& aFiber)
+  {
+    return RolloutOrders(
+      { [this, &aFiber](const Bytes& aCommand) {
+         return Propose(aFiber, [aCommand] { return aCommand; });
+       },
+        [this, &aFiber](const Bytes& aQuery) { return Query(aFiber, aQuery); },
+        [this, &aFiber](const std::string& aService) {
+          return OnLoop<RolloutFacts>(loop_, aFiber, [this, aService] {
+            return ReadRolloutFacts(aService);
+          });
+        },
+        hooks_.decodePlan_ });
+  }
+
   FleetControlSettings settings_;
   FleetControlHooks hooks_;
   Clock clock_;
@@ -448,6 +510,7 @@
   TimePoint startedAt_;
   FleetServer entriesServer_;
   FleetClient peerClient_;
+  RolloutApi rolloutApi_;
   HttpServer control_;
   HttpServer directory_;
   Metrics counters_;
@@ -467,14 +530,10 @@
 tl::expected<void, GroupError>
 FleetControl::Declare(Fiber& aFiber, const Declaration& aDeclaration)
 {
-  auto result = aFiber.Await<GroupResult>(
-    [&](const std::function<void(GroupResult)>& aDone) {
-      state_->loop_.Post([this, aDeclaration, aDone] {
-        Bytes command = FleetState::EncodeDeclare(
-          aDeclaration, state_->members_.CommandEncoding());
-        state_->member_.Propose(GroupName::Configuration, command, aDone);
-      });
-    });
+  auto result = state_->Propose(aFiber, [this, aDeclaration] {
+    return FleetState::EncodeDeclare(aDeclaration,
+                                     state_->members_.CommandEncoding());
+  });
   if (!result) {
     return tl::make_unexpected(result.error());
   }
@@ -484,14 +543,21 @@
 tl::expected<Declaration, GroupError>
 FleetControl::ReadDeclaration(Fiber& aFiber)
 {
-  auto result = aFiber.Await<GroupResult>(
-    [&](const std::function<void(GroupResult)>& aDone) {
-      state_->loop_.Post([this, aDone] {
-        state_->member_.Query(GroupName::Configuration, {}, aDone);
-      });
-    });
-  return result.map(
-    [](const Bytes& aIt) { return FleetState::DecodeDeclaration(aIt); });
+  return state_->Query(aFiber, FleetState::EncodeQuery(FleetQuery::All))
+    .map([](const Bytes& aIt) { return FleetState::DecodeDeclaration(aIt); });
+}
+
+RolloutResult
+FleetControl::StartRollout(Fiber& aFiber, RolloutOrder aOrder)
+{
+  aOrder.orderedAt_ = ReadWallTime();
+  return state_->OrdersOn(aFiber).Start(aOrder);
+}
+
+tl::expected<RolloutsByService, GroupError>
+FleetControl::ReadRollouts(Fiber& aFiber)
+{
+  return state_->OrdersOn(aFiber).Read();
 }
 
 void
--- a/src/tanagerstall/process/tanagerstall_fleet_control.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.hpp
@@ -6,6 +6,7 @@
 #include "tanagerstall/process/presence/tanagerstall_replica.hpp"
 #include "tanagerstall/process/raft/tanagerstall_raft_member.hpp"
 #include "tanagerstall/process/tanagerstall_cloud_calls.hpp"
+#include "tanagerstall/process/tanagerstall_rollout_orders.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
 #include <memory>
@@ -73,6 +74,11 @@
   /// Returns the current declaration after a quorum confirmed that it is
   /// current.
   tl::expected<Declaration, GroupError> ReadDeclaration(Fiber& aFiber);
+  /// Commits an order of a roll-out, with the current time as its time.
+  RolloutResult StartRollout(Fiber& aFiber, RolloutOrder aOrder);
+  /// Returns the latest roll-out of each service after a quorum confirmed that
+  /// they are current.
+  tl::expected<RolloutsByService, GroupError> ReadRollouts(Fiber& aFiber);
   /// Applies an announcement of a replica. A stale one has no effect.
   void Announce(Fiber& aFiber, const Replica& aReplica);
   /// Records that a replica leaves. `aStartTimeMs` is 0 if it didn't send its
--- a/src/tanagerstall/version/tanagerstall_rollout.hpp
+++ b/src/tanagerstall/version/tanagerstall_rollout.hpp
@@ -3,11 +3,18 @@
 
 #include "tanagerstall/process/tanagerstall_clock.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
 namespace tanagerstall {
 
+/// The longest duration of an order, and the longest name of a version, which
+/// every entry receives.
+constexpr std::chrono::milliseconds kMaxRolloutDuration =
+  std::chrono::hours(24);
+constexpr std::size_t kMaxVersionBytes = 256;
+
 enum class RolloutState : std::uint8_t
 {
   Running,
@@ -17,7 +24,7 @@
   RolledBack
 };
 
-/// Returns the name of a state in logs, calls of operators and metrics.
+/// Returns the name of a state in logs and in the operators' interface.
 inline const char*
 NameOf(RolloutState aState)
 {
--- a/tests/processes/operations_page_test.sh
+++ b/tests/processes/operations_page_test.sh
@@ -6,6 +6,8 @@
 while read -r event; do
   grep -qF "\`$event\`" docs/OPERATIONS.md || { echo "not in docs/OPERATIONS.md: $event"; missing=1; }
 done < <(cat src/tanagerstall/process/tanagerstall_fleet_*.cpp platform/*.cpp \
+  src/tanagerstall/process/tanagerstall_rollout_*.cpp \
+  src/tanagerstall/version/tanagerstall_fleet_state.cpp \
   src/tanagerstall/request/tanagerstall_{forwarder,request_log}.cpp \
   src/tanagerstall/process/tanagerstall_{process_run,leader_tasks}.cpp \
   src/tanagerstall/connection/tanagerstall_{fleet,http}_*.cpp \
