Acknowledge a repeated order at a process that lags

A control process that had just started answered 503 to a repeated order until it had heard all members or applied the log, although the record shows that all members apply roll-outs. It now asks a quorum for the record in this case too.

--- a/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
@@ -127,15 +127,11 @@
       return tl::make_unexpected(checked.error());
     }
   }
-  if (JudgeVersion(aOrder.version_, facts) != VersionUse::NotInEffect) {
-    // The order may have been accepted before, at another control process.
-    auto rollouts = Read();
-    if (!rollouts) {
-      return Unavailable(rollouts.error().detail_);
+  if (JudgeVersion(aOrder.version_, facts) != VersionUse::NotInEffect ||
+      !facts.canAllApply_) {
+    if (auto confirmed = ConfirmRecord(aOrder.service_, facts); !confirmed) {
+      return tl::make_unexpected(confirmed.error());
     }
-    auto latest = rollouts->find(aOrder.service_);
-    facts.latest_ =
-      latest == rollouts->end() ? std::nullopt : std::optional(latest->second);
     VersionUse use = JudgeVersion(aOrder.version_, facts);
     if (use == VersionUse::InEffect) {
       return RolloutReply::InForce;
@@ -176,4 +172,19 @@
     RolloutFault::UnknownService, "unknown service \"" + aService + "\"" });
 }
 
+RolloutOrders::Check
+RolloutOrders::ConfirmRecord(const std::string& aService,
+                             RolloutFacts& aFacts) const
+{
+  auto rollouts = Read();
+  if (!rollouts) {
+    return Unavailable(rollouts.error().detail_);
+  }
+  aFacts.canAllApply_ = aFacts.canAllApply_ || !rollouts->empty();
+  auto latest = rollouts->find(aService);
+  aFacts.latest_ =
+    latest == rollouts->end() ? std::nullopt : std::optional(latest->second);
+  return {};
+}
+
 } // namespace tanagerstall
--- a/src/tanagerstall/process/tanagerstall_rollout_orders.hpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.hpp
@@ -74,6 +74,9 @@
 
   RolloutResult Decide(const RolloutOrder& aOrder) const;
   Check CheckService(const std::string& aService) const;
+  /// Replaces what the facts say of the record by what a quorum confirms. The
+  /// order may have been accepted before, at another control process.
+  Check ConfirmRecord(const std::string& aService, RolloutFacts& aFacts) const;
 
   RolloutOrderHooks hooks_;
 };
--- a/tests/rollout_order_tests.cpp
+++ b/tests/rollout_order_tests.cpp
@@ -297,6 +297,16 @@
   BOOST_TEST(control.proposals_ == 0);
 }
 
+// Guards against 503 for a repeated order at a process that has just started
+// and has neither heard all members nor applied the log.
+BOOST_AUTO_TEST_CASE(A_recorded_rollout_shows_that_all_members_can_apply_it)
+{
+  OrderCase recorded{ "", { "v1" }, "v2", kRunning, true, false, kRepeated };
+  Control control(recorded);
+  control.facts_.canAllApply_ = false;
+  BOOST_TEST((*control.Start(kOrder) == kRepeated));
+}
+
 // Guards against statuses that end an operator's call although the order may be
 // repeated, or the reverse.
 BOOST_AUTO_TEST_CASE(Each_result_has_its_status)
