Route requests by version while a roll-out runs

Entries sent requests to replicas of any version. RolloutRouter assigns each request of a service with a running roll-out to a side: by the hash of its session or at random, within a credit that grows by the leader's share, so that a large session neither exceeds the share nor keeps the version from being tested. Without a leader's directive that is younger than 1.5 s the new side gets nothing. A request without a healthy new replica, or that failed at one, goes to the old side, never the other way. After the end, the replicas that must get nothing are withheld from the chooser.

RolloutCounter counts both sides by route; requests that were in progress at the order count as sent after it. RolloutTraffic joins both with the chooser, whose part is a filter in ChoiceRequest.

--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -57,6 +57,7 @@
   , buffers_(kBufferLimits)
   , chooser_({ settings_.failureDomain_, settings_.regions_ },
              std::random_device()())
+  , rollouts_(chooser_, std::random_device()())
   , limits_(std::random_device()())
   , recorder_(chooser_, quarantine_, metrics_, clock_)
   , usage_(settings_.usageWindow_, hooks_.wallClock_)
@@ -93,7 +94,7 @@
 void
 Forwarder::SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas)
 {
-  chooser_.SetReplicas(std::move(aReplicas));
+  rollouts_.SetReplicas(std::move(aReplicas));
 }
 
 void
@@ -335,6 +336,8 @@
   bool canRetry = true;
   std::optional<HttpResponse> failure;
   AttemptResult last;
+  auto side = rollouts_.Assign(
+    aRequest.service_, aRequest.prompt_.LastSharedPart(), clock_.Now());
   while (canRetry && !hasEndedRequests_ &&
          !quarantine_.RemainingFor(parts, clock_.Now())) {
     ChoiceRequest choice{ aRequest.service_,
@@ -342,7 +345,7 @@
                           WorkClassOf(aRequest),
                           aRequest.cost_,
                           aRequest.excluded_ };
-    auto replica = chooser_.Choose(choice, clock_.Now());
+    auto replica = rollouts_.Choose(choice, side, clock_.Now());
     if (!replica) {
       break;
     }
@@ -351,6 +354,7 @@
       route.IsIdempotent() && aRequest.runs_ + 1 < route.maxAttempts_;
     TimePoint startedAt = clock_.Now();
     bool isSuccessCounted = false;
+    RolloutAttempt counted(rollouts_, *replica, route, clock_);
     ForwardAttempt attempt(
       { pool_, buffers_, settings_.protocol_, clock_ },
       aExchange,
@@ -363,6 +367,7 @@
          aRequest.firstPartAt_ = clock_.Now();
        },
         [&](Duration aSinceFirst) {
+          counted.OnEvent();
           if (!isSuccessCounted &&
               aSinceFirst >= PromptQuarantine::kBeginning) {
             isSuccessCounted = true;
@@ -375,9 +380,12 @@
         [&](const ReplicaNotice& aNotice, TimePoint aSentAt) {
           recorder_.RecordRate(*replica, aNotice, aSentAt);
         },
-        [&] { return chooser_.MaySend(*replica, clock_.Now()); } });
+        [&] {
+          return chooser_.MaySend(*replica, clock_.Now()) && counted.OnSend();
+        } });
     AttemptInProgress inProgress(attempts_, attempt);
     last = attempt.Run(*replica, mayRunAgain && !failure);
+    counted.OnEnd(last);
     recorder_.RecordAttempt(aRequest, *replica, last, startedAt);
     recorder_.RecordEvidence(aRequest, *replica, last, isSuccessCounted);
     aRequest.lastReplica_ = replica->id_;
@@ -390,6 +398,7 @@
       return;
     }
     aRequest.excluded_.insert(replica->id_);
+    side = rollouts_.SideAfter(side, aRequest.service_, clock_.Now());
     if (last.failure_) {
       failure = std::move(last.failure_);
     }
@@ -477,6 +486,7 @@
   report.promptEvidence_ = quarantine_.Report(clock_.Now());
   report.namedRates_ = chooser_.RateLimits().Report(clock_.Now());
   report.rateNews_ = chooser_.RateLimits().News();
+  report.rolloutCounts_ = rollouts_.Report();
   return report;
 }
 
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -15,6 +15,7 @@
 #include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
 #include "tanagerstall/request/tanagerstall_request_rate.hpp"
 #include "tanagerstall/request/tanagerstall_retry_budgets.hpp"
+#include "tanagerstall/request/tanagerstall_rollout_traffic.hpp"
 #include "tanagerstall/request/tanagerstall_usage_counter.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
@@ -50,6 +51,7 @@
   NamedRates namedRates_;
   /// The number of limits that this entry learnt by itself; grows with each.
   std::uint64_t rateNews_ = 0;
+  std::vector<RolloutCounts> rolloutCounts_;
 };
 
 /// Forwards callers' requests to replicas along the routes of the traffic
@@ -74,6 +76,8 @@
   void SetShareDivisor(std::uint32_t aDivisor);
   /// Adopts the rate limits of replicas that other entries have learnt.
   void AdoptRates(const NamedRates& aRates);
+  /// The roll-outs that this entry knows, and their counts.
+  RolloutTraffic& Rollouts() { return rollouts_; }
   /// Adopts the leader's verdicts on prompt parts.
   void ApplyVerdicts(const PromptVerdicts& aVerdicts);
   /// Limits() and GetMetrics() may be called, and their results used, from
@@ -132,6 +136,7 @@
   ConnectionPool pool_;
   BufferBudget buffers_;
   ReplicaChooser chooser_;
+  RolloutTraffic rollouts_;
   CostLimits limits_;
   PromptQuarantine quarantine_;
   Metrics metrics_;
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -336,12 +336,16 @@
     TimePoint avoidUntil = StatsOf(replica).avoidUntil_;
     if (aRequest.excluded_.contains(replica.id_) ||
         avoidUntil == TimePoint::max() || !isOffered(replica) ||
-        !rateLimits_.MaySend(replica, aNow)) {
+        !rateLimits_.MaySend(replica, aNow) ||
+        (aRequest.isAllowed_ && !aRequest.isAllowed_(replica))) {
       continue;
     }
     bool isAvoided = aNow < avoidUntil;
     (isAvoided ? avoided : healthy).push_back(&replica);
   }
+  if (aRequest.needsHealthy_) {
+    avoided.clear();
+  }
   // If all replicas failed, the fault is more likely in the network between.
   return FilterByWork(healthy.empty() ? avoided : healthy, aRequest.work_);
 }
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
@@ -7,6 +7,7 @@
 #include "tanagerstall/request/tanagerstall_requested_backoff.hpp"
 #include "tanagerstall/request/tanagerstall_return_limit.hpp"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -27,6 +28,10 @@
   double cost_ = 1.0;
   /// Ids of replicas that must not be chosen.
   std::set<std::string> excluded_;
+  /// Returns whether a replica may be chosen; all may without it.
+  std::function<bool(const Replica&)> isAllowed_{};
+  /// Whether no replica is chosen if all that may be have failed lately.
+  bool needsHealthy_ = false;
 };
 
 /// How an attempt at a replica ended.
