Connect entries and control processes for roll-outs

Entries adopt the recorded roll-outs of every control process and the shares of the leader, and report their counts to the leader; a revision is reported only with counts that were made after it was adopted, so that "completed" is decided by what is in progress then. RolloutLeader answers with directives when the revision differs, once for each revision without a wait, logs each step and proposes the end until the record shows it. Replica placement counts the replicas of the side that carries the load. Empty buckets at the end of a histogram aren't sent. bounds.exposureShare, exposureSlack and rollbackMs are read with defaults.

--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -102,8 +102,13 @@
     aTo[i].setSent(counts.sent_);
     aTo[i].setEnded(counts.ended_);
     aTo[i].setFailed(counts.failed_);
-    auto firstParts = aTo[i].initFirstParts(counts.firstParts_.size());
-    for (unsigned bucket = 0; bucket < counts.firstParts_.size(); ++bucket) {
+    // The receiver takes missing buckets for empty ones.
+    std::size_t used = counts.firstParts_.size();
+    while (used > 0 && counts.firstParts_.at(used - 1) == 0) {
+      --used;
+    }
+    auto firstParts = aTo[i].initFirstParts(static_cast<unsigned>(used));
+    for (unsigned bucket = 0; bucket < used; ++bucket) {
       firstParts.set(bucket, counts.firstParts_.at(bucket));
     }
   }
--- a/src/tanagerstall/process/tanagerstall_entry_loads.cpp
+++ b/src/tanagerstall/process/tanagerstall_entry_loads.cpp
@@ -1,5 +1,7 @@
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
 
+#include "tanagerstall/process/presence/tanagerstall_rollout_sides.hpp"
+
 #include <algorithm>
 #include <set>
 
@@ -10,6 +12,21 @@
 /// A limit that is younger may be over before another replica is up.
 constexpr std::chrono::milliseconds kLastingLimit{ 1500 };
 
+/// Returns those of a service's replicas that carry its load.
+std::vector<Replica>
+ServingReplicas(const std::vector<Replica>& aReplicas,
+                const std::map<std::string, Rollout>& aRollouts)
+{
+  std::vector<Replica> serving;
+  for (const auto& replica : aReplicas) {
+    auto rollout = aRollouts.find(replica.service_);
+    if (rollout == aRollouts.end() || IsServingSide(rollout->second, replica)) {
+      serving.push_back(replica);
+    }
+  }
+  return serving;
+}
+
 } // namespace
 
 void
@@ -81,22 +98,27 @@
 std::vector<PlacementInput>
 MakePlacementInputs(const TrafficPlan& aPlan,
                     const ReplicasByService& aPresent,
+                    const std::map<std::string, Rollout>& aRollouts,
                     const NamedRates& aNamed,
                     EntryLoads& aLoads,
                     TimePoint aNow)
 {
   std::vector<PlacementInput> inputs;
   for (const auto& [name, service] : aPlan.services_) {
-    auto replicas = aPresent.find(name);
-    if (!service.scaling_ || replicas == aPresent.end()) {
+    auto present = aPresent.find(name);
+    if (!service.scaling_ || present == aPresent.end()) {
+      continue;
+    }
+    auto replicas = ServingReplicas(present->second, aRollouts);
+    if (replicas.empty()) {
       continue;
     }
     PlacementInput input{ name, *service.scaling_, {}, 0, 0, 0.0 };
-    input.slots_ = LeastSlots(replicas->second);
-    input.domains_ = CountByDomain(replicas->second, *service.scaling_);
+    input.slots_ = LeastSlots(replicas);
+    input.domains_ = CountByDomain(replicas, *service.scaling_);
     input.running_ = aLoads.Running(name);
-    input.withdrawn_ = WithdrawnCapacity(
-      replicas->second, aNamed, aLoads.ArrivalRate(name, aNow));
+    input.withdrawn_ =
+      WithdrawnCapacity(replicas, aNamed, aLoads.ArrivalRate(name, aNow));
     inputs.push_back(std::move(input));
   }
   return inputs;
--- a/src/tanagerstall/process/tanagerstall_entry_loads.hpp
+++ b/src/tanagerstall/process/tanagerstall_entry_loads.hpp
@@ -45,10 +45,12 @@
                   double aRate);
 
 /// Returns the input of the replica placement for each service that is scaled
-/// and has replicas.
+/// and has replicas. Of a service with a roll-out only the replicas that carry
+/// its load count.
 std::vector<PlacementInput>
 MakePlacementInputs(const TrafficPlan& aPlan,
                     const ReplicasByService& aPresent,
+                    const std::map<std::string, Rollout>& aRollouts,
                     const NamedRates& aNamed,
                     EntryLoads& aLoads,
                     TimePoint aNow);
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -14,6 +14,7 @@
 #include "tanagerstall/process/tanagerstall_loop_delay.hpp"
 #include "tanagerstall/process/tanagerstall_member_directory.hpp"
 #include "tanagerstall/process/tanagerstall_rollout_api.hpp"
+#include "tanagerstall/process/tanagerstall_rollout_leader.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
 #include "tanagerstall/request/tanagerstall_cost_leases.hpp"
 #include "tanagerstall/request/tanagerstall_named_rate_table.hpp"
@@ -130,7 +131,7 @@
                                 core.Log().Members().end(),
                                 [](const auto& aIt) { return aIt.isVoter_; });
     auto now = clock_.Now();
-    return {
+    Gauges gauges{
       { "leads", core.Role() == RaftRole::Leader ? 1.0 : 0.0 },
       { "holds_duties", leaderTasks_.HasLease(now) ? 1.0 : 0.0 },
       { "term", static_cast<double>(core.CurrentTerm()) },
@@ -143,6 +144,13 @@
       { "entries_active", static_cast<double>(workingSet_.ActiveCount()) },
       { "replicas_ready_here", static_cast<double>(replicas_.Ready().size()) }
     };
+    for (const auto& directive : rollouts_.Directives()) {
+      const RolloutOrder& order = directive.rollout_.order_;
+      std::string name = "rollout_request_share{service=\"" + order.service_ +
+                         "\",version=\"" + order.version_ + "\"}";
+      gauges[name] = directive.requestShare_;
+    }
+    return gauges;
   }
 
   void ServeMetrics(HttpExchange& aExchange)
@@ -162,6 +170,7 @@
       appliedDeclaration_ = fleet_.Current().number_;
       OnDeclaration();
     }
+    rollouts_.SetRollouts(fleet_.Rollouts());
     entriesServer_.Notify();
   }
 
@@ -216,6 +225,7 @@
         entriesServer_.Notify();
       }
     }
+    rollouts_.Record(RunOf(aReport.entry_), aReport, clock_.Now());
     if (isLeading_ && aReport.promptEvidence_) {
       detector_.RecordReport(
         RunOf(aReport.entry_), *aReport.promptEvidence_, clock_.Now());
@@ -237,6 +247,29 @@
            aReport.rateRevision_ != namedRates_.Revision();
   }
 
+  std::set<std::string> ServingRuns() const
+  {
+    std::set<std::string> runs;
+    for (const auto& entry : ServingEntries()) {
+      runs.insert(RunOf(entry));
+    }
+    return runs;
+  }
+
+  void ProposeEnd(const RolloutEnd& aEnd)
+  {
+    member_.Propose(
+      GroupName::Configuration,
+      FleetState::EncodeEndRollout(aEnd.id_, aEnd.state_, aEnd.endedAt_),
+      [id = aEnd.id_](const GroupResult& aResult) {
+        if (!aResult) {
+          LogEvent(Severity::Warning,
+                   "rollout end not recorded",
+                   { { "id", id }, { "error", aResult.error().detail_ } });
+        }
+      });
+  }
+
   void DecideOnPrompts(TimePoint aNow)
   {
     if (!isLeading_ || !detector_.Update(aNow)) {
@@ -282,6 +315,7 @@
     bool missesLeader = isLeading_ && !aReport.isToLeader_;
     return wantsGrant || wantsDeclaration || missesLeader ||
            LacksVerdicts(aReport) || LacksRates(aReport) ||
+           rollouts_.HasUpdate(RunOf(aReport.entry_), aReport) ||
            aReport.newestDeclaration_ < number ||
            aReport.controlRun_ != runId_ || aReport.stamp_ < replicas_.Stamp();
   }
@@ -306,6 +340,7 @@
       answer.namedRates_ = namedRates_.Rates(clock_.Now());
     }
     answer.rateRevision_ = namedRates_.Revision();
+    rollouts_.AddTo(answer, RunOf(aReport.entry_), aReport);
     answer.members_ = members_.Addresses();
     answer.readsCompressed_ = true;
     answer.appliesRollouts_ = true;
@@ -385,8 +420,10 @@
           detector_.StartLeading();
           entriesServer_.Notify();
         }
+        rollouts_.SetLeading(isLeading_, now);
         namedRates_.Update(now);
         DecideOnPrompts(now);
+        rollouts_.Update(now, ReadWallTime());
         if (now >= nextSettingsReadAt_) {
           Reload(false);
         }
@@ -420,8 +457,12 @@
       return {};
     }
     TimePoint now = clock_.Now();
-    return MakePlacementInputs(
-      *plan_, *view_.Present(now), namedRates_.Rates(now), loads_, now);
+    return MakePlacementInputs(*plan_,
+                               *view_.Present(now),
+                               fleet_.Rollouts(),
+                               namedRates_.Rates(now),
+                               loads_,
+                               now);
   }
 
   GroupResult Propose(Fiber& aFiber, std::function<Bytes()> aMakeCommand)
@@ -498,6 +539,14 @@
   CostLeases leases_;
   PromptCrashDetector detector_{ runId_ };
   NamedRateTable namedRates_{ runId_ };
+  RolloutLeader rollouts_{ settings_.rollouts_,
+                           runId_,
+                           { [this] { return view_.Present(clock_.Now()); },
+                             [this] { return ServingRuns(); },
+                             [this](const RolloutEnd& aEnd) {
+                               ProposeEnd(aEnd);
+                             },
+                             [this] { entriesServer_.Notify(); } } };
   bool isLeading_ = false;
   LoopDelay loopDelay_{ kTickInterval };
   UsageTotals usageTotals_;
--- a/src/tanagerstall/process/tanagerstall_fleet_control.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.hpp
@@ -6,6 +6,7 @@
 #include "tanagerstall/process/presence/tanagerstall_replica.hpp"
 #include "tanagerstall/process/raft/tanagerstall_raft_member.hpp"
 #include "tanagerstall/process/tanagerstall_cloud_calls.hpp"
+#include "tanagerstall/process/tanagerstall_rollout_controller.hpp"
 #include "tanagerstall/process/tanagerstall_rollout_orders.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
@@ -39,6 +40,7 @@
   double costOvershoot_ = 0.0;
   double costSlack_ = 0.0;
   std::size_t maxDirectoryEntries_ = 64;
+  RolloutBounds rollouts_;
 };
 
 class FleetControl;
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <kj/async-io.h>
 #include <map>
+#include <tuple>
 
 namespace tanagerstall {
 
@@ -25,6 +26,10 @@
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(300);
 /// Interval at which the settings are read again without a signal.
 constexpr Duration kSettingsInterval = std::chrono::seconds(2);
+/// Counts of roll-outs are reported at this interval times the number of
+/// entries, within the bounds, so that the leader's load doesn't grow with it.
+constexpr Duration kCountsPerEntry = std::chrono::milliseconds(2);
+constexpr Duration kMaxCountsInterval = std::chrono::milliseconds(600);
 
 std::uint64_t
 MakeIncarnation()
@@ -91,6 +96,7 @@
                      forwarder_.CountReplicas(ReplicaAvailability::Leaving));
     AddReplicaGauges(
       gauges, "replicas_rate_limited", forwarder_.CountRateLimitedReplicas());
+    AddRolloutGauges(gauges);
     aExchange.Respond(MetricsResponse(
       aExchange.Request(), forwarder_.GetMetrics().Collect(), gauges));
   }
@@ -109,6 +115,16 @@
     }
   }
 
+  void AddRolloutGauges(Gauges& aGauges)
+  {
+    for (const auto& [key, sent] :
+         forwarder_.Rollouts().Counter().SentByVersion()) {
+      std::string name = "rollout_requests{service=\"" + key.first +
+                         "\",version=\"" + key.second + "\"}";
+      aGauges[name] = static_cast<double>(sent);
+    }
+  }
+
   bool IsReady() const { return hasPlan_ && !isStopping_; }
 
   bool IsBusy() const { return traffic_.requestRate_ > kBusyRequestRate; }
@@ -142,6 +158,7 @@
         reportedRateNews_ = traffic_.rateNews_;
       }
     }
+    AddRolloutCounts(report, aControl, aIsLeader);
     report.newestDeclaration_ = source_.NewestNumber();
     std::uint64_t held = received_.number_;
     report.canRestore_ = { true, needsWhole_ ? 0 : held };
@@ -159,6 +176,28 @@
     return report;
   }
 
+  /// A new leader, or one that was restarted, gets the counts immediately, and
+  /// so does one whose directives are confirmed, since the counts show whether
+  /// the old side has become idle.
+  void AddRolloutCounts(EntryReport& aReport,
+                        const std::string& aControl,
+                        bool aIsLeader)
+  {
+    auto known = rolloutRevisions_.find(aControl);
+    aReport.rolloutRevision_ =
+      known == rolloutRevisions_.end() ? 0 : known->second;
+    auto receiver =
+      std::tuple(aControl, aReport.controlRun_, aReport.rolloutRevision_);
+    if (!aIsLeader || (receiver == countsTo_ && aReport.madeAt_ < countsAt_)) {
+      return;
+    }
+    aReport.rolloutCounts_ = traffic_.rolloutCounts_;
+    countsTo_ = receiver;
+    // Reports follow one another at the busy interval.
+    countsAt_ = aReport.madeAt_ - kBusyReportInterval / 2 +
+                std::min(kCountsPerEntry * shareDivisor_, kMaxCountsInterval);
+  }
+
   void LogDownload(const std::string& aControl,
                    const ControlAnswer& aAnswer,
                    TimePoint aNow)
@@ -200,6 +239,7 @@
         advance = { aAnswer.reportedAt_ + kAdvanceTime,
                     aAnswer.nearlyExhausted_ };
       }
+      shareDivisor_ = aAnswer.shareDivisor_;
       forwarder_.Limits().ApplyGrants(
         aAnswer.grants_, aAnswer.shareDivisor_, advance);
       threads_.Post([this, divisor = aAnswer.shareDivisor_] {
@@ -215,9 +255,47 @@
       threads_.Post(
         [this, rates = *aAnswer.namedRates_] { forwarder_.AdoptRates(rates); });
     }
+    ReceiveRollouts(aControl, aAnswer);
     PublishReplicas(now);
   }
 
+  /// Adopts the roll-outs of any control process, and the shares of the leader.
+  /// An answer without directives confirms the latest ones.
+  void ReceiveRollouts(const std::string& aControl,
+                       const ControlAnswer& aAnswer)
+  {
+    std::optional<TimePoint> sharesUntil;
+    if (aAnswer.isLeader_) {
+      sharesUntil = aAnswer.reportedAt_ + settings_.directiveLease_;
+    }
+    if (aAnswer.rollouts_) {
+      threads_.Post([this,
+                     aControl,
+                     sharesUntil,
+                     rollouts = *aAnswer.rollouts_,
+                     revision = aAnswer.rolloutRevision_] {
+        forwarder_.Rollouts().Adopt(rollouts, aControl, sharesUntil);
+        ConfirmRollouts(aControl, revision);
+      });
+    } else if (sharesUntil && aAnswer.rolloutRevision_ != 0) {
+      threads_.Post([this, aControl, until = *sharesUntil] {
+        forwarder_.Rollouts().Renew(aControl, until);
+      });
+    }
+  }
+
+  /// Reports a revision only together with counts that were made after it was
+  /// adopted. Runs on the traffic thread.
+  void ConfirmRollouts(const std::string& aControl, std::uint64_t aRevision)
+  {
+    loop_.Post(
+      [this, aControl, aRevision, counts = forwarder_.Rollouts().Report()] {
+        traffic_.rolloutCounts_ = counts;
+        rolloutRevisions_[aControl] = aRevision;
+        client_.RefreshLeader();
+      });
+  }
+
   void ReceiveVerdicts(const std::string& aControl,
                        const PromptVerdicts& aVerdicts)
   {
@@ -434,6 +512,13 @@
   std::uint64_t ratesRevision_ = 0;
   /// The news of rate limits that the last report to a leader had.
   std::uint64_t reportedRateNews_ = 0;
+  /// The revision of the directives that each control process has sent.
+  std::map<std::string, std::uint64_t> rolloutRevisions_;
+  /// The run of a control process that got the last counts of roll-outs, with
+  /// the revision that they confirmed, and when it gets the next ones.
+  std::tuple<std::string, std::uint64_t, std::uint64_t> countsTo_;
+  TimePoint countsAt_;
+  std::uint32_t shareDivisor_ = 0;
   LoopDelay loopDelay_{ kTickInterval };
   Drain drain_;
   std::atomic<bool> hasPlan_{ false };
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.hpp
@@ -28,6 +28,8 @@
   Duration discoveryTimeToLive_ = std::chrono::seconds(2);
   /// Time from a shutdown signal until the platform kills the process.
   Duration grace_ = std::chrono::seconds(8);
+  /// How long a leader's directive on a roll-out is followed.
+  Duration directiveLease_ = kDirectiveLease;
   ForwarderSettings forwarder_;
 };
 
--- a/tests/fleet_client_tests.cpp
+++ b/tests/fleet_client_tests.cpp
@@ -2,6 +2,7 @@
 // interface.
 #define BOOST_TEST_MODULE fleet_client
 #include "tanagerstall/connection/tanagerstall_fleet_client.hpp"
+#include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
 #include "tanagerstall/connection/tanagerstall_fleet_server.hpp"
 #include "tanagerstall/process/tanagerstall_control_loop.hpp"
 #include "tanagerstall/process/tanagerstall_settings.hpp"
@@ -91,3 +92,60 @@
   BOOST_TEST(briefReports >= kBriefReports);
   BOOST_TEST(mostInFlight == 1);
 }
+
+namespace {
+
+Rollout
+MakeRollout(std::uint64_t aId, RolloutState aState)
+{
+  return { aId,
+           { "s" + std::to_string(aId), "v2", 12s, WallTime(1'700'000'000s) },
+           aState,
+           WallTime(1'700'000'012s) };
+}
+
+} // namespace
+
+// Guards against counts and revisions of roll-outs that are lost on the wire.
+BOOST_AUTO_TEST_CASE(A_report_carries_the_counts_of_rollouts)
+{
+  RolloutCounts counts{ "s", 7, true, "r", 30, 20, 10, {} };
+  counts.firstParts_[0] = 3;
+  counts.firstParts_[kRolloutBuckets - 1] = 4;
+  EntryReport report;
+  RolloutCounts some{ "s", 7, false, "other", 9, 8, 7, {} };
+  some.firstParts_[5] = 1;
+  report.rolloutCounts_ = { counts, some, { "s", 7, false, "", 1, 0, 0, {} } };
+  report.rolloutRevision_ = 0xfedcba9876543210;
+  capnp::MallocMessageBuilder message;
+  auto wire = message.initRoot<wire::SyncRequest>();
+  WriteReport(wire, report);
+  auto read = ReadReport(wire.asReader());
+  BOOST_TEST((read.rolloutCounts_ == report.rolloutCounts_));
+  BOOST_TEST(read.rolloutRevision_ == report.rolloutRevision_);
+}
+
+// Guards against directives that entries understand differently, and against a
+// missing list that is taken for an empty one.
+BOOST_AUTO_TEST_CASE(An_answer_carries_the_directives_on_rollouts)
+{
+  std::vector<std::optional<std::vector<RolloutDirective>>> cases{
+    std::nullopt,
+    std::vector<RolloutDirective>(),
+    std::vector<RolloutDirective>{
+      { MakeRollout(1, RolloutState::Running), 0.08, 0.25 },
+      { MakeRollout(2, RolloutState::Completed), 0.0, 0.0 },
+      { MakeRollout(3, RolloutState::RolledBack), 0.0, 0.0 } },
+  };
+  for (const auto& directives : cases) {
+    ControlAnswer answer;
+    answer.rollouts_ = directives;
+    answer.rolloutRevision_ = 42;
+    capnp::MallocMessageBuilder message;
+    auto wire = message.initRoot<wire::SyncReply>();
+    WriteAnswer(wire, answer);
+    auto read = ReadAnswer(wire.asReader());
+    BOOST_TEST((read.rollouts_ == answer.rollouts_));
+    BOOST_TEST(read.rolloutRevision_ == 42U);
+  }
+}
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -355,6 +355,7 @@
   { "nodeName=front-1\n", "", "nodeName" },
   { "listen.front=10.1.0.14:8221", "listen.front=here", "listen.front" },
   { "bounds.graceS=8", "bounds.graceS=soon", "bounds.graceS" },
+  { "new.field=1", "bounds.rollbackMs=soon", "bounds.rollbackMs" },
   { "internalPortRange=7600,7615", "internalPortRange=x", "internalPortRange" },
 };
 
@@ -367,6 +368,7 @@
   BOOST_TEST(settings->callerAddress_.ToString() == "10.1.0.14:8221");
   BOOST_TEST(settings->control_.at(1).ToString() == "10.2.0.7:7601");
   BOOST_TEST((settings->grace_ == 8s));
+  BOOST_TEST((settings->directiveLease_ == 1500ms));
   BOOST_TEST(settings->forwarder_.regions_.at("b") == "south");
 }
 
