Keep the calls of the configuration group out of FleetControl

FleetControl repeated the suspension of a fiber around each proposal and query, and had grown by the orders of roll-outs. ConfigurationCalls does this now, and FactsOf collects what the state says of an order's service.

rollout_test, platform_test and planned_stop_test passed.

--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -8,6 +8,7 @@
 #include "tanagerstall/process/presence/tanagerstall_departure.hpp"
 #include "tanagerstall/process/presence/tanagerstall_entry_working_set.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
+#include "tanagerstall/process/tanagerstall_configuration_calls.hpp"
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
 #include "tanagerstall/process/tanagerstall_leader_tasks.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
@@ -424,40 +425,13 @@
       *plan_, *view_.Present(now), namedRates_.Rates(now), loads_, now);
   }
 
-  GroupResult Propose(Fiber& aFiber, std::function<Bytes()> aMakeCommand)
-  {
-    return aFiber.Await<GroupResult>([&](const GroupCallback& aDone) {
-      loop_.Post([this, aMakeCommand, aDone] {
-        member_.Propose(GroupName::Configuration, aMakeCommand(), aDone);
-      });
-    });
-  }
-
-  GroupResult Query(Fiber& aFiber, const Bytes& aQuery)
-  {
-    return aFiber.Await<GroupResult>([&](const GroupCallback& aDone) {
-      loop_.Post([this, aQuery, aDone] {
-        member_.Query(GroupName::Configuration, aQuery, aDone);
-      });
-    });
-  }
-
   RolloutFacts ReadRolloutFacts(const std::string& aService)
   {
     TimePoint now = clock_.Now();
-    RolloutFacts facts;
+    RolloutFacts facts = FactsOf(aService, fleet_, *view_.Present(now));
     facts.isServiceKnown_ = plan_ && plan_->services_.contains(aService);
-    // A command in the log shows that all members applied it.
-    facts.canAllApply_ =
-      members_.CanAllApplyRollouts() || !fleet_.Rollouts().empty();
+    facts.canAllApply_ |= members_.CanAllApplyRollouts();
     facts.hasHeardAll_ = now - startedAt_ >= settings_.replicaTimeToLive_;
-    auto present = view_.Present(now);
-    if (auto it = present->find(aService); it != present->end()) {
-      facts.replicas_ = it->second;
-    }
-    if (const Rollout* latest = fleet_.FindRollout(aService)) {
-      facts.latest_ = *latest;
-    }
     return facts;
   }
 
@@ -466,9 +440,11 @@
   {
     return RolloutOrders(
       { [this, &aFiber](const Bytes& aCommand) {
-         return Propose(aFiber, [aCommand] { return aCommand; });
+         return configuration_.Propose(aFiber, [aCommand] { return aCommand; });
        },
-        [this, &aFiber](const Bytes& aQuery) { return Query(aFiber, aQuery); },
+        [this, &aFiber](const Bytes& aQuery) {
+          return configuration_.Query(aFiber, aQuery);
+        },
         [this, &aFiber](const std::string& aService) {
           return OnLoop<RolloutFacts>(loop_, aFiber, [this, aService] {
             return ReadRolloutFacts(aService);
@@ -491,6 +467,7 @@
   std::uint64_t appliedDeclaration_ = 0;
   DeclarationHistory history_;
   RaftMember member_;
+  ConfigurationCalls configuration_{ loop_, member_ };
   ReplicaTable replicas_;
   EntryDirectory entries_;
   EntryWorkingSet workingSet_;
@@ -530,7 +507,7 @@
 tl::expected<void, GroupError>
 FleetControl::Declare(Fiber& aFiber, const Declaration& aDeclaration)
 {
-  auto result = state_->Propose(aFiber, [this, aDeclaration] {
+  auto result = state_->configuration_.Propose(aFiber, [this, aDeclaration] {
     return FleetState::EncodeDeclare(aDeclaration,
                                      state_->members_.CommandEncoding());
   });
@@ -543,7 +520,8 @@
 tl::expected<Declaration, GroupError>
 FleetControl::ReadDeclaration(Fiber& aFiber)
 {
-  return state_->Query(aFiber, FleetState::EncodeQuery(FleetQuery::All))
+  return state_->configuration_
+    .Query(aFiber, FleetState::EncodeQuery(FleetQuery::All))
     .map([](const Bytes& aIt) { return FleetState::DecodeDeclaration(aIt); });
 }
 
--- a/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
@@ -76,6 +76,23 @@
 
 } // namespace
 
+RolloutFacts
+FactsOf(const std::string& aService,
+        const FleetState& aState,
+        const ReplicasByService& aReplicas)
+{
+  RolloutFacts facts;
+  // A roll-out in the log shows that all members could apply its command.
+  facts.canAllApply_ = !aState.Rollouts().empty();
+  if (auto it = aReplicas.find(aService); it != aReplicas.end()) {
+    facts.replicas_ = it->second;
+  }
+  if (const Rollout* latest = aState.FindRollout(aService)) {
+    facts.latest_ = *latest;
+  }
+  return facts;
+}
+
 VersionUse
 JudgeVersion(const std::string& aVersion, const RolloutFacts& aFacts)
 {
--- a/src/tanagerstall/process/tanagerstall_rollout_orders.hpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_ROLLOUT_ORDERS_HPP_INCLUDED
 #define TANAGERSTALL_ROLLOUT_ORDERS_HPP_INCLUDED
 
-#include "tanagerstall/process/presence/tanagerstall_replica.hpp"
+#include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 #include "tanagerstall/process/raft/tanagerstall_state_machine.hpp"
 #include "tanagerstall/version/tanagerstall_fleet_state.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
@@ -44,6 +44,13 @@
   std::optional<Rollout> latest_;
 };
 
+/// Returns what the state and the present replicas say of a service. The caller
+/// adds what else it knows.
+RolloutFacts
+FactsOf(const std::string& aService,
+        const FleetState& aState,
+        const ReplicasByService& aReplicas);
+
 /// The functions of a control process that an order uses.
 struct RolloutOrderHooks
 {
