--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -8,6 +8,7 @@
 #include "tanagerstall/process/presence/tanagerstall_departure.hpp"
 #include "tanagerstall/process/presence/tanagerstall_entry_working_set.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
+#include "tanagerstall/process/tanagerstall_configuration_calls.hpp"
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
 #include "tanagerstall/process/tanagerstall_leader_tasks.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
@@ -179,6 +180,7 @@
     history_.Add(fleet_.Current());
     if (auto plan = hooks_.decodePlan_(fleet_.Current().document_)) {
       plan_ = std::move(*plan);
+      planNumber_ = fleet_.Current().number_;
       SetLimits();
     }
     LogEvent(Severity::Info,
@@ -465,40 +467,17 @@
                                now);
   }
 
-  GroupResult Propose(Fiber& aFiber, std::function<Bytes()> aMakeCommand)
-  {
-    return aFiber.Await<GroupResult>([&](const GroupCallback& aDone) {
-      loop_.Post([this, aMakeCommand, aDone] {
-        member_.Propose(GroupName::Configuration, aMakeCommand(), aDone);
-      });
-    });
-  }
-
-  GroupResult Query(Fiber& aFiber, const Bytes& aQuery)
-  {
-    return aFiber.Await<GroupResult>([&](const GroupCallback& aDone) {
-      loop_.Post([this, aQuery, aDone] {
-        member_.Query(GroupName::Configuration, aQuery, aDone);
-      });
-    });
-  }
-
   RolloutFacts ReadRolloutFacts(const std::string& aService)
   {
     TimePoint now = clock_.Now();
-    RolloutFacts facts;
+    RolloutFacts facts = FactsOf(aService, fleet_, *view_.Present(now));
     facts.isServiceKnown_ = plan_ && plan_->services_.contains(aService);
-    // A command in the log shows that all members applied it.
-    facts.canAllApply_ =
-      members_.CanAllApplyRollouts() || !fleet_.Rollouts().empty();
-    facts.hasHeardAll_ = now - startedAt_ >= settings_.replicaTimeToLive_;
-    auto present = view_.Present(now);
-    if (auto it = present->find(aService); it != present->end()) {
-      facts.replicas_ = it->second;
-    }
-    if (const Rollout* latest = fleet_.FindRollout(aService)) {
-      facts.latest_ = *latest;
-    }
+    facts.declaration_ = planNumber_;
+    facts.canAllApply_ |= members_.CanAllApplyRollouts();
+    // After a cut from other control processes, the replicas that announce
+    // themselves there are missing until those have reported again.
+    facts.hasHeardAll_ = now - startedAt_ >= settings_.replicaTimeToLive_ &&
+                         view_.HasRecentReports(members_.Addresses(), now);
     return facts;
   }
 
@@ -507,9 +486,11 @@
   {
     return RolloutOrders(
       { [this, &aFiber](const Bytes& aCommand) {
-         return Propose(aFiber, [aCommand] { return aCommand; });
+         return configuration_.Propose(aFiber, [aCommand] { return aCommand; });
        },
-        [this, &aFiber](const Bytes& aQuery) { return Query(aFiber, aQuery); },
+        [this, &aFiber](const Bytes& aQuery) {
+          return configuration_.Query(aFiber, aQuery);
+        },
         [this, &aFiber](const std::string& aService) {
           return OnLoop<RolloutFacts>(loop_, aFiber, [this, aService] {
             return ReadRolloutFacts(aService);
@@ -532,6 +513,7 @@
   std::uint64_t appliedDeclaration_ = 0;
   DeclarationHistory history_;
   RaftMember member_;
+  ConfigurationCalls configuration_{ loop_, member_ };
   ReplicaTable replicas_;
   EntryDirectory entries_;
   EntryWorkingSet workingSet_;
@@ -554,6 +536,8 @@
   ReplicaView view_;
   EntryLoads loads_;
   std::optional<TrafficPlan> plan_;
+  /// The number of the declaration that `plan_` was decoded from.
+  std::uint64_t planNumber_ = 0;
   LeaderTasks leaderTasks_;
   TimePoint nextSettingsReadAt_;
   TimePoint startedAt_;
@@ -579,7 +563,7 @@
 tl::expected<void, GroupError>
 FleetControl::Declare(Fiber& aFiber, const Declaration& aDeclaration)
 {
-  auto result = state_->Propose(aFiber, [this, aDeclaration] {
+  auto result = state_->configuration_.Propose(aFiber, [this, aDeclaration] {
     return FleetState::EncodeDeclare(aDeclaration,
                                      state_->members_.CommandEncoding());
   });
@@ -592,7 +576,8 @@
 tl::expected<Declaration, GroupError>
 FleetControl::ReadDeclaration(Fiber& aFiber)
 {
-  return state_->Query(aFiber, FleetState::EncodeQuery(FleetQuery::All))
+  return state_->configuration_
+    .Query(aFiber, FleetState::EncodeQuery(FleetQuery::All))
     .map([](const Bytes& aIt) { return FleetState::DecodeDeclaration(aIt); });
 }
 
--- a/src/tanagerstall/process/tanagerstall_rollout_api.cpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_api.cpp
@@ -53,6 +53,11 @@
                "another roll-out of the service is running" };
     case RolloutReply::InForce:
       return { 409, "version_in_effect", "the version is already in effect" };
+    case RolloutReply::Outdated:
+      // A repetition is received later, so it may be accepted.
+      return { 503,
+               "control_unavailable",
+               "a later order of the service was accepted in the meantime" };
   }
   return {};
 }
@@ -99,7 +104,9 @@
   order.duration_ = std::chrono::milliseconds(
     fields.RequiredInteger("duration_ms", { 1, max, "milliseconds" }));
   if (order.version_.empty() || order.version_.size() > kMaxVersionBytes) {
-    fields.ReportError("version", "must have 1 to 256 bytes");
+    fields.ReportError("version",
+                       "must have 1 to " + std::to_string(kMaxVersionBytes) +
+                         " bytes");
   }
   if (auto finished = fields.Finish(); !finished) {
     return tl::make_unexpected("\"" + finished.error().field_ + "\" " +
--- a/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
@@ -55,6 +55,8 @@
       return "another one is running";
     case RolloutReply::InForce:
       return "version in effect";
+    case RolloutReply::Outdated:
+      return "out of date";
   }
   return "unknown";
 }
@@ -76,6 +78,23 @@
 
 } // namespace
 
+RolloutFacts
+FactsOf(const std::string& aService,
+        const FleetState& aState,
+        const ReplicasByService& aReplicas)
+{
+  RolloutFacts facts;
+  // A roll-out in the log shows that all members could apply its command.
+  facts.canAllApply_ = !aState.Rollouts().empty();
+  if (auto it = aReplicas.find(aService); it != aReplicas.end()) {
+    facts.replicas_ = it->second;
+  }
+  if (const Rollout* latest = aState.FindRollout(aService)) {
+    facts.latest_ = *latest;
+  }
+  return facts;
+}
+
 VersionUse
 JudgeVersion(const std::string& aVersion, const RolloutFacts& aFacts)
 {
@@ -123,7 +142,7 @@
 {
   RolloutFacts facts = hooks_.readFacts_(aOrder.service_);
   if (!facts.isServiceKnown_) {
-    if (auto checked = CheckService(aOrder.service_); !checked) {
+    if (auto checked = CheckService(aOrder.service_, facts); !checked) {
       return tl::make_unexpected(checked.error());
     }
   }
@@ -148,28 +167,37 @@
   if (!reply) {
     return Unavailable(reply.error().detail_);
   }
-  return FleetState::DecodeRolloutReply(*reply);
+  auto decoded = FleetState::DecodeRolloutReply(*reply);
+  if (!decoded) {
+    return Unavailable("the leader's reply to the order is unknown here");
+  }
+  return *decoded;
 }
 
 RolloutOrders::Check
-RolloutOrders::CheckService(const std::string& aService) const
+RolloutOrders::CheckService(const std::string& aService,
+                            const RolloutFacts& aFacts) const
 {
-  auto state = hooks_.query_(FleetState::EncodeQuery(FleetQuery::All));
-  if (!state) {
-    return Unavailable(state.error().detail_);
-  }
-  Declaration declaration = FleetState::DecodeDeclaration(*state);
-  if (declaration.number_ > 0) {
-    auto plan = hooks_.decodePlan_(declaration.document_);
-    if (!plan) {
-      return Unavailable(plan.error().message_);
-    }
-    if (plan->services_.contains(aService)) {
-      return {};
-    }
-  }
-  return tl::make_unexpected(RolloutError{
+  auto unknown = tl::make_unexpected(RolloutError{
     RolloutFault::UnknownService, "unknown service \"" + aService + "\"" });
+  // Documents are large, so only the number is requested first.
+  auto brief = hooks_.query_(FleetState::EncodeQuery(FleetQuery::Rollouts));
+  if (!brief) {
+    return Unavailable(brief.error().detail_);
+  }
+  if (FleetState::DecodeDeclaration(*brief).number_ == aFacts.declaration_) {
+    return unknown;
+  }
+  auto whole = hooks_.query_(FleetState::EncodeQuery(FleetQuery::All));
+  if (!whole) {
+    return Unavailable(whole.error().detail_);
+  }
+  auto plan =
+    hooks_.decodePlan_(FleetState::DecodeDeclaration(*whole).document_);
+  if (!plan) {
+    return Unavailable(plan.error().message_);
+  }
+  return plan->services_.contains(aService) ? Check() : unknown;
 }
 
 RolloutOrders::Check
--- a/src/tanagerstall/process/tanagerstall_rollout_orders.hpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.hpp
@@ -1,7 +1,7 @@
 #ifndef TANAGERSTALL_ROLLOUT_ORDERS_HPP_INCLUDED
 #define TANAGERSTALL_ROLLOUT_ORDERS_HPP_INCLUDED
 
-#include "tanagerstall/process/presence/tanagerstall_replica.hpp"
+#include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 #include "tanagerstall/process/raft/tanagerstall_state_machine.hpp"
 #include "tanagerstall/version/tanagerstall_fleet_state.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
@@ -35,15 +35,25 @@
 {
   /// Whether the declaration in force here contains the service.
   bool isServiceKnown_ = false;
+  /// The number of that declaration; 0 if there is none.
+  std::uint64_t declaration_ = 0;
   /// Whether all members are known to apply the commands of roll-outs.
   bool canAllApply_ = false;
-  /// Whether all replicas have had time to announce themselves since the start.
+  /// Whether all replicas have had time to announce themselves since the start,
+  /// and all control processes have reported theirs recently.
   bool hasHeardAll_ = false;
   /// The replicas of the service that accept new work.
   std::vector<Replica> replicas_;
   std::optional<Rollout> latest_;
 };
 
+/// Returns what the state and the present replicas say of a service. The caller
+/// adds what else it knows.
+RolloutFacts
+FactsOf(const std::string& aService,
+        const FleetState& aState,
+        const ReplicasByService& aReplicas);
+
 /// The functions of a control process that an order uses.
 struct RolloutOrderHooks
 {
@@ -73,7 +83,10 @@
   using Check = tl::expected<void, RolloutError>;
 
   RolloutResult Decide(const RolloutOrder& aOrder) const;
-  Check CheckService(const std::string& aService) const;
+  /// Looks a service up that the declaration in force here doesn't contain, in
+  /// the one that a quorum confirms.
+  Check CheckService(const std::string& aService,
+                     const RolloutFacts& aFacts) const;
   /// Replaces what the facts say of the record by what a quorum confirms. The
   /// order may have been accepted before, at another control process.
   Check ConfirmRecord(const std::string& aService, RolloutFacts& aFacts) const;
--- a/tests/processes/rollout_test.sh
+++ b/tests/processes/rollout_test.sh
@@ -37,8 +37,14 @@
 announce_forever "$(date +%s%3N)" &
 pids+=($!)
 
-# Each invalid input gets its status, at every control process. The last of
-# these waits until the replica, which has version v1, must be known everywhere.
+# The replica has version v1. Before it is known, an order of v1 could be
+# accepted, as for a service without replicas.
+knows_replica() { curl -sf -m 2 "http://$net.1:9464/metrics" | grep -q '^tanagerstall_replicas_ready_here [1-9]'; }
+wait_until knows_replica
+
+# Each invalid input gets its status, at every control process. The order of the
+# version in effect gets 503 until a process has run for as long as replicas may
+# need to announce themselves and has heard the others.
 for control in "${controls[@]}"; do
   wait_until reads "$control" "$none"
   for bad in '{"service":"s"' '["s"]' '{"to":"v2","durationS":9}' \
@@ -101,6 +107,14 @@
 status=0
 rollout start --service s --to v3 --duration 3600 >/dev/null 2>&1 || status=$?
 [ "$status" = 4 ] || { echo "tanagerctl exited with status $status after a conflict"; exit 1; }
+# A duration that no order can have is refused before a call, so also without a
+# control process; other durations are rounded as the platform's call does.
+for bad in 0 -1 inf nan 86401; do
+  status=0
+  rollout start --service s --to v2 --duration="$bad" >/dev/null 2>&1 || status=$?
+  [ "$status" = 2 ] || { echo "tanagerctl exited with status $status for a duration of $bad"; exit 1; }
+done
+rollout start --service s --to v2 --duration 3600.0004 >/dev/null
 status=0
 rollout get --service none >/dev/null 2>&1 || status=$?
 [ "$status" = 1 ] || { echo "tanagerctl exited with status $status for a service without a roll-out"; exit 1; }
