--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -268,6 +268,8 @@
   packedReplicas @23 :Data;
   # A message with this type that has only replicas, compressed with zstd. Sent
   # instead of replicas, if the request says that the sender reads it.
+  appliesRollouts @24 :Bool;
+  # Whether the sender applies the commands of roll-outs.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -2811,6 +2811,8 @@
   inline bool hasPackedReplicas() const;
   inline  ::capnp::Data::Reader getPackedReplicas() const;
 
+  inline bool getAppliesRollouts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2961,6 +2963,9 @@
   inline void adoptPackedReplicas(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownPackedReplicas();
 
+  inline bool getAppliesRollouts();
+  inline void setAppliesRollouts(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6272,6 +6277,20 @@
       ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
+inline bool SyncReply::Reader::getAppliesRollouts() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<228>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncReply::Builder::getAppliesRollouts() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<228>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setAppliesRollouts(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<228>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -11,11 +11,14 @@
 #include "tanagerstall/process/presence/tanagerstall_replica_batches.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
 #include "tanagerstall/process/tanagerstall_admission_levels.hpp"
+#include "tanagerstall/process/tanagerstall_configuration_calls.hpp"
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
 #include "tanagerstall/process/tanagerstall_leader_tasks.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall/process/tanagerstall_loop_delay.hpp"
 #include "tanagerstall/process/tanagerstall_member_directory.hpp"
+#include "tanagerstall/process/tanagerstall_rollout_api.hpp"
+#include "tanagerstall/process/tanagerstall_rollout_leader.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
 #include "tanagerstall/request/tanagerstall_cost_leases.hpp"
 #include "tanagerstall/request/tanagerstall_named_rate_table.hpp"
@@ -79,7 +82,7 @@
     , hooks_(std::move(aHooks))
     , threads_(1)
     , timer_(loop_.Io().provider->getTimer())
-    , fleet_([this] { OnDeclaration(); })
+    , fleet_([this] { OnFleetChange(); })
     , member_(loop_, clock_, settings_.member_)
     , replicas_(settings_.replicaTimeToLive_)
     , leaderTasks_(
@@ -103,11 +106,21 @@
           [this](const std::string& aControl, const ControlAnswer& aAnswer) {
             view_.ApplyReport(aControl, aAnswer.replicas_, clock_.Now());
             AdoptReports(aAnswer.replicas_);
-            members_.RecordCapability(aControl, aAnswer.readsCompressed_);
+            members_.RecordCapabilities(
+              aControl, { aAnswer.readsCompressed_, aAnswer.appliesRollouts_ });
           } })
+    , rolloutApi_(
+        { [&aSelf](Fiber& aFiber, const RolloutOrder& aOrder) {
+           return aSelf.StartRollout(aFiber, aOrder);
+         },
+          [&aSelf](Fiber& aFiber) { return aSelf.ReadRollouts(aFiber); } })
     , control_(threads_,
                HttpLimits(),
                [this, &aSelf](HttpExchange& aExchange) {
+                 if (auto response = rolloutApi_.Handle(aExchange)) {
+                   aExchange.Respond(*response);
+                   return;
+                 }
                  hooks_.handleControl_(aExchange, aSelf);
                })
     , directory_(threads_,
@@ -131,7 +144,7 @@
                                 core.Log().Members().end(),
                                 [](const auto& aIt) { return aIt.isVoter_; });
     auto now = clock_.Now();
-    return {
+    Gauges gauges{
       { "leads", core.Role() == RaftRole::Leader ? 1.0 : 0.0 },
       { "holds_duties", leaderTasks_.HasLease(now) ? 1.0 : 0.0 },
       { "term", static_cast<double>(core.CurrentTerm()) },
@@ -144,6 +157,13 @@
       { "entries_active", static_cast<double>(workingSet_.ActiveCount()) },
       { "replicas_ready_here", static_cast<double>(replicas_.Ready().size()) }
     };
+    for (const auto& directive : rollouts_.Directives()) {
+      const RolloutOrder& order = directive.rollout_.order_;
+      std::string name = "rollout_request_share{service=\"" + order.service_ +
+                         "\",version=\"" + order.version_ + "\"}";
+      gauges[name] = directive.requestShare_;
+    }
+    return gauges;
   }
 
   void ServeMetrics(HttpExchange& aExchange)
@@ -154,24 +174,31 @@
       MetricsResponse(aExchange.Request(), counters_.Collect(), gauges));
   }
 
-  void OnDeclaration()
+  void OnFleetChange()
   {
     if (!isBuilt_) {
       return;
     }
-    if (fleet_.Current().number_ == 0) {
-      return;
+    if (fleet_.Current().number_ != appliedDeclaration_) {
+      appliedDeclaration_ = fleet_.Current().number_;
+      OnDeclaration();
     }
+    rollouts_.SetRollouts(fleet_.Rollouts());
+    entriesServer_.Notify();
+  }
+
+  void OnDeclaration()
+  {
     history_.Add(fleet_.Current());
     if (auto plan = hooks_.decodePlan_(fleet_.Current().document_)) {
       plan_ = std::move(*plan);
+      planNumber_ = fleet_.Current().number_;
       SetLimits();
     }
     LogEvent(Severity::Info,
              "declaration applied",
              { { "number", fleet_.Current().number_ },
                { "bytes", fleet_.Current().document_.size() } });
-    entriesServer_.Notify();
   }
 
   void SetLimits()
@@ -218,6 +245,7 @@
     if (isLeading_ && aReport.isToLeader_) {
       admission_.Record(aReport.entry_.id_, aReport.admission_, clock_.Now());
     }
+    rollouts_.Record(RunOf(aReport.entry_), aReport, clock_.Now());
     if (isLeading_ && aReport.promptEvidence_) {
       detector_.RecordReport(
         RunOf(aReport.entry_), *aReport.promptEvidence_, clock_.Now());
@@ -239,6 +267,29 @@
            aReport.rateRevision_ != namedRates_.Revision();
   }
 
+  std::set<std::string> ServingRuns() const
+  {
+    std::set<std::string> runs;
+    for (const auto& entry : ServingEntries()) {
+      runs.insert(RunOf(entry));
+    }
+    return runs;
+  }
+
+  void ProposeEnd(const RolloutEnd& aEnd)
+  {
+    member_.Propose(
+      GroupName::Configuration,
+      FleetState::EncodeEndRollout(aEnd.id_, aEnd.state_, aEnd.endedAt_),
+      [id = aEnd.id_](const GroupResult& aResult) {
+        if (!aResult) {
+          LogEvent(Severity::Warning,
+                   "rollout end not recorded",
+                   { { "id", id }, { "error", aResult.error().detail_ } });
+        }
+      });
+  }
+
   void DecideOnPrompts(TimePoint aNow)
   {
     if (!isLeading_ || !detector_.Update(aNow)) {
@@ -289,6 +340,7 @@
     bool missesLeader = isLeading_ && !aReport.isToLeader_;
     return wantsGrant || wantsDeclaration || missesLeader ||
            LacksVerdicts(aReport) || LacksRates(aReport) ||
+           rollouts_.HasUpdate(RunOf(aReport.entry_), aReport) ||
            aReport.newestDeclaration_ < number ||
            aReport.controlRun_ != runId_ || aReport.stamp_ < StampFor(aReport);
   }
@@ -358,8 +410,10 @@
       answer.namedRates_ = namedRates_.Rates(clock_.Now());
     }
     answer.rateRevision_ = namedRates_.Revision();
+    rollouts_.AddTo(answer, RunOf(aReport.entry_), aReport);
     answer.members_ = members_.Addresses();
     answer.readsCompressed_ = true;
+    answer.appliesRollouts_ = true;
     answer.shareDivisor_ = workingSet_.ShareDivisor(aReport.entry_.id_);
     answer.isStandby_ =
       aReport.entry_.weight_ > 0 && !workingSet_.IsActive(aReport.entry_.id_);
@@ -439,8 +493,10 @@
           admission_.StartLeading(now);
           entriesServer_.Notify();
         }
+        rollouts_.SetLeading(isLeading_, now);
         namedRates_.Update(now);
         DecideOnPrompts(now);
+        rollouts_.Update(now, ReadWallTime());
         if (now >= nextSettingsReadAt_) {
           Reload(false);
         }
@@ -474,8 +530,44 @@
       return {};
     }
     TimePoint now = clock_.Now();
-    return MakePlacementInputs(
-      *plan_, *view_.Present(now), namedRates_.Rates(now), loads_, now);
+    return MakePlacementInputs(*plan_,
+                               *view_.Present(now),
+                               fleet_.Rollouts(),
+                               namedRates_.Rates(now),
+                               loads_,
+                               now);
+  }
+
+  RolloutFacts ReadRolloutFacts(const std::string& aService)
+  {
+    TimePoint now = clock_.Now();
+    RolloutFacts facts = FactsOf(aService, fleet_, *view_.Present(now));
+    facts.isServiceKnown_ = plan_ && plan_->services_.contains(aService);
+    facts.declaration_ = planNumber_;
+    facts.canAllApply_ |= members_.CanAllApplyRollouts();
+    // After a cut from other control processes, the replicas that announce
+    // themselves there are missing until those have reported again.
+    facts.hasHeardAll_ = now - startedAt_ >= settings_.replicaTimeToLive_ &&
+                         view_.HasRecentReports(members_.Addresses(), now);
+    return facts;
+  }
+
+  /// Returns the orders of roll-outs as handled on a fiber.
+  RolloutOrders OrdersOn(Fiber& aFiber)
+  {
+    return RolloutOrders(
+      { [this, &aFiber](const Bytes& aCommand) {
+         return configuration_.Propose(aFiber, [aCommand] { return aCommand; });
+       },
+        [this, &aFiber](const Bytes& aQuery) {
+          return configuration_.Query(aFiber, aQuery);
+        },
+        [this, &aFiber](const std::string& aService) {
+          return OnLoop<RolloutFacts>(loop_, aFiber, [this, aService] {
+            return ReadRolloutFacts(aService);
+          });
+        },
+        hooks_.decodePlan_ });
   }
 
   FleetControlSettings settings_;
@@ -488,8 +580,11 @@
   bool isBuilt_ = false;
   std::uint64_t runId_ = MakeRunId();
   FleetState fleet_;
+  /// The number of the declaration that was applied last.
+  std::uint64_t appliedDeclaration_ = 0;
   DeclarationHistory history_;
   RaftMember member_;
+  ConfigurationCalls configuration_{ loop_, member_ };
   ReplicaTable replicas_;
   ReplicaBatches batches_;
   EncodedChanges encodedChanges_;
@@ -503,6 +598,14 @@
   PromptCrashDetector detector_{ runId_ };
   NamedRateTable namedRates_{ runId_ };
   AdmissionLevels admission_;
+  RolloutLeader rollouts_{ settings_.rollouts_,
+                           runId_,
+                           { [this] { return view_.Present(clock_.Now()); },
+                             [this] { return ServingRuns(); },
+                             [this](const RolloutEnd& aEnd) {
+                               ProposeEnd(aEnd);
+                             },
+                             [this] { entriesServer_.Notify(); } } };
   bool isLeading_ = false;
   LoopDelay loopDelay_{ kTickInterval };
   UsageTotals usageTotals_;
@@ -510,11 +613,14 @@
   ReplicaView view_;
   EntryLoads loads_;
   std::optional<TrafficPlan> plan_;
+  /// The number of the declaration that `plan_` was decoded from.
+  std::uint64_t planNumber_ = 0;
   LeaderTasks leaderTasks_;
   TimePoint nextSettingsReadAt_;
   TimePoint startedAt_;
   FleetServer entriesServer_;
   FleetClient peerClient_;
+  RolloutApi rolloutApi_;
   HttpServer control_;
   HttpServer directory_;
   Metrics counters_;
@@ -534,14 +640,10 @@
 tl::expected<void, GroupError>
 FleetControl::Declare(Fiber& aFiber, const Declaration& aDeclaration)
 {
-  auto result = aFiber.Await<GroupResult>(
-    [&](const std::function<void(GroupResult)>& aDone) {
-      state_->loop_.Post([this, aDeclaration, aDone] {
-        Bytes command = FleetState::EncodeDeclare(
-          aDeclaration, state_->members_.CommandEncoding());
-        state_->member_.Propose(GroupName::Configuration, command, aDone);
-      });
-    });
+  auto result = state_->configuration_.Propose(aFiber, [this, aDeclaration] {
+    return FleetState::EncodeDeclare(aDeclaration,
+                                     state_->members_.CommandEncoding());
+  });
   if (!result) {
     return tl::make_unexpected(result.error());
   }
@@ -551,14 +653,22 @@
 tl::expected<Declaration, GroupError>
 FleetControl::ReadDeclaration(Fiber& aFiber)
 {
-  auto result = aFiber.Await<GroupResult>(
-    [&](const std::function<void(GroupResult)>& aDone) {
-      state_->loop_.Post([this, aDone] {
-        state_->member_.Query(GroupName::Configuration, {}, aDone);
-      });
-    });
-  return result.map(
-    [](const Bytes& aIt) { return FleetState::DecodeDeclaration(aIt); });
+  return state_->configuration_
+    .Query(aFiber, FleetState::EncodeQuery(FleetQuery::All))
+    .map([](const Bytes& aIt) { return FleetState::DecodeDeclaration(aIt); });
+}
+
+RolloutResult
+FleetControl::StartRollout(Fiber& aFiber, RolloutOrder aOrder)
+{
+  aOrder.orderedAt_ = ReadWallTime();
+  return state_->OrdersOn(aFiber).Start(aOrder);
+}
+
+tl::expected<RolloutsByService, GroupError>
+FleetControl::ReadRollouts(Fiber& aFiber)
+{
+  return state_->OrdersOn(aFiber).Read();
 }
 
 void
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -77,6 +77,7 @@
   , buffers_(kBufferLimits)
   , chooser_({ settings_.failureDomain_, settings_.regions_ },
              std::random_device()())
+  , rollouts_(chooser_, std::random_device()())
   , limits_(std::random_device()())
   , admission_(std::random_device()())
   , recorder_(chooser_, quarantine_, metrics_, clock_)
@@ -116,7 +117,7 @@
 Forwarder::SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas)
 {
   admission_.SetReplicas(*aReplicas);
-  chooser_.SetReplicas(std::move(aReplicas));
+  rollouts_.SetReplicas(std::move(aReplicas));
 }
 
 void
@@ -405,6 +406,8 @@
   std::optional<HttpResponse> failure;
   AttemptResult last;
   AdmissionObserver admission(admission_, aRequest, clock_);
+  auto side = rollouts_.Assign(
+    aRequest.service_, aRequest.prompt_.LastSharedPart(), clock_.Now());
   while (canRetry && !hasEndedRequests_ &&
          !quarantine_.RemainingFor(parts, clock_.Now())) {
     ChoiceRequest choice{ aRequest.service_,
@@ -412,7 +415,7 @@
                           WorkClassOf(aRequest),
                           aRequest.cost_,
                           aRequest.excluded_ };
-    auto replica = chooser_.Choose(choice, clock_.Now());
+    auto replica = rollouts_.Choose(choice, side, clock_.Now());
     if (!replica) {
       break;
     }
@@ -421,6 +424,7 @@
       route.IsIdempotent() && aRequest.runs_ + 1 < route.maxAttempts_;
     TimePoint startedAt = clock_.Now();
     bool isSuccessCounted = false;
+    RolloutAttempt counted(rollouts_, *replica, route, clock_);
     ForwardAttempt attempt(
       { pool_, buffers_, settings_.protocol_, clock_ },
       aExchange,
@@ -434,6 +438,7 @@
          admission.OnFirstPart();
        },
         [&](Duration aSinceFirst) {
+          counted.OnEvent();
           if (!isSuccessCounted &&
               aSinceFirst >= PromptQuarantine::kBeginning) {
             isSuccessCounted = true;
@@ -446,9 +451,12 @@
         [&](const ReplicaNotice& aNotice, TimePoint aSentAt) {
           recorder_.RecordRate(*replica, aNotice, aSentAt);
         },
-        [&] { return chooser_.MaySend(*replica, clock_.Now()); } });
+        [&] {
+          return chooser_.MaySend(*replica, clock_.Now()) && counted.OnSend();
+        } });
     AttemptInProgress inProgress(attempts_, attempt);
     last = attempt.Run(*replica, mayRunAgain && !failure);
+    counted.OnEnd(last);
     recorder_.RecordAttempt(aRequest, *replica, last, startedAt);
     recorder_.RecordEvidence(aRequest, *replica, last, isSuccessCounted);
     aRequest.lastReplica_ = replica->id_;
@@ -461,6 +469,7 @@
       return;
     }
     aRequest.excluded_.insert(replica->id_);
+    side = rollouts_.SideAfter(side, aRequest.service_, clock_.Now());
     if (last.failure_) {
       failure = std::move(last.failure_);
     }
@@ -549,6 +558,7 @@
   report.promptEvidence_ = quarantine_.Report(clock_.Now());
   report.namedRates_ = chooser_.RateLimits().Report(clock_.Now());
   report.rateNews_ = chooser_.RateLimits().News();
+  report.rolloutCounts_ = rollouts_.Report();
   return report;
 }
 
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -16,6 +16,7 @@
 #include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
 #include "tanagerstall/request/tanagerstall_request_rate.hpp"
 #include "tanagerstall/request/tanagerstall_retry_budgets.hpp"
+#include "tanagerstall/request/tanagerstall_rollout_traffic.hpp"
 #include "tanagerstall/request/tanagerstall_usage_counter.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
@@ -52,6 +53,7 @@
   NamedRates namedRates_;
   /// The number of limits that this entry learnt by itself; grows with each.
   std::uint64_t rateNews_ = 0;
+  std::vector<RolloutCounts> rolloutCounts_;
 };
 
 /// Forwards callers' requests to replicas along the routes of the traffic
@@ -79,6 +81,8 @@
   /// Adopts the number of long responses for which replicas are reserved.
   void SetLongResponses(
     const std::map<std::string, std::uint32_t>& aLongResponses);
+  /// The roll-outs that this entry knows, and their counts.
+  RolloutTraffic& Rollouts() { return rollouts_; }
   /// Adopts the leader's verdicts on prompt parts.
   void ApplyVerdicts(const PromptVerdicts& aVerdicts);
   /// Adopts the sums over all entries that answer this entry's report of
@@ -151,6 +155,7 @@
   ConnectionPool pool_;
   BufferBudget buffers_;
   ReplicaChooser chooser_;
+  RolloutTraffic rollouts_;
   CostLimits limits_;
   AdmissionControl admission_;
   PromptQuarantine quarantine_;
