Cover repetitions for 10 s after an order was accepted; refuse outdated orders

Receipt times are compared, so an order that was committed 5 s after its receipt was covered for only 5 s. An order that a suspended process proposes long after a later one was accepted no longer starts a roll-out.

--- a/src/tanagerstall/process/tanagerstall_rollout_api.cpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_api.cpp
@@ -53,6 +53,11 @@
                "another roll-out of the service is running" };
     case RolloutReply::InForce:
       return { 409, "version_in_effect", "the version is already in effect" };
+    case RolloutReply::Outdated:
+      // A repetition is received later, so it may be accepted.
+      return { 503,
+               "control_unavailable",
+               "a later order of the service was accepted in the meantime" };
   }
   return {};
 }
--- a/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
@@ -55,6 +55,8 @@
       return "another one is running";
     case RolloutReply::InForce:
       return "version in effect";
+    case RolloutReply::Outdated:
+      return "out of date";
   }
   return "unknown";
 }
--- a/src/tanagerstall/version/tanagerstall_fleet_state.cpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.cpp
@@ -13,9 +13,11 @@
 constexpr std::size_t kKeptWindows = 64;
 
 /// How far apart two equal orders may have been received and count as one. An
-/// operator repeats an order at other processes until it is acknowledged, for
-/// at most 6 s; the rest covers differences between the processes' clocks.
-constexpr std::chrono::milliseconds kRepeatWindow = std::chrono::seconds(10);
+/// order is acknowledged again for 10 s after it was accepted, and an operator
+/// resends it for at most 6 s before that. The receipt times are compared, so
+/// the window is the sum of both and 4 s for differences between the clocks.
+constexpr std::chrono::milliseconds kRepeatWindow =
+  std::chrono::seconds(10 + 6 + 4);
 
 bool
 IsRepetition(const Rollout& aEarlier, const RolloutOrder& aOrder)
@@ -43,7 +45,14 @@
   }
   bool isInForce = aLatest.state_ == RolloutState::Completed &&
                    aLatest.order_.version_ == aOrder.version_;
-  return isInForce ? RolloutReply::InForce : RolloutReply::Accepted;
+  if (isInForce) {
+    return RolloutReply::InForce;
+  }
+  // A process that was suspended between receiving an order and proposing it
+  // must not start a roll-out that its operator has given up.
+  bool isOutdated =
+    aOrder.orderedAt_ + kRepeatWindow < aLatest.order_.orderedAt_;
+  return isOutdated ? RolloutReply::Outdated : RolloutReply::Accepted;
 }
 
 void
@@ -182,7 +191,7 @@
 FleetState::DecodeRolloutReply(BytesView aBytes)
 {
   KJ_REQUIRE(aBytes.size() == 1 && aBytes.front() <= static_cast<std::uint8_t>(
-                                                       RolloutReply::InForce),
+                                                       RolloutReply::Outdated),
              "unknown reply to a roll-out");
   return static_cast<RolloutReply>(aBytes.front());
 }
--- a/src/tanagerstall/version/tanagerstall_rollout.hpp
+++ b/src/tanagerstall/version/tanagerstall_rollout.hpp
@@ -76,7 +76,9 @@
   /// Another roll-out of the service is running.
   Conflict,
   /// An earlier roll-out has already moved the traffic to this version.
-  InForce
+  InForce,
+  /// The order is much older than the latest one that was accepted.
+  Outdated
 };
 
 } // namespace tanagerstall
--- a/tests/rollout_order_tests.cpp
+++ b/tests/rollout_order_tests.cpp
@@ -318,6 +318,7 @@
   BOOST_TEST(AnswerTo(kRepeated).status_ == 200);
   BOOST_TEST(AnswerTo(RolloutReply::Conflict).status_ == 409);
   BOOST_TEST(AnswerTo(kInForce).status_ == 409);
+  BOOST_TEST(AnswerTo(RolloutReply::Outdated).status_ == 503);
   BOOST_TEST(AnswerTo(fail(RolloutFault::UnknownService)).status_ == 400);
   BOOST_TEST(AnswerTo(fail(RolloutFault::Unavailable)).status_ == 503);
 }
