--- a/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
@@ -167,7 +167,11 @@
   if (!reply) {
     return Unavailable(reply.error().detail_);
   }
-  return FleetState::DecodeRolloutReply(*reply);
+  auto decoded = FleetState::DecodeRolloutReply(*reply);
+  if (!decoded) {
+    return Unavailable("the leader's reply to the order is unknown here");
+  }
+  return *decoded;
 }
 
 RolloutOrders::Check
--- a/src/tanagerstall/version/tanagerstall_fleet_state.cpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.cpp
@@ -187,12 +187,13 @@
   return ReadRollouts(message.Root<wire::FleetSnapshot>());
 }
 
-RolloutReply
+std::optional<RolloutReply>
 FleetState::DecodeRolloutReply(BytesView aBytes)
 {
-  KJ_REQUIRE(aBytes.size() == 1 && aBytes.front() <= static_cast<std::uint8_t>(
-                                                       RolloutReply::Outdated),
-             "unknown reply to a roll-out");
+  constexpr auto kLast = static_cast<std::uint8_t>(RolloutReply::Outdated);
+  if (aBytes.size() != 1 || aBytes.front() > kLast) {
+    return std::nullopt;
+  }
   return static_cast<RolloutReply>(aBytes.front());
 }
 
--- a/src/tanagerstall/version/tanagerstall_fleet_state.hpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.hpp
@@ -81,8 +81,10 @@
   static Declaration DecodeDeclaration(BytesView aBytes);
   /// Decodes the roll-outs in the result of a query.
   static RolloutsByService DecodeRollouts(BytesView aBytes);
-  /// Decodes the result of a command that starts a roll-out.
-  static RolloutReply DecodeRolloutReply(BytesView aBytes);
+  /// Decodes the result of a command that starts a roll-out. Returns nullopt
+  /// for a result of a build that doesn't know the command, or knows replies
+  /// that this one doesn't.
+  static std::optional<RolloutReply> DecodeRolloutReply(BytesView aBytes);
   /// Decodes the result of a usage command: the agreed counts of the window.
   static UsageWindow DecodeUsage(BytesView aBytes);
 
--- a/tests/rollout_order_tests.cpp
+++ b/tests/rollout_order_tests.cpp
@@ -225,7 +225,7 @@
     }
     hooks_ = { [this](const Bytes& aCommand) -> GroupResult {
                 ++proposals_;
-                return machine_.apply_(aCommand);
+                return proposed_ ? *proposed_ : machine_.apply_(aCommand);
               },
                [this](const Bytes& aQuery) -> GroupResult {
                  if (!hasQuorum_) {
@@ -247,6 +247,8 @@
   RolloutFacts facts_;
   bool hasQuorum_ = true;
   int proposals_ = 0;
+  /// If set, the result of each proposal.
+  std::optional<GroupResult> proposed_;
 
 private:
   FleetState state_;
@@ -297,6 +299,27 @@
   BOOST_TEST(control.proposals_ == 0);
 }
 
+// Guards against a final refusal or an exception out of the handler when the
+// outcome of a proposal is unknown: without a quorum, or with a leader whose
+// build doesn't know the command or knows further replies.
+BOOST_AUTO_TEST_CASE(An_order_with_an_unknown_outcome_may_be_repeated)
+{
+  Control control(kOrderCases.front());
+  const std::vector<GroupResult> results{
+    tl::make_unexpected(GroupError{ GroupFault::Unavailable, "no quorum" }),
+    Bytes{},
+    Bytes{ static_cast<std::uint8_t>(RolloutReply::Outdated) + 1 },
+    Bytes{ 0, 0 },
+  };
+  for (const auto& result : results) {
+    control.proposed_ = result;
+    auto reply = control.Start(kOrder);
+    BOOST_REQUIRE(!reply.has_value());
+    BOOST_TEST((reply.error().fault_ == RolloutFault::Unavailable));
+  }
+  BOOST_TEST(control.proposals_ == 4);
+}
+
 // Guards against 503 for a repeated order at a process that has just started
 // and has neither heard all members nor applied the log.
 BOOST_AUTO_TEST_CASE(A_recorded_rollout_shows_that_all_members_can_apply_it)
--- a/tests/rollout_state_tests.cpp
+++ b/tests/rollout_state_tests.cpp
@@ -188,7 +188,8 @@
   }
   auto reply = FleetState::DecodeRolloutReply(
     aMachine.apply_(FleetState::EncodeStartRollout(aStep.order_)));
-  BOOST_TEST((reply == aStep.reply_));
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST((*reply == aStep.reply_));
 }
 
 } // namespace
