--- a/src/tanagerstall/process/commands/tanagerstall_rollout_commands.cpp
+++ b/src/tanagerstall/process/commands/tanagerstall_rollout_commands.cpp
@@ -1,4 +1,5 @@
 #include "tanagerstall/process/commands/tanagerstall_operator_command.hpp"
+#include "tanagerstall/version/tanagerstall_rollout.hpp"
 
 #include <boost/json.hpp>
 #include <boost/program_options/value_semantic.hpp>
@@ -28,14 +29,20 @@
 int
 Start(const CommandContext& aContext)
 {
-  constexpr double kMillisecondsPerSecond = 1000.0;
-  double seconds = aContext.settings_["duration"].as<double>();
-  json::object body{
-    { "service", aContext.settings_["service"].as<std::string>() },
-    { "version", aContext.settings_["to"].as<std::string>() },
-    { "duration_ms",
-      static_cast<std::int64_t>(seconds * kMillisecondsPerSecond) }
-  };
+  auto duration =
+    ToRolloutDuration(aContext.settings_["duration"].as<double>());
+  if (!duration) {
+    std::cerr << "error: --duration must be above 0 and at most "
+              << std::chrono::duration_cast<std::chrono::seconds>(
+                   kMaxRolloutDuration)
+                   .count()
+              << " seconds\n";
+    return ExitUsage;
+  }
+  json::object body{ { "service",
+                       aContext.settings_["service"].as<std::string>() },
+                     { "version", aContext.settings_["to"].as<std::string>() },
+                     { "duration_ms", duration->count() } };
   return ReportAnswer(
     aContext.call_({ "POST", "/v1/rollouts", {}, json::serialize(body) }));
 }
@@ -53,9 +60,8 @@
     return ReportAnswer(
       aContext.call_({ "GET", "/v1/rollouts/" + service, {}, "" }));
   }
-  bool hasOrder = !service.empty() &&
-                  !aContext.settings_["to"].as<std::string>().empty() &&
-                  aContext.settings_["duration"].as<double>() > 0.0;
+  bool hasOrder =
+    !service.empty() && !aContext.settings_["to"].as<std::string>().empty();
   if (action == "start" && hasOrder) {
     return Start(aContext);
   }
--- a/src/tanagerstall/process/tanagerstall_rollout_api.cpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_api.cpp
@@ -104,7 +104,9 @@
   order.duration_ = std::chrono::milliseconds(
     fields.RequiredInteger("duration_ms", { 1, max, "milliseconds" }));
   if (order.version_.empty() || order.version_.size() > kMaxVersionBytes) {
-    fields.ReportError("version", "must have 1 to 256 bytes");
+    fields.ReportError("version",
+                       "must have 1 to " + std::to_string(kMaxVersionBytes) +
+                         " bytes");
   }
   if (auto finished = fields.Finish(); !finished) {
     return tl::make_unexpected("\"" + finished.error().field_ + "\" " +
--- a/src/tanagerstall/version/tanagerstall_rollout.hpp
+++ b/src/tanagerstall/version/tanagerstall_rollout.hpp
@@ -3,18 +3,36 @@
 
 #include "tanagerstall/process/tanagerstall_clock.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace tanagerstall {
 
-/// The longest duration of an order, and the longest name of a version, which
-/// every entry receives.
+/// The longest time from an order to its deadline.
 constexpr std::chrono::milliseconds kMaxRolloutDuration =
   std::chrono::hours(24);
+/// The longest name of a version. Every entry receives the names.
 constexpr std::size_t kMaxVersionBytes = 256;
 
+/// Converts the duration of an order, in seconds, to a whole number of
+/// milliseconds of at least 1. Returns nullopt if it isn't above 0 or exceeds
+/// the longest.
+inline std::optional<std::chrono::milliseconds>
+ToRolloutDuration(double aSeconds)
+{
+  std::chrono::duration<double> duration(aSeconds);
+  bool isInRange = duration.count() > 0 && duration <= kMaxRolloutDuration;
+  if (!isInRange) {
+    return std::nullopt;
+  }
+  return std::max(std::chrono::milliseconds(1),
+                  std::chrono::round<std::chrono::milliseconds>(
+                    std::chrono::duration<double, std::milli>(duration)));
+}
+
 enum class RolloutState : std::uint8_t
 {
   Running,
--- a/tests/processes/rollout_test.sh
+++ b/tests/processes/rollout_test.sh
@@ -101,6 +101,14 @@
 status=0
 rollout start --service s --to v3 --duration 3600 >/dev/null 2>&1 || status=$?
 [ "$status" = 4 ] || { echo "tanagerctl exited with status $status after a conflict"; exit 1; }
+# A duration that no order can have is refused before a call, so also without a
+# control process; other durations are rounded as the platform's call does.
+for bad in 0 -1 inf nan 86401; do
+  status=0
+  rollout start --service s --to v2 --duration="$bad" >/dev/null 2>&1 || status=$?
+  [ "$status" = 2 ] || { echo "tanagerctl exited with status $status for a duration of $bad"; exit 1; }
+done
+rollout start --service s --to v2 --duration 3600.0004 >/dev/null
 status=0
 rollout get --service none >/dev/null 2>&1 || status=$?
 [ "$status" = 1 ] || { echo "tanagerctl exited with status $status for a service without a roll-out"; exit 1; }
--- a/tests/rollout_order_tests.cpp
+++ b/tests/rollout_order_tests.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace tanagerstall;
 using namespace std::chrono_literals;
@@ -106,6 +107,25 @@
   BOOST_TEST((*order == RolloutOrder{ "s", "v2", 12346ms, {} }));
 }
 
+// Guards against a duration that tanagerctl and the platform's call convert
+// differently, so that their orders would count as different ones, and against
+// one that isn't a number of milliseconds.
+BOOST_AUTO_TEST_CASE(A_duration_is_rounded_and_bounded)
+{
+  constexpr double kInfinity = std::numeric_limits<double>::infinity();
+  constexpr double kNan = std::numeric_limits<double>::quiet_NaN();
+  for (double seconds : { 0.0, -1.0, 86400.001, kInfinity, -kInfinity, kNan }) {
+    BOOST_TEST_CONTEXT(seconds)
+    {
+      BOOST_TEST(!ToRolloutDuration(seconds).has_value());
+    }
+  }
+  BOOST_TEST((ToRolloutDuration(0.0001) == 1ms));
+  BOOST_TEST((ToRolloutDuration(0.29) == 290ms));
+  BOOST_TEST((ToRolloutDuration(1.0016) == 1002ms));
+  BOOST_TEST((ToRolloutDuration(86400.0) == kMaxRolloutDuration));
+}
+
 namespace {
 
 constexpr WallTime kNow{ 1'000'000s };
