--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -171,6 +171,7 @@
     history_.Add(fleet_.Current());
     if (auto plan = hooks_.decodePlan_(fleet_.Current().document_)) {
       plan_ = std::move(*plan);
+      planNumber_ = fleet_.Current().number_;
       SetLimits();
     }
     LogEvent(Severity::Info,
@@ -430,6 +431,7 @@
     TimePoint now = clock_.Now();
     RolloutFacts facts = FactsOf(aService, fleet_, *view_.Present(now));
     facts.isServiceKnown_ = plan_ && plan_->services_.contains(aService);
+    facts.declaration_ = planNumber_;
     facts.canAllApply_ |= members_.CanAllApplyRollouts();
     facts.hasHeardAll_ = now - startedAt_ >= settings_.replicaTimeToLive_;
     return facts;
@@ -482,6 +484,8 @@
   ReplicaView view_;
   EntryLoads loads_;
   std::optional<TrafficPlan> plan_;
+  /// The number of the declaration that `plan_` was decoded from.
+  std::uint64_t planNumber_ = 0;
   LeaderTasks leaderTasks_;
   TimePoint nextSettingsReadAt_;
   TimePoint startedAt_;
--- a/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
@@ -142,7 +142,7 @@
 {
   RolloutFacts facts = hooks_.readFacts_(aOrder.service_);
   if (!facts.isServiceKnown_) {
-    if (auto checked = CheckService(aOrder.service_); !checked) {
+    if (auto checked = CheckService(aOrder.service_, facts); !checked) {
       return tl::make_unexpected(checked.error());
     }
   }
@@ -175,24 +175,29 @@
 }
 
 RolloutOrders::Check
-RolloutOrders::CheckService(const std::string& aService) const
+RolloutOrders::CheckService(const std::string& aService,
+                            const RolloutFacts& aFacts) const
 {
-  auto state = hooks_.query_(FleetState::EncodeQuery(FleetQuery::All));
-  if (!state) {
-    return Unavailable(state.error().detail_);
-  }
-  Declaration declaration = FleetState::DecodeDeclaration(*state);
-  if (declaration.number_ > 0) {
-    auto plan = hooks_.decodePlan_(declaration.document_);
-    if (!plan) {
-      return Unavailable(plan.error().message_);
-    }
-    if (plan->services_.contains(aService)) {
-      return {};
-    }
-  }
-  return tl::make_unexpected(RolloutError{
+  auto unknown = tl::make_unexpected(RolloutError{
     RolloutFault::UnknownService, "unknown service \"" + aService + "\"" });
+  // Documents are large, so only the number is requested first.
+  auto brief = hooks_.query_(FleetState::EncodeQuery(FleetQuery::Rollouts));
+  if (!brief) {
+    return Unavailable(brief.error().detail_);
+  }
+  if (FleetState::DecodeDeclaration(*brief).number_ == aFacts.declaration_) {
+    return unknown;
+  }
+  auto whole = hooks_.query_(FleetState::EncodeQuery(FleetQuery::All));
+  if (!whole) {
+    return Unavailable(whole.error().detail_);
+  }
+  auto plan =
+    hooks_.decodePlan_(FleetState::DecodeDeclaration(*whole).document_);
+  if (!plan) {
+    return Unavailable(plan.error().message_);
+  }
+  return plan->services_.contains(aService) ? Check() : unknown;
 }
 
 RolloutOrders::Check
--- a/src/tanagerstall/process/tanagerstall_rollout_orders.hpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.hpp
@@ -35,6 +35,8 @@
 {
   /// Whether the declaration in force here contains the service.
   bool isServiceKnown_ = false;
+  /// The number of that declaration; 0 if there is none.
+  std::uint64_t declaration_ = 0;
   /// Whether all members are known to apply the commands of roll-outs.
   bool canAllApply_ = false;
   /// Whether all replicas have had time to announce themselves since the start.
@@ -80,7 +82,10 @@
   using Check = tl::expected<void, RolloutError>;
 
   RolloutResult Decide(const RolloutOrder& aOrder) const;
-  Check CheckService(const std::string& aService) const;
+  /// Looks a service up that the declaration in force here doesn't contain, in
+  /// the one that a quorum confirms.
+  Check CheckService(const std::string& aService,
+                     const RolloutFacts& aFacts) const;
   /// Replaces what the facts say of the record by what a quorum confirms. The
   /// order may have been accepted before, at another control process.
   Check ConfirmRecord(const std::string& aService, RolloutFacts& aFacts) const;
--- a/tests/rollout_order_tests.cpp
+++ b/tests/rollout_order_tests.cpp
@@ -236,7 +236,7 @@
         { "s", aCase.recorded_, kOrder.duration_, kNow }));
       machine_.apply_(FleetState::EncodeEndRollout(1, aCase.state_, kNow));
     }
-    facts_ = { true, true, aCase.hasHeardAll_, {}, {} };
+    facts_ = { true, 1, true, aCase.hasHeardAll_, {}, {} };
     for (const char* version : aCase.versions_) {
       facts_.replicas_.push_back(MakeReplica(version));
     }
@@ -252,6 +252,7 @@
                    return tl::make_unexpected(
                      GroupError{ GroupFault::Unavailable, "no quorum" });
                  }
+                 documents_ += aQuery.empty() ? 1 : 0;
                  return machine_.query_(aQuery);
                },
                [this](const std::string&) { return facts_; },
@@ -267,6 +268,8 @@
   RolloutFacts facts_;
   bool hasQuorum_ = true;
   int proposals_ = 0;
+  /// How often the declaration's document was requested.
+  int documents_ = 0;
   /// If set, the result of each proposal.
   std::optional<GroupResult> proposed_;
 
@@ -298,6 +301,7 @@
 {
   Control control(kOrderCases.front());
   control.facts_.isServiceKnown_ = false;
+  control.facts_.declaration_ = 0;
   BOOST_TEST((*control.Start(kOrder) == kAccepted));
   RolloutOrder other{ "other", "v2", 12s, kNow };
   BOOST_TEST(
@@ -308,6 +312,22 @@
   BOOST_TEST(control.proposals_ == 1);
 }
 
+// Guards against a leader that sends its whole declaration for each order with
+// a wrong name of a service.
+BOOST_AUTO_TEST_CASE(A_declaration_is_requested_only_if_it_is_another_one)
+{
+  Control control(kOrderCases.front());
+  control.facts_.isServiceKnown_ = false;
+  RolloutOrder other{ "other", "v2", 12s, kNow };
+  BOOST_TEST(
+    (control.Start(other).error().fault_ == RolloutFault::UnknownService));
+  BOOST_TEST(control.documents_ == 0);
+  control.facts_.declaration_ = 0;
+  BOOST_TEST(
+    (control.Start(other).error().fault_ == RolloutFault::UnknownService));
+  BOOST_TEST(control.documents_ == 1);
+}
+
 // Guards against a command in the log that a member of an older build can't
 // apply.
 BOOST_AUTO_TEST_CASE(Nothing_is_proposed_until_all_members_can_apply_it)
