Judge versions only by recent reports of all control processes

After a cut that was over, a process whose view still lacked the replicas of its peers could refuse a valid order with 409, or accept one for the version in effect.

--- a/src/tanagerstall/process/presence/tanagerstall_replica_view.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_view.cpp
@@ -2,6 +2,8 @@
 
 #include "tanagerstall/process/presence/tanagerstall_replica_order.hpp"
 
+#include <algorithm>
+
 namespace tanagerstall {
 
 namespace {
@@ -115,6 +117,19 @@
   return present;
 }
 
+bool
+ReplicaView::HasRecentReports(const std::vector<std::string>& aControls,
+                              TimePoint aNow) const
+{
+  return !aControls.empty() &&
+         std::all_of(
+           aControls.begin(), aControls.end(), [&](const std::string& aIt) {
+             auto source = sources_.find(aIt);
+             return source != sources_.end() &&
+                    aNow - source->second.receivedAt_ < kMaxSourceAge;
+           });
+}
+
 bool
 ReplicaView::ConsumeChange(TimePoint aNow)
 {
--- a/src/tanagerstall/process/presence/tanagerstall_replica_view.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_view.hpp
@@ -51,6 +51,11 @@
                                        TimePoint aNow) const;
   /// Returns the replicas that accept new work at `aNow`.
   std::shared_ptr<const ReplicasByService> Present(TimePoint aNow) const;
+  /// Returns whether each of these control processes has reported recently, so
+  /// that Present() lacks no replica that announces itself to one of them.
+  /// Returns false for none.
+  bool HasRecentReports(const std::vector<std::string>& aControls,
+                        TimePoint aNow) const;
   /// Whether Present() may have changed since the last call: after a report
   /// with changes, and otherwise at intervals, because sources become stale.
   /// Resets the flag.
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -433,7 +433,10 @@
     facts.isServiceKnown_ = plan_ && plan_->services_.contains(aService);
     facts.declaration_ = planNumber_;
     facts.canAllApply_ |= members_.CanAllApplyRollouts();
-    facts.hasHeardAll_ = now - startedAt_ >= settings_.replicaTimeToLive_;
+    // After a cut from other control processes, the replicas that announce
+    // themselves there are missing until those have reported again.
+    facts.hasHeardAll_ = now - startedAt_ >= settings_.replicaTimeToLive_ &&
+                         view_.HasRecentReports(members_.Addresses(), now);
     return facts;
   }
 
--- a/src/tanagerstall/process/tanagerstall_rollout_orders.hpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.hpp
@@ -39,7 +39,8 @@
   std::uint64_t declaration_ = 0;
   /// Whether all members are known to apply the commands of roll-outs.
   bool canAllApply_ = false;
-  /// Whether all replicas have had time to announce themselves since the start.
+  /// Whether all replicas have had time to announce themselves since the start,
+  /// and all control processes have reported theirs recently.
   bool hasHeardAll_ = false;
   /// The replicas of the service that accept new work.
   std::vector<Replica> replicas_;
--- a/tests/replica_table_tests.cpp
+++ b/tests/replica_table_tests.cpp
@@ -296,6 +296,25 @@
   BOOST_TEST(!view.Present(kStart + 1h)->contains("model"));
 }
 
+// Guards against a judgement of a service's versions by a view that lacks the
+// replicas of a control process: one that was never heard, or that was cut off
+// and has not reported since.
+BOOST_AUTO_TEST_CASE(Reports_are_recent_once_each_control_process_reported)
+{
+  const std::vector<std::string> both{ "c1", "c2" };
+  ReplicaView view;
+  BOOST_TEST(!view.HasRecentReports({}, kStart));
+  view.ApplyReport("c1", { 1, 5, {} }, kStart);
+  BOOST_TEST(view.HasRecentReports({ "c1" }, kStart));
+  BOOST_TEST(!view.HasRecentReports(both, kStart));
+  view.ApplyReport("c2", { 1, 5, {} }, kStart);
+  BOOST_TEST(view.HasRecentReports(both, kStart + 5s));
+  view.ApplyReport("c1", { 1, 5, {} }, kStart + 20s);
+  BOOST_TEST(!view.HasRecentReports(both, kStart + 20s));
+  view.ApplyReport("c2", { 1, 5, {} }, kStart + 20s);
+  BOOST_TEST(view.HasRecentReports(both, kStart + 20s));
+}
+
 namespace {
 
 /// What happens to the control process that acknowledged a drain or departure.
