--- a/tests/processes/rollout_test.sh
+++ b/tests/processes/rollout_test.sh
@@ -37,8 +37,14 @@
 announce_forever "$(date +%s%3N)" &
 pids+=($!)
 
-# Each invalid input gets its status, at every control process. The last of
-# these waits until the replica, which has version v1, must be known everywhere.
+# The replica has version v1. Before it is known, an order of v1 could be
+# accepted, as for a service without replicas.
+knows_replica() { curl -sf -m 2 "http://$net.1:9464/metrics" | grep -q '^tanagerstall_replicas_ready_here [1-9]'; }
+wait_until knows_replica
+
+# Each invalid input gets its status, at every control process. The order of the
+# version in effect gets 503 until a process has run for as long as replicas may
+# need to announce themselves and has heard the others.
 for control in "${controls[@]}"; do
   wait_until reads "$control" "$none"
   for bad in '{"service":"s"' '["s"]' '{"to":"v2","durationS":9}' \
--- a/tests/rollout_order_tests.cpp
+++ b/tests/rollout_order_tests.cpp
@@ -293,6 +293,36 @@
   if (result && sample.reply_) {
     BOOST_TEST((*result == *sample.reply_));
   }
+  if (!result) {
+    BOOST_TEST((result.error().fault_ == RolloutFault::Unavailable));
+    BOOST_TEST(control.proposals_ == 0);
+  }
+}
+
+// Guards against a refusal by what one process alone knows, and against a
+// proposal, when no quorum can confirm the record.
+BOOST_AUTO_TEST_CASE(
+  Without_a_quorum_an_order_that_needs_the_record_may_be_repeated)
+{
+  for (const auto& row : kOrderCases) {
+    Control control(row);
+    control.hasQuorum_ = false;
+    control.facts_.canAllApply_ = false;
+    BOOST_TEST_CONTEXT(row.name_)
+    {
+      auto result = control.Start(kOrder);
+      BOOST_REQUIRE(!result.has_value());
+      BOOST_TEST((result.error().fault_ == RolloutFault::Unavailable));
+      BOOST_TEST(result.error().detail_ == "no quorum");
+      BOOST_TEST(control.proposals_ == 0);
+    }
+  }
+  OrderCase inEffect{ "", { "v2" }, "", {}, false, true, kInForce };
+  Control control(inEffect);
+  control.hasQuorum_ = false;
+  auto result = control.Start(kOrder);
+  BOOST_REQUIRE(!result.has_value());
+  BOOST_TEST((result.error().fault_ == RolloutFault::Unavailable));
 }
 
 // Guards against 400 for a service of a declaration that this process has not
--- a/tests/rollout_state_tests.cpp
+++ b/tests/rollout_state_tests.cpp
@@ -214,22 +214,32 @@
 
 // Guards against a member that answers differently after it was restored from a
 // snapshot.
-BOOST_DATA_TEST_CASE(A_snapshot_before_any_command_changes_no_result,
+BOOST_DATA_TEST_CASE(A_snapshot_after_any_command_changes_no_result,
                      data::make(kCases))
 {
-  for (std::size_t cut = 0; cut <= sample.steps_.size(); ++cut) {
+  // Another roll-out at the end shows the last id.
+  auto steps = sample.steps_;
+  steps.push_back({ Order("v9", 90s, 12s, "last") });
+  FleetState uninterrupted;
+  for (const auto& step : steps) {
+    Apply(uninterrupted.AsStateMachine(), step);
+  }
+  for (std::size_t cut = 0; cut <= steps.size(); ++cut) {
     FleetState first;
     FleetState restored;
     auto machine = first.AsStateMachine();
-    for (std::size_t i = 0; i < sample.steps_.size(); ++i) {
+    for (std::size_t i = 0; i <= steps.size(); ++i) {
       if (i == cut) {
         restored.AsStateMachine().installSnapshot_(machine.takeSnapshot_());
         machine = restored.AsStateMachine();
       }
-      Apply(machine, sample.steps_[i]);
+      if (i < steps.size()) {
+        Apply(machine, steps[i]);
+      }
     }
     auto read = FleetState::DecodeRollouts(
       machine.query_(FleetState::EncodeQuery(FleetQuery::Rollouts)));
+    BOOST_TEST((read == uninterrupted.Rollouts()));
     BOOST_TEST(read.at("s").id_ == sample.id_);
     BOOST_TEST((read.at("s").state_ == sample.state_));
   }
