--- a/src/tanagerstall/process/tanagerstall_clock.hpp
+++ b/src/tanagerstall/process/tanagerstall_clock.hpp
@@ -54,7 +54,12 @@
 };
 
 /// Returns the system time, for records that people read and for the times in
-/// orders of operators. It is never used to order events.
+/// orders of operators. Events of different processes are ordered by it in two
+/// places, both of roll-outs. The window in which an order counts as repeated
+/// compares times of receipt, so it tolerates few seconds between the clocks of
+/// control processes. Which replicas are older than a completed roll-out
+/// compares their start times with its end, so a replica whose clock is behind
+/// that of the leader may count as older although it started later.
 WallTime
 ReadWallTime();
 
