Bound what untrusted clients take from a process

Nothing bounded the memory of requests. The read buffer of a connection grew with trailers and chunk extensions, which are parsed only as a whole; a body was held up to three times (in the exchange, the upstream request and the connection to the replica, which kept it while it was pooled); a connection had no limit for its address.

A declared body is charged before it is read, any other as it grows; without room the request gets 503 with Retry-After, after the request that has been stalled for the longest time was closed with 408. RequestParser reads from a bounded buffer in small steps and limits chunk overhead; trailers are dropped. A body has idle and total times of its own, so that headerTimeoutMs counts for the head only. Copies of a body share its bytes (SharedBody). Connections are limited for each address and in all. Refusals are read to the end for half a second, so that closing doesn't reset them. Each limit is a checked setting; refusals are counted by reason and logged.

http_server_tests sets the idle time of a body to the 150 ms that it already gave the whole request: "body too slow" is checked as before.

--- a/src/tanagerstall/connection/tanagerstall_http_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.cpp
@@ -9,7 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace tanagerstall {
@@ -78,16 +78,27 @@
     for (const auto& header : aRequest.headers_) {
       message_.set(header.name_, header.value_);
     }
-    message_.body() = aRequest.body_;
+    body_ = aRequest.body_;
+    message_.body() = { body_.Text().data(), body_.size() };
     message_.prepare_payload();
   }
 
+  /// Gives back what the last request took. A pooled connection may stay idle
+  /// for long.
+  void ReleaseRequest()
+  {
+    message_ = {};
+    body_.clear();
+  }
+
   Fiber* fiber_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_{ kMaxReadAheadBytes };
   std::optional<Parser> parser_;
   std::string host_;
-  http::request<http::string_body> message_;
+  /// Shared with the request's other attempts.
+  SharedBody body_;
+  http::request<http::span_body<const char>> message_;
   std::array<char, kReadBytes> chunk_{};
   bool wasCancelled_ = false;
   /// Whether a send of StartSend() is in progress or has failed.
@@ -142,6 +153,7 @@
   beast::error_code error;
   state_->stream_.expires_after(aTimeout);
   http::async_write(state_->stream_, state_->message_, state_->Yield()[error]);
+  state_->ReleaseRequest();
   if (error) {
     return tl::make_unexpected(ToTransportError(error, state_->wasCancelled_));
   }
@@ -159,6 +171,7 @@
     state_->message_,
     [state = state_](const beast::error_code& aError, std::size_t /*aBytes*/) {
       state->isSending_ = static_cast<bool>(aError);
+      state->ReleaseRequest();
     });
 }
 
--- a/src/tanagerstall/connection/tanagerstall_http_exchange.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_exchange.cpp
@@ -6,7 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
@@ -111,9 +111,9 @@
 void
 HttpExchange::Respond(const HttpResponse& aResponse)
 {
-  http::response<http::string_body> message;
+  http::response<http::span_body<const char>> message;
   SetHead(state_, message, aResponse);
-  message.body() = aResponse.body_;
+  message.body() = { aResponse.body_.data(), aResponse.body_.size() };
   message.prepare_payload();
   Write(*this, state_, [&](auto aDone) {
     http::async_write(state_.stream_, message, aDone);
@@ -169,6 +169,16 @@
   return state_.status_;
 }
 
+bool
+HttpExchange::HoldFor(const std::string& aOrganisation)
+{
+  state_.organisationPart_ =
+    MemoryBudget::Part(state_.server_->clients_->Memory(),
+                       MemoryBudget::Holder::Organisation,
+                       aOrganisation);
+  return state_.organisationPart_.Resize(state_.request_.body_.size());
+}
+
 bool
 HttpExchange::IsCallerDisconnected() const
 {
--- a/src/tanagerstall/connection/tanagerstall_http_exchange.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_exchange.hpp
@@ -5,6 +5,7 @@
 #include "tanagerstall/connection/tanagerstall_http_message.hpp"
 
 #include <functional>
+#include <string>
 #include <string_view>
 
 namespace tanagerstall {
@@ -21,6 +22,10 @@
   const HttpRequest& Request() const;
   Fiber& GetFiber();
 
+  /// Counts the request's body to its organisation. Returns false if all of the
+  /// organisation's requests hold too much memory; the request may be refused.
+  bool HoldFor(const std::string& aOrganisation);
+
   /// Sends a complete response. Call either this or StartStream(), once.
   void Respond(const HttpResponse& aResponse);
   /// Sends the status and headers of a chunked response; `aHead.body_` is
--- a/src/tanagerstall/connection/tanagerstall_http_message.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_message.hpp
@@ -1,6 +1,8 @@
 #ifndef TANAGERSTALL_HTTP_MESSAGE_HPP_INCLUDED
 #define TANAGERSTALL_HTTP_MESSAGE_HPP_INCLUDED
 
+#include "tanagerstall/connection/tanagerstall_shared_body.hpp"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,7 +33,7 @@
   std::string method_;
   std::string target_;
   std::vector<HttpHeader> headers_;
-  std::string body_;
+  SharedBody body_;
 
   std::string_view Header(std::string_view aName) const
   {
--- a/src/tanagerstall/internal/tanagerstall_http_server_state.hpp
+++ b/src/tanagerstall/internal/tanagerstall_http_server_state.hpp
@@ -29,19 +29,25 @@
 
 struct HttpServer::State
 {
-  State(TrafficThreads& aThreads, HttpLimits aLimits, Handler aHandler)
+  State(TrafficThreads& aThreads,
+        HttpLimits aLimits,
+        Handler aHandler,
+        std::shared_ptr<ClientLimits> aClients)
     : threads_(aThreads)
     , limits_(aLimits)
     , handler_(std::move(aHandler))
-    , acceptor_(*aThreads.GetState().loops_.front())
+    , clients_(std::move(aClients))
   {
   }
 
   TrafficThreads& threads_;
   HttpLimits limits_;
   Handler handler_;
+  std::shared_ptr<ClientLimits> clients_;
   Clock clock_;
-  tcp::acceptor acceptor_;
+  /// Owned by the fiber that accepts. Connections on other threads keep this
+  /// state after the acceptor's event loop has been destroyed.
+  std::weak_ptr<tcp::acceptor> acceptor_;
   std::atomic<bool> isAccepting_{ true };
   std::atomic<bool> keepsAlive_{ true };
   std::atomic<std::size_t> connections_{ 0 };
@@ -52,14 +58,19 @@
   /// Connections whose first request has not been received completely, or whose
   /// next request has been received in part; oldest first.
   std::list<UnfinishedRequest> unfinished_;
+  /// The number of connections of each client address.
+  std::map<std::string, std::size_t> connectionsOf_;
 };
 
 /// The state of an accepted connection, which serves one exchange after
 /// another.
 struct HttpExchange::State : std::enable_shared_from_this<HttpExchange::State>
 {
-  State(tcp::socket aSocket, std::shared_ptr<HttpServer::State> aServer)
+  State(tcp::socket aSocket,
+        std::shared_ptr<HttpServer::State> aServer,
+        std::string aAddress)
     : stream_(std::move(aSocket))
+    , address_(std::move(aAddress))
     , server_(std::move(aServer))
   {
   }
@@ -73,7 +84,9 @@
   void StopWatching();
 
   beast::tcp_stream stream_;
+  std::string address_;
   std::shared_ptr<HttpServer::State> server_;
+  MemoryBudget::Part organisationPart_;
   beast::flat_buffer buffer_;
   Fiber* fiber_ = nullptr;
   HttpRequest request_;
@@ -87,6 +100,12 @@
   std::atomic<bool> isEvicted_{ false };
   /// Whether reading was stopped because of a timeout or an eviction.
   bool isReadStopped_ = false;
+  /// Whether a request is being read.
+  bool isReading_ = false;
+  /// Whether the last request could not be read.
+  bool isRefused_ = false;
+  /// When the request in progress received its last byte.
+  TimePoint movedAt_;
   bool isCallerDisconnected_ = false;
   int status_ = 0;
   bool keepsAlive_ = true;
--- a/src/tanagerstall/process/metrics/tanagerstall_metrics_page.cpp
+++ b/src/tanagerstall/process/metrics/tanagerstall_metrics_page.cpp
@@ -114,6 +114,22 @@
 
 } // namespace
 
+void
+AddClientGauges(Gauges& aGauges,
+                const ClientLimits& aClients,
+                std::size_t aConnections)
+{
+  const MemoryBudget& memory = *aClients.Memory();
+  aGauges["connections"] = static_cast<double>(aConnections);
+  aGauges["request_memory_bytes"] = static_cast<double>(memory.UsedBytes());
+  aGauges["request_memory_limit_bytes"] =
+    static_cast<double>(memory.MaxBytes());
+  for (const auto& [reason, count] : aClients.Faults()) {
+    aGauges["client_faults{reason=\"" + reason + "\"}"] =
+      static_cast<double>(count);
+  }
+}
+
 HttpResponse
 MetricsResponse(const HttpRequest& aRequest,
                 const MetricsSnapshot& aMetrics,
--- a/src/tanagerstall/process/standin/tanagerstall_standin.cpp
+++ b/src/tanagerstall/process/standin/tanagerstall_standin.cpp
@@ -108,7 +108,8 @@
 
   void ChangeFaults(HttpExchange& aExchange)
   {
-    auto faults = ReadStandinFaults(aExchange.Request().body_, work_.Faults());
+    auto faults =
+      ReadStandinFaults(aExchange.Request().body_.Text(), work_.Faults());
     if (!faults) {
       json::object body{ { "error", faults.error() } };
       aExchange.Respond(JsonResponse(400, json::serialize(body)));
@@ -131,7 +132,7 @@
       ++bodies_[request.body_];
       json::object body{ { "method", request.method_ },
                          { "target", request.target_ },
-                         { "echo", request.body_ },
+                         { "echo", request.body_.Text() },
                          { "executions", key.empty() ? 0 : run.executions_ } };
       run.answer_ = json::serialize(body);
       work_.WaitForFirstToken(aExchange.GetFiber(), work_.DrawSlowdown());
@@ -143,7 +144,7 @@
   {
     const HttpRequest& request = aExchange.Request();
     auto completion = ReadStandinCompletion(
-      request.target_ == "/v1/chat/completions", request.body_);
+      request.target_ == "/v1/chat/completions", request.body_.Text());
     if (!completion) {
       aExchange.Respond(JsonResponse(400, R"({"error":"malformed"})"));
       return;
--- a/src/tanagerstall/process/tanagerstall_entry_api.cpp
+++ b/src/tanagerstall/process/tanagerstall_entry_api.cpp
@@ -130,7 +130,7 @@
                            "unknown_token",
                            "an announcement needs the upstream token");
   }
-  auto upstream = ReadAnnouncement(aRequest.body_);
+  auto upstream = ReadAnnouncement(aRequest.body_.Text());
   if (!upstream) {
     metrics_.Count(Counter::AnnouncementsMalformed);
     return RefusalResponse(
@@ -156,7 +156,7 @@
                            "unknown_token",
                            "a reclaim notice needs the operator token");
   }
-  auto notice = ReadNotice(aRequest.body_);
+  auto notice = ReadNotice(aRequest.body_.Text());
   if (!notice) {
     return RefusalResponse(400,
                            Outcome::NotRun,
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -93,19 +93,27 @@
             AdoptReports(aAnswer.replicas_);
             members_.RecordCapability(aControl, aAnswer.readsCompressed_);
           } })
-    , control_(threads_,
-               HttpLimits(),
-               [this, &aSelf](HttpExchange& aExchange) {
-                 hooks_.handleControl_(aExchange, aSelf);
-               })
-    , directory_(threads_,
-                 HttpLimits(),
-                 [this, &aSelf](HttpExchange& aExchange) {
-                   hooks_.handleDirectory_(aExchange, aSelf);
-                 })
-    , metrics_(threads_,
-               HttpLimits(),
-               [this](HttpExchange& aExchange) { ServeMetrics(aExchange); })
+    , clients_(std::make_shared<ClientLimits>(
+        MemoryBudget::DivideBytes(settings_.clients_.memoryBytes_)))
+    , control_(
+        threads_,
+        MakeHttpLimits(settings_.clients_),
+        [this, &aSelf](HttpExchange& aExchange) {
+          hooks_.handleControl_(aExchange, aSelf);
+        },
+        clients_)
+    , directory_(
+        threads_,
+        MakeHttpLimits(settings_.clients_),
+        [this, &aSelf](HttpExchange& aExchange) {
+          hooks_.handleDirectory_(aExchange, aSelf);
+        },
+        clients_)
+    , metrics_(
+        threads_,
+        MakeInternalHttpLimits(settings_.clients_),
+        [this](HttpExchange& aExchange) { ServeMetrics(aExchange); },
+        clients_)
     , tasks_(Severity::Error, "control task failed")
   {
     isBuilt_ = true;
@@ -138,6 +146,8 @@
   {
     auto gauges = OnLoop<Gauges>(
       loop_, aExchange.GetFiber(), [this] { return ReadGauges(); });
+    AddClientGauges(
+      gauges, *clients_, control_.Connections() + directory_.Connections());
     aExchange.Respond(
       MetricsResponse(aExchange.Request(), counters_.Collect(), gauges));
   }
@@ -438,6 +448,7 @@
   TimePoint startedAt_;
   FleetServer entriesServer_;
   FleetClient peerClient_;
+  std::shared_ptr<ClientLimits> clients_;
   HttpServer control_;
   HttpServer directory_;
   Metrics counters_;
--- a/src/tanagerstall/process/tanagerstall_fleet_control.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.hpp
@@ -25,6 +25,7 @@
   Address entriesAddress_;
   /// The address that serves metrics.
   Address metricsAddress_;
+  ClientSettings clients_;
   MemberSettings member_;
   /// Time after its last announcement until a replica expires.
   Duration replicaTimeToLive_ = std::chrono::seconds(5);
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -32,6 +32,13 @@
   return static_cast<std::uint64_t>(ReadWallTime().time_since_epoch().count());
 }
 
+ForwarderSettings
+WithMemory(ForwarderSettings aSettings, std::shared_ptr<MemoryBudget> aMemory)
+{
+  aSettings.memory_ = std::move(aMemory);
+  return aSettings;
+}
+
 } // namespace
 
 struct FleetEntry::State
@@ -49,23 +56,30 @@
           [this](const std::string& aControl, const ControlAnswer& aAnswer) {
             HandleAnswer(aControl, aAnswer);
           } })
+    , clients_(std::make_shared<ClientLimits>(
+        MemoryBudget::DivideBytes(settings_.clients_.memoryBytes_)))
     , forwarder_(
-        settings_.forwarder_,
+        WithMemory(settings_.forwarder_, clients_->Memory()),
         clock_,
         { ReadWallTime,
           [this] { loop_.Post([this] { client_.RefreshLeader(); }); } })
     , callers_(
         threads_,
-        HttpLimits(),
-        [this](HttpExchange& aExchange) { forwarder_.Handle(aExchange); })
-    , readiness_(threads_,
-                 HttpLimits(),
-                 [this](HttpExchange& aExchange) {
-                   hooks_.answerReadiness_(aExchange, IsReady());
-                 })
-    , metrics_(threads_,
-               HttpLimits(),
-               [this](HttpExchange& aExchange) { ServeMetrics(aExchange); })
+        MakeHttpLimits(settings_.clients_),
+        [this](HttpExchange& aExchange) { forwarder_.Handle(aExchange); },
+        clients_)
+    , readiness_(
+        threads_,
+        MakeInternalHttpLimits(settings_.clients_),
+        [this](HttpExchange& aExchange) {
+          hooks_.answerReadiness_(aExchange, IsReady());
+        },
+        clients_)
+    , metrics_(
+        threads_,
+        MakeInternalHttpLimits(settings_.clients_),
+        [this](HttpExchange& aExchange) { ServeMetrics(aExchange); },
+        clients_)
     , tasks_(Severity::Error, "entry task failed")
   {
     self_.id_ = settings_.id_;
@@ -91,6 +105,7 @@
                      forwarder_.CountReplicas(ReplicaAvailability::Leaving));
     AddReplicaGauges(
       gauges, "replicas_rate_limited", forwarder_.CountRateLimitedReplicas());
+    AddClientGauges(gauges, *clients_, callers_.Connections());
     aExchange.Respond(MetricsResponse(
       aExchange.Request(), forwarder_.GetMetrics().Collect(), gauges));
   }
@@ -279,11 +294,13 @@
              { { "number", aDeclaration.number_ },
                { "routes", plan->routes_.size() } });
     auto shared = std::make_shared<const TrafficPlan>(std::move(*plan));
-    HttpLimits limits;
+    HttpLimits limits = MakeHttpLimits(settings_.clients_);
     limits.maxHeadBytes_ = shared->limits_.maxHeadBytes_;
     limits.maxBodyBytes_ = shared->limits_.maxBodyBytes_;
     limits.requestTimeout_ = shared->limits_.headTimeout_;
     limits.idleTimeout_ = shared->limits_.idleTimeout_;
+    limits.bodyIdleTimeout_ =
+      settings_.clients_.bodyIdleTimeout_.value_or(limits.idleTimeout_);
     callers_.SetLimits(limits);
     threads_.Post([this, shared] {
       forwarder_.SetPlan(shared);
@@ -441,6 +458,7 @@
   std::atomic<std::uint64_t> appliedDeclaration_{ 0 };
   TimePoint nextSettingsReadAt_;
   FleetClient client_;
+  std::shared_ptr<ClientLimits> clients_;
   Forwarder forwarder_;
   HttpServer callers_;
   HttpServer readiness_;
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.hpp
@@ -29,6 +29,7 @@
   /// Time from a shutdown signal until the platform kills the process.
   Duration grace_ = std::chrono::seconds(8);
   ForwarderSettings forwarder_;
+  ClientSettings clients_;
 };
 
 /// The functions that differ between deployments.
--- a/src/tanagerstall/request/tanagerstall_at_most_once_dispatch.cpp
+++ b/src/tanagerstall/request/tanagerstall_at_most_once_dispatch.cpp
@@ -110,7 +110,7 @@
   request.service_ = aCall.service_.name_;
   request.method_ = aCall.upstreamRequest_.method_;
   request.target_ = aCall.upstreamRequest_.target_;
-  request.bodyHash_ = Checksum(ViewOf(aCall.upstreamRequest_.body_));
+  request.bodyHash_ = Checksum(ViewOf(aCall.upstreamRequest_.body_.Text()));
   request.contentType_ =
     std::string(aCall.upstreamRequest_.Header("Content-Type"));
   request.entry_ = entry_;
--- a/src/tanagerstall/request/tanagerstall_buffer_budget.cpp
+++ b/src/tanagerstall/request/tanagerstall_buffer_budget.cpp
@@ -2,8 +2,10 @@
 
 namespace tanagerstall {
 
-BufferBudget::BufferBudget(Limits aLimits)
+BufferBudget::BufferBudget(Limits aLimits,
+                           std::shared_ptr<MemoryBudget> aMemory)
   : limits_(aLimits)
+  , memory_(std::move(aMemory))
   , free_(aLimits.maxBytes_)
 {
 }
@@ -11,6 +13,7 @@
 BufferBudget::Share::Share(BufferBudget& aBudget, const std::string& aUpstream)
   : budget_(aBudget)
   , upstream_(budget_.takenBy_.try_emplace(aUpstream).first)
+  , charge_(budget_.memory_, MemoryBudget::Use::Response)
 {
   ++upstream_->second.responses_;
 }
@@ -29,7 +32,8 @@
 {
   std::size_t& taken = upstream_->second.bytes_;
   if (aBytes > budget_.free_ ||
-      aBytes > budget_.limits_.maxBytesOfUpstream_ - taken) {
+      aBytes > budget_.limits_.maxBytesOfUpstream_ - taken ||
+      !charge_.Resize(bytes_ + aBytes)) {
     return false;
   }
   budget_.free_ -= aBytes;
--- a/src/tanagerstall/request/tanagerstall_buffer_budget.hpp
+++ b/src/tanagerstall/request/tanagerstall_buffer_budget.hpp
@@ -1,6 +1,8 @@
 #ifndef TANAGERSTALL_BUFFER_BUDGET_HPP_INCLUDED
 #define TANAGERSTALL_BUFFER_BUDGET_HPP_INCLUDED
 
+#include "tanagerstall/process/tanagerstall_memory_budget.hpp"
+
 #include <cstddef>
 #include <map>
 #include <string>
@@ -27,7 +29,9 @@
     std::size_t maxBytesOfUpstream_ = 0;
   };
 
-  explicit BufferBudget(Limits aLimits);
+  /// What is taken counts against `aMemory` as well, if there is one.
+  explicit BufferBudget(Limits aLimits,
+                        std::shared_ptr<MemoryBudget> aMemory = nullptr);
 
   /// What one response has taken from the budget; given back on destruction.
   class Share
@@ -46,12 +50,14 @@
     BufferBudget& budget_;
     std::map<std::string, Taken>::iterator upstream_;
     std::size_t bytes_ = 0;
+    MemoryBudget::Charge charge_;
   };
 
   std::size_t FreeBytes() const { return free_; }
 
 private:
   Limits limits_;
+  std::shared_ptr<MemoryBudget> memory_;
   std::size_t free_;
   std::map<std::string, Taken> takenBy_;
 };
--- a/src/tanagerstall/request/tanagerstall_completion_stream.cpp
+++ b/src/tanagerstall/request/tanagerstall_completion_stream.cpp
@@ -84,7 +84,7 @@
 
 CompletionStream::CompletionStream(const HttpRequest& aRequest)
   : request_(aRequest)
-  , body_(json::parse(aRequest.body_).as_object())
+  , body_(json::parse(aRequest.body_.Text()).as_object())
   , isChat_(aRequest.target_ == "/v1/chat/completions")
   , isStreamed_(FlagOf(body_, "stream"))
 {
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -1,5 +1,8 @@
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
 
+#include <algorithm>
+#include <charconv>
+
 namespace tanagerstall {
 
 namespace {
@@ -39,14 +42,24 @@
 }
 
 AttemptResult
-MakeWithdrawn()
+MakeWithdrawn(const char* aReason)
 {
   AttemptResult result;
   result.outcome_ = AttemptOutcome::Withdrawn;
-  result.detail_ = "the replica takes no requests any more";
+  result.detail_ = aReason;
   return result;
 }
 
+/// Returns the length that a response declares; 0 if it declares none.
+std::uint64_t
+DeclaredLength(const HttpResponse& aHead)
+{
+  std::string_view text = aHead.Header("Content-Length");
+  std::uint64_t length = 0;
+  std::from_chars(text.data(), text.data() + text.size(), length);
+  return length;
+}
+
 /// Returns the id of a server-sent event, or "" if it has none.
 std::string_view
 EventIdOf(std::string_view aEvent)
@@ -217,6 +230,11 @@
 ForwardAttempt::Run(const Replica& aReplica, bool aReturnsFailures)
 {
   replicaId_ = aReplica.id_;
+  MemoryBudget::Part held(
+    resources_.memory_, MemoryBudget::Holder::Upstream, aReplica.id_);
+  if (!held.Resize(exchange_.Request().body_.size())) {
+    return MakeWithdrawn("requests to the replica hold too much memory");
+  }
   auto lease = Open(aReplica);
   if (!lease) {
     return MakeFailure(lease.error(), false);
@@ -227,7 +245,7 @@
     return MakeAbandoned(false);
   }
   if (isStopped_ || !hooks_.maySend_()) {
-    return MakeWithdrawn();
+    return MakeWithdrawn("the replica takes no requests any more");
   }
   connection_ = lease->connection_.get();
   exchange_.OnCallerDisconnect([this] { connection_->Cancel(); });
@@ -299,6 +317,8 @@
 ForwardAttempt::RelayWholeBody(HttpResponse aHead, bool aReturnsFailures)
 {
   BufferBudget::Share buffered(resources_.buffers_, replicaId_);
+  // Without this the body would be held twice whenever it outgrows its buffer.
+  aHead.body_.reserve(std::min(DeclaredLength(aHead), kMaxAnswerBytes));
   while (true) {
     auto part = ReadBodyPart();
     if (!part) {
@@ -326,9 +346,9 @@
     result.outcome_ = AttemptOutcome::Broken;
     result.detail_ = "status " + std::to_string(aHead.status_);
   } else if (aReturnsFailures && result.isServerError_) {
-    result.failure_ = MakeCallerResponse(aHead);
+    result.failure_ = MakeCallerResponse(std::move(aHead));
   } else {
-    exchange_.Respond(MakeCallerResponse(aHead));
+    exchange_.Respond(MakeCallerResponse(std::move(aHead)));
   }
   return result;
 }
@@ -371,6 +391,8 @@
 AttemptResult
 ForwardAttempt::RelayStream(const HttpResponse& aHead)
 {
+  BufferBudget::Share buffered(resources_.buffers_, replicaId_);
+  std::size_t mostBuffered = 0;
   if (exchange_.HasStarted() &&
       aHead.Header("Content-Type") != request_.streamType_) {
     AttemptResult result;
@@ -389,7 +411,11 @@
     if (!RelayEvents(aHead, **part)) {
       return MakeAbandoned(true);
     }
-    if (events_.PartialBytes() > kMaxEventBytes) {
+    std::size_t partial = events_.PartialBytes();
+    bool isBuffered =
+      partial <= mostBuffered || buffered.Take(partial - mostBuffered);
+    mostBuffered = std::max(mostBuffered, partial);
+    if (partial > kMaxEventBytes || !isBuffered) {
       return MakeFailure({ TransportFault::TooLarge, "an event doesn't end" },
                          true);
     }
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
@@ -42,6 +42,7 @@
 {
   ConnectionPool& pool_;
   BufferBudget& buffers_;
+  const std::shared_ptr<MemoryBudget>& memory_;
   const CallerProtocol& protocol_;
   Clock clock_;
 };
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
@@ -35,6 +35,10 @@
                                "over_rate",
                                "no grant of the organisation's rate in time",
                                kOverRateRetryAfter };
+const ForwardRefusal kOverMemory{ 503,
+                                  "out_of_memory",
+                                  "over the organisation's memory",
+                                  kDefaultRetryAfter };
 const ForwardRefusal kUnavailable{ 503,
                                    "unavailable",
                                    "no replica took it",
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
@@ -25,6 +25,8 @@
 /// The leader has not granted the request's cost in time, although the limit
 /// may have room.
 extern const ForwardRefusal kNoGrant;
+/// The organisation's requests hold too much memory here.
+extern const ForwardRefusal kOverMemory;
 extern const ForwardRefusal kUnavailable;
 extern const ForwardRefusal kBackingOff;
 extern const ForwardRefusal kQuarantined;
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <utility>
 
 namespace tanagerstall {
 
@@ -181,14 +182,14 @@
 }
 
 HttpResponse
-MakeCallerResponse(const HttpResponse& aFrom)
+MakeCallerResponse(HttpResponse aFrom)
 {
   HttpResponse response;
   response.status_ = aFrom.status_;
-  response.body_ = aFrom.body_;
-  for (const auto& header : aFrom.headers_) {
+  response.body_ = std::move(aFrom.body_);
+  for (auto& header : aFrom.headers_) {
     if (!IsConnectionField(header.name_)) {
-      response.headers_.push_back(header);
+      response.headers_.push_back(std::move(header));
     }
   }
   return response;
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -109,7 +109,7 @@
 
 /// Copies a replica's response for the caller, without hop-by-hop fields.
 HttpResponse
-MakeCallerResponse(const HttpResponse& aFrom);
+MakeCallerResponse(HttpResponse aFrom);
 
 } // namespace tanagerstall
 
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -54,7 +54,7 @@
   , clock_(std::move(aClock))
   , hooks_(std::move(aHooks))
   , pool_(clock_)
-  , buffers_(kBufferLimits)
+  , buffers_(kBufferLimits, settings_.memory_)
   , chooser_({ settings_.failureDomain_, settings_.regions_ },
              std::random_device()())
   , limits_(std::random_device()())
@@ -116,17 +116,21 @@
 }
 
 std::optional<HttpResponse>
-Forwarder::CheckOrganisation(ForwardedRequest& aRequest,
-                             const HttpRequest& aHttp)
+Forwarder::CheckOrganisation(HttpExchange& aExchange,
+                             ForwardedRequest& aRequest)
 {
+  const HttpRequest& http = aExchange.Request();
   if (!aRequest.plan_->organisations_ || aRequest.route_->isAnonymous_) {
     return std::nullopt;
   }
   aRequest.organisation_ =
-    aRequest.plan_->FindOrganisation(aHttp.Header(settings_.protocol_.key_));
+    aRequest.plan_->FindOrganisation(http.Header(settings_.protocol_.key_));
   if (aRequest.organisation_ == nullptr) {
     return Refuse(aRequest, kUnknownKey);
   }
+  if (!aExchange.HoldFor(aRequest.organisation_->name_)) {
+    return Refuse(aRequest, kOverMemory);
+  }
   return std::nullopt;
 }
 
@@ -235,7 +239,7 @@
   if (request.route_ == nullptr) {
     return tl::make_unexpected(Refuse(request, kNoRoute));
   }
-  if (auto refusal = CheckOrganisation(request, http)) {
+  if (auto refusal = CheckOrganisation(aExchange, request)) {
     return tl::make_unexpected(*refusal);
   }
   request.prompt_ = ReadPromptFacts(http, settings_.protocol_);
@@ -352,7 +356,7 @@
     TimePoint startedAt = clock_.Now();
     bool isSuccessCounted = false;
     ForwardAttempt attempt(
-      { pool_, buffers_, settings_.protocol_, clock_ },
+      { pool_, buffers_, settings_.memory_, settings_.protocol_, clock_ },
       aExchange,
       aRequest,
       { [&] {
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -37,6 +37,8 @@
   /// Retries that all entries together may make beyond that ratio.
   double retrySlack_ = 40.0;
   Duration usageWindow_ = std::chrono::seconds(5);
+  /// The process's memory for requests; without it only responses are bounded.
+  std::shared_ptr<MemoryBudget> memory_ = nullptr;
 };
 
 /// An entry's traffic statistics, as reported to control.
@@ -105,8 +107,8 @@
 
 private:
   tl::expected<ForwardedRequest, HttpResponse> Admit(HttpExchange& aExchange);
-  std::optional<HttpResponse> CheckOrganisation(ForwardedRequest& aRequest,
-                                                const HttpRequest& aHttp);
+  std::optional<HttpResponse> CheckOrganisation(HttpExchange& aExchange,
+                                                ForwardedRequest& aRequest);
   std::optional<HttpResponse> CheckRate(HttpExchange& aExchange,
                                         ForwardedRequest& aRequest);
   CostDecision AwaitCost(HttpExchange& aExchange,
--- a/src/tanagerstall/request/tanagerstall_member_api.cpp
+++ b/src/tanagerstall/request/tanagerstall_member_api.cpp
@@ -168,7 +168,7 @@
 {
   Fiber& fiber = aExchange.GetFiber();
   json::error_code error;
-  json::value body = json::parse(aExchange.Request().body_, error);
+  json::value body = json::parse(aExchange.Request().body_.Text(), error);
   if (error || !body.is_object()) {
     return Refuse(422, "bad_request", "a JSON object is expected");
   }
--- a/src/tanagerstall/request/tanagerstall_record_api.cpp
+++ b/src/tanagerstall/request/tanagerstall_record_api.cpp
@@ -173,7 +173,7 @@
 HttpResponse
 RecordApi::Apply(HttpExchange& aExchange) const
 {
-  auto request = ReadRecordRequest(aExchange.Request().body_);
+  auto request = ReadRecordRequest(aExchange.Request().body_.Text());
   if (!request) {
     return RefusedResponse(request.error());
   }
--- a/src/tanagerstall/request/tanagerstall_request_api.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_api.cpp
@@ -155,7 +155,7 @@
 HttpResponse
 RequestApi::Settle(HttpExchange& aExchange) const
 {
-  auto command = ReadSettlement(aExchange.Request().body_);
+  auto command = ReadSettlement(aExchange.Request().body_.Text());
   if (!command) {
     return RefusalResponse(400,
                            Outcome::NotRun,
--- a/src/tanagerstall/request/tanagerstall_service_call.cpp
+++ b/src/tanagerstall/request/tanagerstall_service_call.cpp
@@ -117,7 +117,7 @@
 ReadModelCall(const HttpRequest& aRequest, const Configuration& aConfiguration)
 {
   json::error_code error;
-  json::value body = json::parse(aRequest.body_, error);
+  json::value body = json::parse(aRequest.body_.Text(), error);
   const json::object* object = error ? nullptr : body.if_object();
   const json::value* model =
     object == nullptr ? nullptr : object->if_contains("model");
--- a/tests/completion_stream_tests.cpp
+++ b/tests/completion_stream_tests.cpp
@@ -34,7 +34,7 @@
 
   std::string Answer(const HttpRequest& aRequest) const
   {
-    json::object body = json::parse(aRequest.body_).as_object();
+    json::object body = json::parse(aRequest.body_.Text()).as_object();
     bool isChat = aRequest.target_ == "/v1/chat/completions";
     std::size_t first = PrefixWords(body, isChat);
     auto limit = static_cast<std::size_t>(body["max_tokens"].as_int64());
@@ -250,7 +250,7 @@
   *boost::unit_test::label("resume"))
 {
   HttpRequest request = Request(true, true, false);
-  json::value body = json::parse(request.body_);
+  json::value body = json::parse(request.body_.Text());
   body.as_object()["tools"] = json::array();
   request.body_ = json::serialize(body);
   CompletionStream stream(request);
--- a/tests/http_server_tests.cpp
+++ b/tests/http_server_tests.cpp
@@ -40,6 +40,7 @@
   limits.maxBodyBytes_ = 64;
   limits.maxConnections_ = 4;
   limits.requestTimeout_ = std::chrono::milliseconds(150);
+  limits.bodyIdleTimeout_ = std::chrono::milliseconds(150);
   limits.idleTimeout_ = std::chrono::seconds(30);
   return limits;
 }
--- a/tests/soak/tanagerstall_soak_operators.cpp
+++ b/tests/soak/tanagerstall_soak_operators.cpp
@@ -249,10 +249,10 @@
     platform::DecodeCloudCall(PathOf(request),
                               request.Header(platform::kLeaderHeader),
                               request.Header(platform::kFencingTokenHeader),
-                              request.body_);
+                              request.body_.Text());
   if (!call) {
     aEnvironment.AddFinding(
-      { "CLOUD", "malformed call to the cloud: " + request.body_ });
+      { "CLOUD", "malformed call to the cloud: " + request.body_.Text() });
     aExchange.Respond(JsonResponse(400, "{}"));
     return;
   }
