--- a/tools/scripts/install.sh
+++ b/tools/scripts/install.sh
@@ -5,7 +5,7 @@
   libtbb-dev libcapnp-dev capnproto libboost1.81-dev libboost-context1.81-dev
   libboost-program-options1.81-dev libboost-log1.81-dev libboost-test1.81-dev
   libboost-json1.81-dev libexpected-dev librapidcheck-dev libxxhash-dev libzstd-dev libssl-dev
-  ccache cmake ninja-build g++ clang-format clang-tidy jq curl
+  ccache cmake ninja-build g++ clang-format clang-tidy clang libclang-rt-14-dev jq curl
 )
 missing=()
 for package in "${packages[@]}"; do
