--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -114,23 +114,31 @@
            return aSelf.StartRollout(aFiber, aOrder);
          },
           [&aSelf](Fiber& aFiber) { return aSelf.ReadRollouts(aFiber); } })
-    , control_(threads_,
-               HttpLimits(),
-               [this, &aSelf](HttpExchange& aExchange) {
-                 if (auto response = rolloutApi_.Handle(aExchange)) {
-                   aExchange.Respond(*response);
-                   return;
-                 }
-                 hooks_.handleControl_(aExchange, aSelf);
-               })
-    , directory_(threads_,
-                 HttpLimits(),
-                 [this, &aSelf](HttpExchange& aExchange) {
-                   hooks_.handleDirectory_(aExchange, aSelf);
-                 })
-    , metrics_(threads_,
-               HttpLimits(),
-               [this](HttpExchange& aExchange) { ServeMetrics(aExchange); })
+    , clients_(std::make_shared<ClientLimits>(
+        MemoryBudget::DivideBytes(settings_.clients_.memoryBytes_)))
+    , control_(
+        threads_,
+        MakeHttpLimits(settings_.clients_),
+        [this, &aSelf](HttpExchange& aExchange) {
+          if (auto response = rolloutApi_.Handle(aExchange)) {
+            aExchange.Respond(*response);
+            return;
+          }
+          hooks_.handleControl_(aExchange, aSelf);
+        },
+        clients_)
+    , directory_(
+        threads_,
+        MakeHttpLimits(settings_.clients_),
+        [this, &aSelf](HttpExchange& aExchange) {
+          hooks_.handleDirectory_(aExchange, aSelf);
+        },
+        clients_)
+    , metrics_(
+        threads_,
+        MakeInternalHttpLimits(settings_.clients_),
+        [this](HttpExchange& aExchange) { ServeMetrics(aExchange); },
+        clients_)
     , tasks_(Severity::Error, "control task failed")
   {
     isBuilt_ = true;
@@ -170,6 +178,8 @@
   {
     auto gauges = OnLoop<Gauges>(
       loop_, aExchange.GetFiber(), [this] { return ReadGauges(); });
+    AddClientGauges(
+      gauges, *clients_, control_.Connections() + directory_.Connections());
     aExchange.Respond(
       MetricsResponse(aExchange.Request(), counters_.Collect(), gauges));
   }
@@ -621,6 +631,7 @@
   FleetServer entriesServer_;
   FleetClient peerClient_;
   RolloutApi rolloutApi_;
+  std::shared_ptr<ClientLimits> clients_;
   HttpServer control_;
   HttpServer directory_;
   Metrics counters_;
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.hpp
@@ -31,6 +31,7 @@
   /// How long a leader's directive on a roll-out is followed.
   Duration directiveLease_ = kDirectiveLease;
   ForwarderSettings forwarder_;
+  ClientSettings clients_;
 };
 
 /// The functions that differ between deployments.
