--- a/src/tanagerstall/process/tanagerstall_rollout_api.cpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_api.cpp
@@ -118,7 +118,7 @@
 HttpResponse
 RolloutApi::Start(HttpExchange& aExchange) const
 {
-  auto order = ReadOrder(aExchange.Request().body_);
+  auto order = ReadOrder(aExchange.Request().body_.Text());
   if (!order) {
     return RefusalResponse(
       400, Outcome::NotRun, "malformed_body", order.error());
