--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -167,8 +167,8 @@
   /// revision of them.
   std::optional<std::vector<RolloutDirective>> rollouts_;
   std::uint64_t rolloutRevision_ = 0;
-  /// The number of long responses for which replicas are to be reserved, by
-  /// service; sent by the leader only.
+  /// The number of long responses for which replicas are to be reserved, for
+  /// services of which not the usual part is; sent by the leader only.
   std::map<std::string, std::uint32_t> longResponses_;
   /// The sums over all entries; sent by the leader only.
   AdmissionSumsByService admission_;
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -262,7 +262,7 @@
   rolloutRevision @20 :UInt64;
   longResponses @21 :List(NamedCount);
   # Sent by the leader: for how many long responses of a service replicas are to
-  # be reserved.
+  # be reserved. Of a service that is left out the usual part is.
   admission @22 :List(AdmissionSums);
   # Sent by the leader.
   packedReplicas @23 :Data;
--- a/src/tanagerstall/process/tanagerstall_entry_loads.cpp
+++ b/src/tanagerstall/process/tanagerstall_entry_loads.cpp
@@ -134,15 +134,19 @@
     return longResponses_;
   }
   longResponsesAt_ = aNow;
+  longResponses_.clear();
   for (auto& [service, timeliness] : timeliness_) {
     auto& [longOnes, others, demand] = timeliness;
     longOnes.Update(aNow);
     others.Update(aNow);
-    longResponses_[service] =
+    auto reserved =
       demand.Update(LongRunning(service),
                     ShareOf(longOnes.latePerSecond_, longOnes.inTimePerSecond_),
                     ShareOf(others.latePerSecond_, others.inTimePerSecond_),
                     aNow);
+    if (reserved) {
+      longResponses_[service] = *reserved;
+    }
   }
   return longResponses_;
 }
--- a/src/tanagerstall/process/tanagerstall_entry_loads.hpp
+++ b/src/tanagerstall/process/tanagerstall_entry_loads.hpp
@@ -30,8 +30,8 @@
   const RequestRates& Rates() const { return rates_; }
   /// The requests that all entries run at the replicas of a service.
   std::uint32_t Running(const std::string& aService) const;
-  /// The number of long responses for which replicas are to be reserved, by
-  /// service.
+  /// The number of long responses for which replicas are to be reserved, for
+  /// services of which not the usual part is.
   const std::map<std::string, std::uint32_t>& LongResponses(TimePoint aNow);
   /// The share of all recent responses of a service that were late.
   LateShare AllLate(const std::string& aService) const;
--- a/src/tanagerstall/process/tanagerstall_long_response_demand.cpp
+++ b/src/tanagerstall/process/tanagerstall_long_response_demand.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-std::uint32_t
+std::optional<std::uint32_t>
 LongResponseDemand::Update(std::uint32_t aRunning,
                            LateShare aLong,
                            LateShare aOthers,
@@ -32,10 +32,14 @@
   double rate = 0.0;
   if (aLong && aOthers && *aOthers > *aLong + kTolerance) {
     rate = -kRatePerSecond;
-  } else if (!aOthers || !aLong || *aLong > *aOthers + kTolerance) {
+  } else if (!aOthers || !aLong || *aOthers < kTolerance ||
+             *aLong > *aOthers + kTolerance) {
     rate = kRatePerSecond;
   }
   part_ = std::clamp(part_ * std::exp(rate * elapsed.count()), kMinPart, 1.0);
+  if (part_ == 1.0) {
+    return std::nullopt;
+  }
   return static_cast<std::uint32_t>(std::lround(part_ * aRunning));
 }
 
--- a/src/tanagerstall/process/tanagerstall_long_response_demand.hpp
+++ b/src/tanagerstall/process/tanagerstall_long_response_demand.hpp
@@ -12,19 +12,19 @@
 /// latencies; nullopt if there were too few of them.
 using LateShare = std::optional<double>;
 
-/// For how many long responses of a service replicas are reserved: for those in
-/// progress, but for fewer while the other requests of the service are late
-/// more often than the long ones. Designed for long prompts with a high
-/// priority that queue beside replicas which long responses don't fill. Reads
-/// no clock.
+/// Decides for how many long responses of a service replicas are reserved while
+/// the other requests of the service are late more often than the long ones:
+/// for those in progress, then for fewer. At other times the usual part of the
+/// replicas is reserved. Designed for long prompts with a high priority that
+/// queue beside replicas which long responses don't fill. Reads no clock.
 class LongResponseDemand
 {
 public:
-  /// Returns the number to reserve for.
-  std::uint32_t Update(std::uint32_t aRunning,
-                       LateShare aLong,
-                       LateShare aOthers,
-                       TimePoint aNow);
+  /// Returns the number to reserve for; nullopt for the usual part.
+  std::optional<std::uint32_t> Update(std::uint32_t aRunning,
+                                      LateShare aLong,
+                                      LateShare aOthers,
+                                      TimePoint aNow);
 
 private:
   double part_ = 1.0;
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -222,6 +222,9 @@
 std::optional<HttpResponse>
 Forwarder::CheckAdmission(const ForwardedRequest& aRequest)
 {
+  if (!settings_.hasAdmission_) {
+    return std::nullopt;
+  }
   auto refusal = RefuseByAdmission(admission_, aRequest, clock_.Now());
   if (!refusal) {
     return std::nullopt;
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -41,6 +41,8 @@
   Duration usageWindow_ = std::chrono::seconds(5);
   /// The process's memory for requests; without it only responses are bounded.
   std::shared_ptr<MemoryBudget> memory_ = nullptr;
+  /// Whether requests are refused while replicas have too little capacity.
+  bool hasAdmission_ = false;
 };
 
 /// An entry's traffic statistics, as reported to control.
--- a/src/tanagerstall/request/tanagerstall_long_answer_share.cpp
+++ b/src/tanagerstall/request/tanagerstall_long_answer_share.cpp
@@ -33,11 +33,27 @@
     std::clamp(aLongResponses / (kSlotUse * static_cast<double>(aSlots)),
                kMinShare,
                kMaxShare);
+  Approach(aService, needed, aNow);
+}
+
+void
+LongAnswerShare::Reset(const std::string& aService, TimePoint aNow)
+{
+  if (shares_.contains(aService)) {
+    Approach(aService, kMaxShare, aNow);
+  }
+}
+
+void
+LongAnswerShare::Approach(const std::string& aService,
+                          double aShare,
+                          TimePoint aNow)
+{
   auto [it, isNew] = shares_.try_emplace(aService, Smoothed{ kMaxShare, aNow });
   Smoothed& smoothed = it->second;
   std::chrono::duration<double> elapsed = aNow - smoothed.updatedAt_;
   smoothed.share_ +=
-    (needed - smoothed.share_) * (1.0 - std::exp(-(elapsed / kSmoothingTime)));
+    (aShare - smoothed.share_) * (1.0 - std::exp(-(elapsed / kSmoothingTime)));
   smoothed.updatedAt_ = aNow;
 }
 
--- a/src/tanagerstall/request/tanagerstall_long_answer_share.hpp
+++ b/src/tanagerstall/request/tanagerstall_long_answer_share.hpp
@@ -9,10 +9,8 @@
 
 namespace tanagerstall {
 
-/// The part of each service's replicas that is reserved for long responses:
-/// what as many as the leader names need. A larger part would take
-/// replicas from requests that may be more urgent, a smaller one would make
-/// long responses wait. Reads no clock.
+/// The part of each service's replicas that is reserved for long responses: a
+/// fifth, or what as many of them as the leader names need. Reads no clock.
 class LongAnswerShare
 {
 public:
@@ -22,6 +20,8 @@
               std::uint32_t aLongResponses,
               std::uint64_t aSlots,
               TimePoint aNow);
+  /// The usual part is reserved again.
+  void Reset(const std::string& aService, TimePoint aNow);
   double Of(const std::string& aService) const;
 
 private:
@@ -31,6 +31,8 @@
     TimePoint updatedAt_;
   };
 
+  void Approach(const std::string& aService, double aShare, TimePoint aNow);
+
   std::map<std::string, Smoothed> shares_;
 };
 
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -139,16 +139,17 @@
   const std::map<std::string, std::uint32_t>& aLongResponses,
   TimePoint aNow)
 {
-  for (const auto& [service, count] : aLongResponses) {
-    auto it = replicas_->find(service);
-    if (it == replicas_->end()) {
+  for (const auto& [service, replicas] : *replicas_) {
+    auto count = aLongResponses.find(service);
+    if (count == aLongResponses.end()) {
+      longAnswerShare_.Reset(service, aNow);
       continue;
     }
     std::uint64_t slots = 0;
-    for (const auto& replica : it->second) {
+    for (const auto& replica : replicas) {
       slots += replica.slots_;
     }
-    longAnswerShare_.Update(service, count, slots, aNow);
+    longAnswerShare_.Update(service, count->second, slots, aNow);
   }
   PartitionReplicas();
 }
--- a/tests/admission_forward_tests.cpp
+++ b/tests/admission_forward_tests.cpp
@@ -33,6 +33,7 @@
   /// The age of these sums.
   Duration age_;
   bool isRefused_;
+  bool isOn_ = true;
 };
 
 std::ostream&
@@ -47,6 +48,7 @@
   { "free slots", "/safe/x", 5000.0, 7, 0ms, false },
   { "old sums", "/safe/x", 5000.0, 40, 1100ms, false },
   { "route without a target", "/plain/x", 5000.0, 40, 0ms, false },
+  { "admission switched off", "/safe/x", 5000.0, 40, 0ms, false, false },
 };
 
 void
@@ -77,7 +79,7 @@
   Script script{ WithHeader(kWhole, "Connection: close\r\n"), After::Close };
   script.isParallel_ = true;
   ScriptedUpstream upstream(script);
-  Environment environment({}, kEngine);
+  Environment environment({}, kEngine, 1, sample.isOn_);
   int refused = 0;
   for (int i = 0; i < kCalls; ++i) {
     SetUp(environment, upstream, sample);
--- a/tests/long_answer_share_tests.cpp
+++ b/tests/long_answer_share_tests.cpp
@@ -1,6 +1,7 @@
 // A service with few long responses beside many long prompts: replicas that are
 // reserved for the long responses and stay mostly idle.
 #define BOOST_TEST_MODULE long_answer_share
+#include "tanagerstall/process/tanagerstall_long_response_demand.hpp"
 #include "tanagerstall/request/tanagerstall_long_answer_share.hpp"
 #include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
 
@@ -124,3 +125,63 @@
   }
   BOOST_TEST(share.Of(kService) < 0.06);
 }
+
+namespace {
+
+struct LatenessCase
+{
+  const char* name_;
+  LateShare long_;
+  LateShare others_;
+  /// What is reserved for after 60 s, with 100 long responses in progress;
+  /// nullopt for the usual part.
+  std::optional<std::uint32_t> reserved_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const LatenessCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<LatenessCase> kLatenessCases{
+  { "no responses", {}, {}, {} },
+  { "all in time", 0.0, 0.0, {} },
+  { "long ones late", 0.5, 0.1, {} },
+  { "others late", 0.1, 0.5, 50 },
+  { "as late as each other", 0.3, 0.3, {} },
+};
+
+} // namespace
+
+// Guards against a rank order that turns round: long responses in time beside
+// more urgent requests that are late, and the reverse.
+BOOST_TEST_DECORATOR(*boost::unit_test::label("routing"))
+BOOST_DATA_TEST_CASE(The_reserved_part_falls_while_the_others_are_late,
+                     data::make(kLatenessCases),
+                     row)
+{
+  LongResponseDemand demand;
+  std::optional<std::uint32_t> reserved;
+  for (Duration passed = 0s; passed < 60s; passed += 100ms) {
+    reserved = demand.Update(100, row.long_, row.others_, kStart + passed);
+  }
+  BOOST_TEST((reserved == row.reserved_));
+}
+
+// Guards against a part that stays small once the load is over.
+BOOST_DATA_TEST_CASE(The_usual_part_is_reserved_again,
+                     data::make({ 0.0, 0.5 }),
+                     lateLong)
+{
+  LongResponseDemand demand;
+  TimePoint now = kStart;
+  for (; now < kStart + 20s; now += 100ms) {
+    demand.Update(100, 0.0, 0.5, now);
+  }
+  BOOST_TEST(demand.Update(100, 0.0, 0.5, now).has_value());
+  for (; now < kStart + 40s; now += 100ms) {
+    demand.Update(100, lateLong, 0.0, now);
+  }
+  BOOST_TEST(!demand.Update(100, lateLong, 0.0, now).has_value());
+}
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -356,6 +356,7 @@
   { "listen.front=10.1.0.14:8221", "listen.front=here", "listen.front" },
   { "bounds.graceS=8", "bounds.graceS=soon", "bounds.graceS" },
   { "new.field=1", "bounds.rollbackMs=soon", "bounds.rollbackMs" },
+  { "new.field=1", "admission=maybe", "admission" },
   { "internalPortRange=7600,7615", "internalPortRange=x", "internalPortRange" },
 };
 
--- a/tests/tanagerstall_forwarder_environment.hpp
+++ b/tests/tanagerstall_forwarder_environment.hpp
@@ -237,9 +237,17 @@
 {
   explicit Environment(const std::vector<const ScriptedUpstream*>& aUpstreams,
                        const std::string& aDocument = kDocument,
-                       std::uint32_t aShareDivisor = 1)
+                       std::uint32_t aShareDivisor = 1,
+                       bool aHasAdmission = false)
     : threads_(1)
-    , forwarder_({ platform::MakeCallerProtocol(), "a", {}, 0.2, 100.0, 5s },
+    , forwarder_({ platform::MakeCallerProtocol(),
+                   "a",
+                   {},
+                   0.2,
+                   100.0,
+                   5s,
+                   nullptr,
+                   aHasAdmission },
                  Clock(),
                  { ReadWallTime, [] {} })
     , server_(threads_, {}, [this](HttpExchange& aExchange) {
