--- a/tests/fleet_client_tests.cpp
+++ b/tests/fleet_client_tests.cpp
@@ -10,6 +10,7 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <capnp/message.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
@@ -149,3 +150,64 @@
     BOOST_TEST(read.rolloutRevision_ == 42U);
   }
 }
+
+namespace {
+
+/// Returns a message as a build writes it whose types end with the last field
+/// that is set here: canonical messages leave out trailing unset fields.
+template<typename Builder>
+kj::Array<capnp::word>
+WriteShortened(Builder aMessage)
+{
+  return capnp::canonicalize(aMessage.asReader());
+}
+
+} // namespace
+
+// Guards against a leader that takes missing fields of an older entry for
+// counts of a roll-out, for a revision that it follows, or for the ability to
+// read compressed replicas.
+BOOST_AUTO_TEST_CASE(A_report_of_an_older_build_is_read_with_safe_values)
+{
+  capnp::MallocMessageBuilder message;
+  auto wire = message.initRoot<wire::SyncRequest>();
+  wire.initEntry().setId("e");
+  wire.setRateRevision(5);
+  auto words = WriteShortened(wire);
+  kj::ArrayPtr<const capnp::word> segment = words;
+  capnp::SegmentArrayMessageReader reader(kj::arrayPtr(&segment, 1));
+  auto report = ReadReport(reader.getRoot<wire::SyncRequest>());
+  BOOST_TEST(report.entry_.id_ == "e");
+  BOOST_TEST(report.rateRevision_ == 5U);
+  BOOST_TEST(report.rolloutCounts_.empty());
+  BOOST_TEST(report.rolloutRevision_ == 0U);
+  BOOST_TEST(report.admission_.empty());
+  BOOST_TEST(!report.readsPackedReplicas_);
+}
+
+// Guards against an entry that ends its roll-outs because a control process of
+// an older build names none, and against one that takes this process for able
+// to apply their commands.
+BOOST_AUTO_TEST_CASE(An_answer_of_an_older_build_is_read_with_safe_values)
+{
+  capnp::MallocMessageBuilder message;
+  auto wire = message.initRoot<wire::SyncReply>();
+  auto replica = wire.initReplicas(1)[0];
+  replica.setId("r1");
+  replica.setSlots(8);
+  wire.setRateRevision(5);
+  auto words = WriteShortened(wire);
+  kj::ArrayPtr<const capnp::word> segment = words;
+  capnp::SegmentArrayMessageReader reader(kj::arrayPtr(&segment, 1));
+  auto answer = ReadAnswer(reader.getRoot<wire::SyncReply>());
+  BOOST_TEST(answer.rateRevision_ == 5U);
+  BOOST_TEST_REQUIRE(answer.replicas_.changed_.size() == 1U);
+  BOOST_TEST(answer.replicas_.changed_[0].id_ == "r1");
+  BOOST_TEST(answer.replicas_.changed_[0].slots_ == 8U);
+  BOOST_TEST(answer.replicas_.changed_[0].version_.empty());
+  BOOST_TEST(!answer.rollouts_);
+  BOOST_TEST(answer.rolloutRevision_ == 0U);
+  BOOST_TEST(!answer.appliesRollouts_);
+  BOOST_TEST(answer.longResponses_.empty());
+  BOOST_TEST(answer.admission_.empty());
+}
