--- a/src/tanagerstall/request/tanagerstall_long_answer_share.cpp
+++ b/src/tanagerstall/request/tanagerstall_long_answer_share.cpp
@@ -12,9 +12,9 @@
 constexpr double kSlotUse = 0.7;
 /// Reserved at most, also until the demand is known.
 constexpr double kMaxShare = 0.2;
-/// Reserved at least, since a long response takes no room from the others only
-/// while it has a replica to go to.
-constexpr double kMinShare = 0.05;
+/// Reserved at least: with a twentieth long responses waited for each other for
+/// seconds, and the others gained little.
+constexpr double kMinShare = 0.12;
 /// The time in which the share follows a change of the demand.
 constexpr std::chrono::duration<double> kSmoothingTime{ 2.0 };
 
