--- a/tests/processes/tanagerstall_untrusted_clients.cpp
+++ b/tests/processes/tanagerstall_untrusted_clients.cpp
@@ -238,6 +238,7 @@
   auto movedAt = Clock::now();
   while (Clock::now() < movedAt + kQuiet) {
     std::vector<pollfd> wanted;
+    wanted.reserve(aCrowd.size());
     for (auto& client : aCrowd) {
       wanted.push_back(client.Wanted());
     }
