Take capacity by lateness out again

The placement expected fewer requests on a replica while a fifth of the responses was late. The placement is as it was before.

--- a/src/tanagerstall/process/tanagerstall_entry_loads.cpp
+++ b/src/tanagerstall/process/tanagerstall_entry_loads.cpp
@@ -115,18 +115,6 @@
   return all < kMinResponseRate ? std::nullopt : LateShare(aLate / all);
 }
 
-LateShare
-EntryLoads::AllLate(const std::string& aService) const
-{
-  auto it = timeliness_.find(aService);
-  if (it == timeliness_.end()) {
-    return std::nullopt;
-  }
-  const auto& [longOnes, others, demand] = it->second;
-  return ShareOf(longOnes.latePerSecond_ + others.latePerSecond_,
-                 longOnes.inTimePerSecond_ + others.inTimePerSecond_);
-}
-
 const std::map<std::string, std::uint32_t>&
 EntryLoads::LongResponses(TimePoint aNow)
 {
@@ -196,7 +184,6 @@
     input.running_ = aLoads.Running(name);
     input.withdrawn_ =
       WithdrawnCapacity(replicas, aNamed, aLoads.ArrivalRate(name, aNow));
-    input.lateShare_ = aLoads.AllLate(name);
     inputs.push_back(std::move(input));
   }
   return inputs;
--- a/src/tanagerstall/process/tanagerstall_entry_loads.hpp
+++ b/src/tanagerstall/process/tanagerstall_entry_loads.hpp
@@ -33,8 +33,6 @@
   /// The number of long responses for which replicas are to be reserved, for
   /// services of which not the usual part is.
   const std::map<std::string, std::uint32_t>& LongResponses(TimePoint aNow);
-  /// The share of all recent responses of a service that were late.
-  LateShare AllLate(const std::string& aService) const;
 
 private:
   RequestRates rates_;
--- a/src/tanagerstall/process/tanagerstall_replica_placement.cpp
+++ b/src/tanagerstall/process/tanagerstall_replica_placement.cpp
@@ -13,18 +13,6 @@
 /// The part of a replica's slots that should be in use, so that requests that
 /// come at the same time find one free.
 constexpr double kSlotUse = 0.75;
-/// A replica runs fewer requests at once than usual while a larger share of the
-/// responses is late, and as many as usual again once it is smaller than the
-/// second one: prompts that take long to read leave less room for others than
-/// their number tells.
-constexpr double kLateShare = 0.2;
-constexpr double kInTimeShare = 0.1;
-/// How fast that number falls and rises, as exponential rates per second. A
-/// replica takes seconds to start, so it is better to have too many for a while
-/// than to follow each wave.
-constexpr double kUseFallPerSecond = 0.08;
-constexpr double kUseRisePerSecond = 0.01;
-constexpr double kMinReplicaUse = 0.9;
 /// The fraction of the replicas ready at the start that is assumed to be needed
 /// until traffic shows the need.
 constexpr double kInitialNeedShare = 1.0;
@@ -124,26 +112,6 @@
   return hasSettled || aInput.running_ > 0;
 }
 
-void
-ReplicaPlacement::UpdateReplicaUse(Service& aService,
-                                   const PlacementInput& aInput,
-                                   double aElapsedSeconds)
-{
-  if (!aInput.lateShare_) {
-    return;
-  }
-  double rate = 0.0;
-  if (*aInput.lateShare_ > kLateShare) {
-    rate = -kUseFallPerSecond;
-  } else if (*aInput.lateShare_ < kInTimeShare) {
-    rate = kUseRisePerSecond;
-  }
-  aService.replicaUse_ =
-    std::clamp(aService.replicaUse_ * std::exp(rate * aElapsedSeconds),
-               kMinReplicaUse,
-               1.0);
-}
-
 void
 ReplicaPlacement::UpdateNeed(Service& aService,
                              const PlacementInput& aInput,
@@ -156,14 +124,12 @@
   } else if (aInput.running_ > 0) {
     double elapsed = InSeconds(aNow - aService.neededAt_);
     aService.needed_ *= std::exp(-kNeedDecayPerSecond * elapsed);
-    UpdateReplicaUse(aService, aInput, elapsed);
   }
   aService.neededAt_ = aNow;
   aService.needed_ =
     std::max({ aService.needed_,
                kMinNeeded,
-               aInput.running_ /
-                 (RequestsPerReplica(aInput.slots_) * aService.replicaUse_) });
+               aInput.running_ / RequestsPerReplica(aInput.slots_) });
 }
 
 /// Raises the target at once, and lowers it only after fewer replicas have
--- a/src/tanagerstall/process/tanagerstall_replica_placement.hpp
+++ b/src/tanagerstall/process/tanagerstall_replica_placement.hpp
@@ -6,7 +6,6 @@
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,9 +32,6 @@
   /// The capacity, in replicas, that present ones withdraw since they take
   /// fewer requests than their equal part.
   double withdrawn_ = 0.0;
-  /// The share of responses that begin later than their routes' target
-  /// latencies, if it is known.
-  std::optional<double> lateShare_{};
 };
 
 /// Decides how many replicas of each kind to order in each failure domain.
@@ -84,9 +80,6 @@
     TimePoint mostReadySince_;
     double needed_ = 0.0;
     TimePoint neededAt_;
-    /// The part of the usual number of requests that a replica is expected to
-    /// run at once. It falls while responses are late.
-    double replicaUse_ = 1.0;
     /// By failure domain and whether the replicas are reclaimable.
     std::map<std::pair<std::string, bool>, OrderState> orderStates_;
   };
@@ -94,9 +87,6 @@
   static bool IsStarted(Service& aService,
                         const PlacementInput& aInput,
                         TimePoint aNow);
-  static void UpdateReplicaUse(Service& aService,
-                               const PlacementInput& aInput,
-                               double aElapsedSeconds);
   static void UpdateNeed(Service& aService,
                          const PlacementInput& aInput,
                          TimePoint aNow);
