Log suspensions of the machine, and how old and how long leader tasks' calls are

`control thread delayed` now says for how long the machine was suspended, and is also written when only that time passed; `replicas ordered` and `usage reported` say how old the confirmation by a quorum was when the call began, how long it took and why it got no answer.

WholeMilliseconds() stood in two sources; it is in the clock's header now.

--- a/src/tanagerstall/process/tanagerstall_clock.cpp
+++ b/src/tanagerstall/process/tanagerstall_clock.cpp
@@ -1,9 +1,23 @@
 #include "tanagerstall/process/tanagerstall_clock.hpp"
 
+#include <ctime>
 #include <utility>
 
 namespace tanagerstall {
 
+namespace {
+
+Duration
+ReadTime(clockid_t aClock)
+{
+  timespec time{};
+  ::clock_gettime(aClock, &time);
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::nanoseconds(time.tv_nsec);
+}
+
+} // namespace
+
 Clock::Clock()
   : now_(&std::chrono::steady_clock::now)
 {
@@ -20,6 +34,13 @@
   return Clock([this] { return now_; });
 }
 
+Duration
+ReadSuspendedTime()
+{
+  // Only one of the two clocks counts that time.
+  return ReadTime(CLOCK_BOOTTIME) - ReadTime(CLOCK_MONOTONIC);
+}
+
 WallTime
 ReadWallTime()
 {
--- a/src/tanagerstall/process/tanagerstall_clock.hpp
+++ b/src/tanagerstall/process/tanagerstall_clock.hpp
@@ -2,6 +2,7 @@
 #define TANAGERSTALL_CLOCK_HPP_INCLUDED
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 
 namespace tanagerstall {
@@ -23,6 +24,12 @@
   return std::chrono::duration<double, std::milli>(aTime).count();
 }
 
+inline std::int64_t
+WholeMilliseconds(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
 /// A monotonic time source. Copies read the same source.
 class Clock
 {
@@ -53,6 +60,10 @@
   TimePoint now_{ std::chrono::hours(1) };
 };
 
+/// Returns for how long the machine was suspended since it started.
+Duration
+ReadSuspendedTime();
+
 /// Returns the system time, for records that people read and for the times in
 /// orders of operators. Events of different processes are ordered by it in two
 /// places, both of roll-outs. The window in which an order counts as repeated
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -484,7 +484,7 @@
     return timer_.afterDelay(kTickInterval.count() * kj::MILLISECONDS)
       .then([this] {
         TimePoint now = clock_.Now();
-        if (auto lag = loopDelay_.Observe(now)) {
+        if (auto lag = loopDelay_.Observe(now, ReadSuspendedTime())) {
           LogLag(*lag);
         }
         ExpireReplicas(now);
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -409,7 +409,7 @@
     return timer_.afterDelay(kTickInterval.count() * kj::MILLISECONDS)
       .then([this]() -> kj::Promise<void> {
         TimePoint now = clock_.Now();
-        if (auto lag = loopDelay_.Observe(now)) {
+        if (auto lag = loopDelay_.Observe(now, ReadSuspendedTime())) {
           LogLag(*lag);
         }
         PublishReplicas(now);
--- a/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
+++ b/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
@@ -19,6 +19,13 @@
 /// The number of most recent ended windows that are still reported.
 constexpr std::int64_t kMaxReportedWindows = 4;
 
+/// Why a call got no answer; empty if it got one.
+std::string
+ErrorOf(const CloudCalls::Result& aResult)
+{
+  return aResult ? "" : aResult.error().detail_;
+}
+
 } // namespace
 
 LeaderTasks::LeaderTasks(LeaderTaskSettings aSettings,
@@ -80,7 +87,7 @@
       lease_.Confirm(term, requestedAt);
     }
     token_ = lease_.Token(clock_.Now()).value_or(0);
-    actUntil_ = requestedAt + kConfirmationValidity;
+    confirmedAt_ = requestedAt;
     aDone(token_ != 0);
   };
   member_.Query(GroupName::Configuration, {}, confirm);
@@ -89,7 +96,8 @@
 bool
 LeaderTasks::CanAct() const
 {
-  return token_ != 0 && clock_.Now() < actUntil_.load();
+  return token_ != 0 &&
+         clock_.Now() < confirmedAt_.load() + kConfirmationValidity;
 }
 
 void
@@ -131,6 +139,8 @@
                        const PlacementInput& aInput)
 {
   FencingToken token{ settings_.id_, token_ };
+  TimePoint begunAt = clock_.Now();
+  Duration confirmed = begunAt - confirmedAt_.load();
   auto answer = hooks_.cloud_.orderReplicas_(
     aFiber, token, aOrder, [this] { return CanAct(); });
   const auto& domain = aInput.domains_.at(aOrder.failureDomain_);
@@ -146,7 +156,10 @@
              { "running", aInput.running_ },
              { "withdrawn", aInput.withdrawn_ },
              { "fence", token.fence_ },
-             { "answer", answer ? static_cast<int>(*answer) : -1 } });
+             { "confirmed_ms", WholeMilliseconds(confirmed) },
+             { "took_ms", WholeMilliseconds(clock_.Now() - begunAt) },
+             { "answer", answer ? static_cast<int>(*answer) : -1 },
+             { "error", ErrorOf(answer) } });
   placement_.OnAnswer(
     aOrder, answer.value_or(CloudAnswer::TryLater), clock_.Now());
 }
@@ -190,6 +203,8 @@
   }
   UsageWindow usage = FleetState::DecodeUsage(*agreed);
   FencingToken token{ settings_.id_, token_ };
+  TimePoint begunAt = clock_.Now();
+  Duration confirmed = begunAt - confirmedAt_.load();
   auto answer = hooks_.cloud_.reportUsage_(
     aFiber, token, usage, [this] { return CanAct(); });
   bool isAccepted = answer && *answer == CloudAnswer::Accepted;
@@ -197,7 +212,10 @@
            "usage reported",
            { { "window", *window },
              { "fence", token.fence_ },
-             { "accepted", isAccepted } });
+             { "confirmed_ms", WholeMilliseconds(confirmed) },
+             { "took_ms", WholeMilliseconds(clock_.Now() - begunAt) },
+             { "accepted", isAccepted },
+             { "error", ErrorOf(answer) } });
   if (isAccepted || (answer && *answer == CloudAnswer::Refused)) {
     lastReportedWindow_ = *window;
   }
--- a/src/tanagerstall/process/tanagerstall_leader_tasks.hpp
+++ b/src/tanagerstall/process/tanagerstall_leader_tasks.hpp
@@ -77,7 +77,8 @@
   RaftMember& member_;
   LeaderLease lease_;
   std::atomic<Term> token_{ 0 };
-  std::atomic<TimePoint> actUntil_{ TimePoint() };
+  /// When the last confirmation by a quorum was requested.
+  std::atomic<TimePoint> confirmedAt_{ TimePoint() };
   /// Accessed by the fiber of Run() only, like `placement_`.
   std::int64_t lastReportedWindow_ = 0;
   ReplicaPlacement placement_;
--- a/src/tanagerstall/process/tanagerstall_loop_delay.cpp
+++ b/src/tanagerstall/process/tanagerstall_loop_delay.cpp
@@ -19,22 +19,26 @@
 }
 
 std::optional<LoopDelay::Lag>
-LoopDelay::Observe(TimePoint aNow)
+LoopDelay::Observe(TimePoint aNow, Duration aSuspended)
 {
+  bool isFirst = !observedAt_;
   Duration delay = aNow - observedAt_.value_or(aNow - interval_) - interval_;
+  Duration suspended = isFirst ? Duration::zero() : aSuspended - suspended_;
   observedAt_ = aNow;
-  Lag lag{ delay, std::exchange(reports_, 0) };
-  return delay > kTolerated ? std::optional(lag) : std::nullopt;
+  suspended_ = aSuspended;
+  Lag lag{ delay, suspended, std::exchange(reports_, 0) };
+  bool isLag = delay > kTolerated || suspended > kTolerated;
+  return isLag ? std::optional(lag) : std::nullopt;
 }
 
 void
 LogLag(const LoopDelay::Lag& aLag)
 {
-  auto delay =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aLag.delay_);
   LogEvent(Severity::Warning,
            "control thread delayed",
-           { { "delay_ms", delay.count() }, { "reports", aLag.reports_ } });
+           { { "delay_ms", WholeMilliseconds(aLag.delay_) },
+             { "suspended_ms", WholeMilliseconds(aLag.suspended_) },
+             { "reports", aLag.reports_ } });
 }
 
 } // namespace tanagerstall
--- a/src/tanagerstall/process/tanagerstall_loop_delay.hpp
+++ b/src/tanagerstall/process/tanagerstall_loop_delay.hpp
@@ -9,8 +9,8 @@
 namespace tanagerstall {
 
 /// Detects that a control thread falls behind: a periodic task of it runs late
-/// when the thread has more work than its share of the processor. Reads no
-/// clock.
+/// when the thread has more work than its share of the processor, or when the
+/// machine was suspended. Reads no clock.
 class LoopDelay
 {
 public:
@@ -19,6 +19,8 @@
   {
     /// By how much the periodic task was late.
     Duration delay_{ 0 };
+    /// For how long the machine was suspended.
+    Duration suspended_{ 0 };
     /// Reports handled since the task ran last.
     std::uint32_t reports_ = 0;
   };
@@ -27,12 +29,14 @@
   explicit LoopDelay(Duration aInterval);
 
   void CountReport() { ++reports_; }
-  /// Call it at each run of the task. Returns the lag if it is one.
-  std::optional<Lag> Observe(TimePoint aNow);
+  /// Call it at each run of the task, with the whole time for which the machine
+  /// was suspended since it started. Returns the lag if it is one.
+  std::optional<Lag> Observe(TimePoint aNow, Duration aSuspended);
 
 private:
   Duration interval_;
   std::optional<TimePoint> observedAt_;
+  Duration suspended_{ 0 };
   std::uint32_t reports_ = 0;
 };
 
--- a/src/tanagerstall/request/tanagerstall_request_admission.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_admission.cpp
@@ -27,12 +27,6 @@
   return described;
 }
 
-std::int64_t
-WholeMilliseconds(Duration aTime)
-{
-  return std::chrono::duration_cast<Milliseconds>(aTime).count();
-}
-
 void
 LogNotAdmitted(const ForwardedRequest& aRequest,
                const AdmissionDecision& aDecision,
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-std::int64_t
-WholeMilliseconds(Duration aTime)
-{
-  return std::chrono::duration_cast<Milliseconds>(aTime).count();
-}
-
 std::string_view
 RouteOf(const ForwardedRequest& aRequest)
 {
