Count the time in which the machine is suspended

The clock of a process read CLOCK_MONOTONIC, which stands still while the machine is suspended. A leader that was suspended shortly after a quorum had confirmed it woke with a confirmation that was valid for up to 600 ms more, long after its successor had begun to act, and leases of rates, shares and absences of replicas were prolonged in the same way.

Class: a lease whose holder and grantors measure time by clocks that don't agree. Clock reads CLOCK_BOOTTIME now, so that everything that expires by it also expires during a suspension, as it did during a freeze. Timers of the event loops are all relative and are not compared with it.

--- a/src/tanagerstall/process/tanagerstall_clock.cpp
+++ b/src/tanagerstall/process/tanagerstall_clock.cpp
@@ -19,7 +19,10 @@
 } // namespace
 
 Clock::Clock()
-  : now_(&std::chrono::steady_clock::now)
+  // Leases and time limits also end while the machine is suspended.
+  // CLOCK_MONOTONIC, which std::chrono::steady_clock reads, doesn't count that
+  // time; its time points must not be mixed with these.
+  : now_([] { return TimePoint(ReadTime(CLOCK_BOOTTIME)); })
 {
 }
 
--- a/src/tanagerstall/process/tanagerstall_clock.hpp
+++ b/src/tanagerstall/process/tanagerstall_clock.hpp
@@ -36,7 +36,7 @@
 public:
   using NowHook = std::function<TimePoint()>;
 
-  /// Reads std::chrono::steady_clock.
+  /// Reads the time since the machine started, with its suspensions.
   Clock();
   /// Reads `aNow`, which must be safe to call from any thread.
   explicit Clock(NowHook aNow);
