Discard calls of the leader to the cloud that are given up

The lease was checked before the request was sent, but nothing bounded its delivery: after 1.5 s the leader closed the connection, and the system went on delivering what had been written whenever the link was back.

Class: a permission that is checked when an action begins, while its effect can come at any time later. A call gets a permit now that also says how long it may still take effect: until half a second before the lease that the successor waits for is over.

--- a/src/tanagerstall/connection/tanagerstall_http_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.cpp
@@ -3,6 +3,7 @@
 #include "tanagerstall/internal/tanagerstall_fiber_context.hpp"
 #include "tanagerstall/internal/tanagerstall_socket_peek.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -11,6 +12,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <netinet/tcp.h>
 
 namespace tanagerstall {
 
@@ -28,6 +30,20 @@
 constexpr std::size_t kMaxReadAheadBytes = 2UL * kMaxHeadBytes;
 constexpr std::uint64_t kFetchMaxBytes = 64ULL * 1024 * 1024;
 
+/// How long sent data may stay unacknowledged before the system discards it and
+/// closes the connection, in milliseconds.
+using UserTimeout =
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+/// Sets whether closing the socket resets the connection and discards what has
+/// not been delivered.
+void
+SetDiscardOnClose(asio::ip::tcp::socket& aSocket, bool aIsDiscarded)
+{
+  beast::error_code ignored;
+  aSocket.set_option(asio::socket_base::linger(aIsDiscarded, 0), ignored);
+}
+
 TransportError
 ToTransportError(const beast::error_code& aError, bool aWasCancelled)
 {
@@ -103,6 +119,7 @@
   bool wasCancelled_ = false;
   /// Whether a send of StartSend() is in progress or has failed.
   bool isSending_ = false;
+  bool isDeliveryLimited_ = false;
 };
 
 HttpConnection::HttpConnection(std::shared_ptr<State> aState)
@@ -112,10 +129,26 @@
 
 HttpConnection::~HttpConnection()
 {
+  if (state_->isDeliveryLimited_ && state_->parser_ &&
+      state_->parser_->is_done()) {
+    SetDiscardOnClose(state_->stream_.socket(), false);
+  }
   // Ends a send in progress, which would otherwise outlive the connection.
   state_->stream_.close();
 }
 
+void
+HttpConnection::LimitDelivery(Duration aWithin)
+{
+  auto& socket = state_->stream_.socket();
+  state_->isDeliveryLimited_ = true;
+  // Set before anything is sent, so that it also holds if the process ends.
+  SetDiscardOnClose(socket, true);
+  auto milliseconds = std::max<std::int64_t>(1, WholeMilliseconds(aWithin));
+  beast::error_code ignored;
+  socket.set_option(UserTimeout(static_cast<int>(milliseconds)), ignored);
+}
+
 void
 HttpConnection::SetFiber(Fiber& aFiber)
 {
--- a/src/tanagerstall/connection/tanagerstall_http_client.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.hpp
@@ -42,6 +42,11 @@
   static Result<std::unique_ptr<HttpConnection>>
   Connect(Fiber& aFiber, const Address& aAddress, Duration aTimeout);
 
+  /// Has the system discard what the peer has not received by `aWithin` after
+  /// it was sent, or once the connection is closed before a whole response was
+  /// read. Otherwise it goes on delivering that.
+  void LimitDelivery(Duration aWithin);
+
   /// Passes the connection to another fiber of the same thread.
   void SetFiber(Fiber& aFiber);
 
--- a/src/tanagerstall/process/tanagerstall_cloud_calls.hpp
+++ b/src/tanagerstall/process/tanagerstall_cloud_calls.hpp
@@ -42,18 +42,28 @@
   Refused
 };
 
-/// The calls to the cloud. Each checks `aCanAct` right before it sends its
-/// request, and fails without sending if that returns false.
+/// What the leader lease permits a call. Both functions read the time.
+struct CallPermit
+{
+  /// Whether a request may be sent now.
+  std::function<bool()> canSend_;
+  /// How long a request that was sent may still be delivered. A successor may
+  /// act after that.
+  std::function<Duration()> timeLeft_;
+};
+
+/// The calls to the cloud. Each asks its permit right before it sends its
+/// request, and fails without sending if it may not. A call that fails is not
+/// delivered later.
 struct CloudCalls
 {
-  using CanAct = std::function<bool()>;
   using Result = tl::expected<CloudAnswer, TransportError>;
 
   std::function<
-    Result(Fiber&, const FencingToken&, const UsageWindow&, const CanAct&)>
+    Result(Fiber&, const FencingToken&, const UsageWindow&, const CallPermit&)>
     reportUsage_;
   std::function<
-    Result(Fiber&, const FencingToken&, const ReplicaOrder&, const CanAct&)>
+    Result(Fiber&, const FencingToken&, const ReplicaOrder&, const CallPermit&)>
     orderReplicas_;
 };
 
--- a/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
+++ b/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
@@ -14,6 +14,9 @@
 /// How long a confirmation by a quorum permits calls to the cloud. It is
 /// shorter than any election, so that no successor can act in the meantime.
 constexpr Duration kConfirmationValidity = std::chrono::milliseconds(600);
+/// The part of the lease in which nothing that was sent may arrive any more. It
+/// covers the delay of the network and of a process that is late.
+constexpr Duration kDeliveryMargin = std::chrono::milliseconds(500);
 /// Time from the end of a usage window until all entries have reported it.
 constexpr std::chrono::milliseconds kUsageReportDelay{ 3000 };
 /// The number of most recent ended windows that are still reported.
@@ -100,6 +103,18 @@
          clock_.Now() < confirmedAt_.load() + kConfirmationValidity;
 }
 
+CallPermit
+LeaderTasks::Permit() const
+{
+  // A successor is elected after the confirmation was requested and waits for
+  // the whole lease before it acts.
+  return { [this] { return CanAct(); },
+           [this] {
+             return confirmedAt_.load() + settings_.lease_ - kDeliveryMargin -
+                    clock_.Now();
+           } };
+}
+
 void
 LeaderTasks::Run(Fiber& aFiber)
 {
@@ -141,8 +156,7 @@
   FencingToken token{ settings_.id_, token_ };
   TimePoint begunAt = clock_.Now();
   Duration confirmed = begunAt - confirmedAt_.load();
-  auto answer = hooks_.cloud_.orderReplicas_(
-    aFiber, token, aOrder, [this] { return CanAct(); });
+  auto answer = hooks_.cloud_.orderReplicas_(aFiber, token, aOrder, Permit());
   const auto& domain = aInput.domains_.at(aOrder.failureDomain_);
   LogEvent(Severity::Info,
            "replicas ordered",
@@ -205,8 +219,7 @@
   FencingToken token{ settings_.id_, token_ };
   TimePoint begunAt = clock_.Now();
   Duration confirmed = begunAt - confirmedAt_.load();
-  auto answer = hooks_.cloud_.reportUsage_(
-    aFiber, token, usage, [this] { return CanAct(); });
+  auto answer = hooks_.cloud_.reportUsage_(aFiber, token, usage, Permit());
   bool isAccepted = answer && *answer == CloudAnswer::Accepted;
   LogEvent(isAccepted ? Severity::Info : Severity::Warning,
            "usage reported",
--- a/src/tanagerstall/process/tanagerstall_leader_tasks.hpp
+++ b/src/tanagerstall/process/tanagerstall_leader_tasks.hpp
@@ -63,6 +63,8 @@
   void ConfirmLease(const std::function<void(bool)>& aDone);
   /// Whether the last confirmation by a quorum is still valid.
   bool CanAct() const;
+  /// What that confirmation permits a call.
+  CallPermit Permit() const;
   void PlaceReplicas(Fiber& aFiber);
   void SendOrder(Fiber& aFiber,
                  const ReplicaOrder& aOrder,
--- a/tests/cloud_call_tests.cpp
+++ b/tests/cloud_call_tests.cpp
@@ -61,7 +61,13 @@
     int error = 0;
     socklen_t length = sizeof(error);
     ::getsockopt(connection_, SOL_SOCKET, SO_ERROR, &error, &length);
-    return error != ECONNRESET;
+    return HasReceived() && error != ECONNRESET;
+  }
+
+  bool HasReceived() const
+  {
+    char byte = 0;
+    return ::recv(connection_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
   }
 
 private:
@@ -73,7 +79,9 @@
 struct Call
 {
   const char* name_;
-  std::function<CloudCalls::Result(Fiber&, const CloudCalls&)> send_;
+  std::function<
+    CloudCalls::Result(Fiber&, const CloudCalls&, const CallPermit&)>
+    send_;
 };
 
 std::ostream&
@@ -83,31 +91,57 @@
 }
 
 const FencingToken kToken{ "control-1", 7 };
-const CloudCalls::CanAct kCanAct = [] { return true; };
+const CallPermit kPermit{ [] { return true; }, [] { return Duration(10s); } };
 
 const std::vector<Call> kCalls{
   { "usage",
-    [](Fiber& aFiber, const CloudCalls& aCloud) {
-      return aCloud.reportUsage_(aFiber, kToken, UsageWindow{ 1, {} }, kCanAct);
+    [](Fiber& aFiber, const CloudCalls& aCloud, const CallPermit& aPermit) {
+      return aCloud.reportUsage_(aFiber, kToken, UsageWindow{ 1, {} }, aPermit);
     } },
   { "order",
-    [](Fiber& aFiber, const CloudCalls& aCloud) {
+    [](Fiber& aFiber, const CloudCalls& aCloud, const CallPermit& aPermit) {
       return aCloud.orderReplicas_(
-        aFiber, kToken, ReplicaOrder{ "s", "a", 2 }, kCanAct);
+        aFiber, kToken, ReplicaOrder{ "s", "a", 2 }, aPermit);
     } },
 };
 
 /// Starts a call over the link.
 std::future<CloudCalls::Result>
-Start(TrafficThreads& aThreads, const HeldLink& aLink, const Call& aCall)
+Start(TrafficThreads& aThreads,
+      const HeldLink& aLink,
+      const Call& aCall,
+      const CallPermit& aPermit = kPermit)
 {
   auto result = std::make_shared<std::promise<CloudCalls::Result>>();
-  aThreads.Spawn(
-    [cloud = platform::MakeCloudCalls(aLink.GetAddress()), aCall, result](
-      Fiber& aFiber) { result->set_value(aCall.send_(aFiber, cloud)); });
+  aThreads.Spawn([cloud = platform::MakeCloudCalls(aLink.GetAddress()),
+                  aCall,
+                  aPermit,
+                  result](Fiber& aFiber) {
+    result->set_value(aCall.send_(aFiber, cloud, aPermit));
+  });
   return result->get_future();
 }
 
+struct PermitCase
+{
+  const char* name_;
+  bool canSend_;
+  Duration timeLeft_;
+  bool isSent_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const PermitCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<PermitCase> kPermitCases{
+  { "permitted", true, 200ms, true },
+  { "no longer confirmed", false, 200ms, false },
+  { "no time to deliver it", true, 0ms, false },
+};
+
 } // namespace
 
 // Guards against a call of an earlier leader that arrives after one of its
@@ -138,3 +172,24 @@
   threads.Stop();
   BOOST_TEST(link.DeliversLater());
 }
+
+// Guards against a call that is sent, or still delivered, when a successor may
+// already act.
+BOOST_DATA_TEST_CASE(A_call_is_sent_and_delivered_only_while_permitted,
+                     data::make(kPermitCases) * data::make(kCalls),
+                     permit,
+                     call)
+{
+  HeldLink link;
+  TrafficThreads threads(1);
+  auto result = Start(
+    threads,
+    link,
+    call,
+    { [&] { return permit.canSend_; }, [&] { return permit.timeLeft_; } });
+  link.Accept();
+  BOOST_TEST(!result.get().has_value());
+  threads.Stop();
+  BOOST_TEST(link.HasReceived() == permit.isSent_);
+  BOOST_TEST(!link.DeliversLater());
+}
--- a/tests/suspended_machine_tests.cpp
+++ b/tests/suspended_machine_tests.cpp
@@ -54,8 +54,7 @@
 {
 public:
   /// `aOnReport` is called when the leader is about to report usage.
-  explicit SuspendedLeader(
-    std::function<void(const CloudCalls::CanAct&)> aOnReport)
+  explicit SuspendedLeader(std::function<void(const CallPermit&)> aOnReport)
     : onReport_(std::move(aOnReport))
     , member_(loop_, clock_, MakeMemberSettings())
     , tasks_({ "control-1", kLease }, MakeHooks(), loop_, clock_, member_)
@@ -93,8 +92,8 @@
     };
     hooks.readServices_ = [] { return std::vector<PlacementInput>(); };
     hooks.cloud_.reportUsage_ =
-      [this](Fiber&, const auto&, const auto&, const auto& aCanAct) {
-        onReport_(aCanAct);
+      [this](Fiber&, const auto&, const auto&, const auto& aPermit) {
+        onReport_(aPermit);
         loop_.Stop();
         return CloudCalls::Result(CloudAnswer::Accepted);
       };
@@ -112,7 +111,7 @@
       });
   }
 
-  std::function<void(const CloudCalls::CanAct&)> onReport_;
+  std::function<void(const CallPermit&)> onReport_;
   std::filesystem::path folder_ =
     std::filesystem::temp_directory_path() / ("tanagerstall-" + RandomHex(8));
   Clock clock_;
@@ -160,10 +159,10 @@
                      data::make(kSuspensionCases))
 {
   std::optional<bool> canAct;
-  SuspendedLeader leader([&](const CloudCalls::CanAct& aCanAct) {
-    BOOST_TEST(aCanAct());
+  SuspendedLeader leader([&](const CallPermit& aPermit) {
+    BOOST_TEST(aPermit.canSend_());
     Suspend(sample.suspended_);
-    canAct = aCanAct();
+    canAct = aPermit.canSend_();
   });
   leader.Run();
   BOOST_REQUIRE(canAct.has_value());
