--- a/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
+++ b/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
@@ -14,11 +14,21 @@
 /// How long a confirmation by a quorum permits calls to the cloud. It is
 /// shorter than any election, so that no successor can act in the meantime.
 constexpr Duration kConfirmationValidity = std::chrono::milliseconds(600);
+/// The part of the lease in which nothing that was sent may arrive any more. It
+/// covers the delay of the network and of a process that is late.
+constexpr Duration kDeliveryMargin = std::chrono::milliseconds(500);
 /// Time from the end of a usage window until all entries have reported it.
 constexpr std::chrono::milliseconds kUsageReportDelay{ 3000 };
 /// The number of most recent ended windows that are still reported.
 constexpr std::int64_t kMaxReportedWindows = 4;
 
+/// Why a call got no answer; empty if it got one.
+std::string
+ErrorOf(const CloudCalls::Result& aResult)
+{
+  return aResult ? "" : aResult.error().detail_;
+}
+
 } // namespace
 
 LeaderTasks::LeaderTasks(LeaderTaskSettings aSettings,
@@ -80,7 +90,7 @@
       lease_.Confirm(term, requestedAt);
     }
     token_ = lease_.Token(clock_.Now()).value_or(0);
-    actUntil_ = requestedAt + kConfirmationValidity;
+    confirmedAt_ = requestedAt;
     aDone(token_ != 0);
   };
   member_.Query(GroupName::Configuration, {}, confirm);
@@ -89,7 +99,20 @@
 bool
 LeaderTasks::CanAct() const
 {
-  return token_ != 0 && clock_.Now() < actUntil_.load();
+  return token_ != 0 &&
+         clock_.Now() < confirmedAt_.load() + kConfirmationValidity;
+}
+
+CallPermit
+LeaderTasks::Permit() const
+{
+  // A successor is elected after the confirmation was requested and waits for
+  // the whole lease before it acts.
+  return { [this] { return CanAct(); },
+           [this] {
+             return confirmedAt_.load() + settings_.lease_ - kDeliveryMargin -
+                    clock_.Now();
+           } };
 }
 
 void
@@ -131,8 +154,9 @@
                        const PlacementInput& aInput)
 {
   FencingToken token{ settings_.id_, token_ };
-  auto answer = hooks_.cloud_.orderReplicas_(
-    aFiber, token, aOrder, [this] { return CanAct(); });
+  TimePoint begunAt = clock_.Now();
+  Duration confirmed = begunAt - confirmedAt_.load();
+  auto answer = hooks_.cloud_.orderReplicas_(aFiber, token, aOrder, Permit());
   const auto& domain = aInput.domains_.at(aOrder.failureDomain_);
   LogEvent(Severity::Info,
            "replicas ordered",
@@ -146,7 +170,10 @@
              { "running", aInput.running_ },
              { "withdrawn", aInput.withdrawn_ },
              { "fence", token.fence_ },
-             { "answer", answer ? static_cast<int>(*answer) : -1 } });
+             { "confirmed_ms", WholeMilliseconds(confirmed) },
+             { "took_ms", WholeMilliseconds(clock_.Now() - begunAt) },
+             { "answer", answer ? static_cast<int>(*answer) : -1 },
+             { "error", ErrorOf(answer) } });
   placement_.OnAnswer(
     aOrder, answer.value_or(CloudAnswer::TryLater), clock_.Now());
 }
@@ -190,14 +217,18 @@
   }
   UsageWindow usage = FleetState::DecodeUsage(*agreed);
   FencingToken token{ settings_.id_, token_ };
-  auto answer = hooks_.cloud_.reportUsage_(
-    aFiber, token, usage, [this] { return CanAct(); });
+  TimePoint begunAt = clock_.Now();
+  Duration confirmed = begunAt - confirmedAt_.load();
+  auto answer = hooks_.cloud_.reportUsage_(aFiber, token, usage, Permit());
   bool isAccepted = answer && *answer == CloudAnswer::Accepted;
   LogEvent(isAccepted ? Severity::Info : Severity::Warning,
            "usage reported",
            { { "window", *window },
              { "fence", token.fence_ },
-             { "accepted", isAccepted } });
+             { "confirmed_ms", WholeMilliseconds(confirmed) },
+             { "took_ms", WholeMilliseconds(clock_.Now() - begunAt) },
+             { "accepted", isAccepted },
+             { "error", ErrorOf(answer) } });
   if (isAccepted || (answer && *answer == CloudAnswer::Refused)) {
     lastReportedWindow_ = *window;
   }
--- a/src/tanagerstall/process/tanagerstall_leader_tasks.hpp
+++ b/src/tanagerstall/process/tanagerstall_leader_tasks.hpp
@@ -63,6 +63,8 @@
   void ConfirmLease(const std::function<void(bool)>& aDone);
   /// Whether the last confirmation by a quorum is still valid.
   bool CanAct() const;
+  /// What that confirmation permits a call.
+  CallPermit Permit() const;
   void PlaceReplicas(Fiber& aFiber);
   void SendOrder(Fiber& aFiber,
                  const ReplicaOrder& aOrder,
@@ -77,7 +79,8 @@
   RaftMember& member_;
   LeaderLease lease_;
   std::atomic<Term> token_{ 0 };
-  std::atomic<TimePoint> actUntil_{ TimePoint() };
+  /// When the last confirmation by a quorum was requested.
+  std::atomic<TimePoint> confirmedAt_{ TimePoint() };
   /// Accessed by the fiber of Run() only, like `placement_`.
   std::int64_t lastReportedWindow_ = 0;
   ReplicaPlacement placement_;
