End a call to the cloud with its permit, also after a suspension

A leader that is suspended while it awaits an answer could still deliver the call after its successor acted, for as long as the timers had left.

The check of a call that was given up demands a reset again, as it did at first; the change before had made it depend on data that was received.

--- a/tests/cloud_call_tests.cpp
+++ b/tests/cloud_call_tests.cpp
@@ -6,6 +6,7 @@
 #include "tanagerstall_platform_cloud.hpp"
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -61,7 +62,7 @@
     int error = 0;
     socklen_t length = sizeof(error);
     ::getsockopt(connection_, SOL_SOCKET, SO_ERROR, &error, &length);
-    return HasReceived() && error != ECONNRESET;
+    return error != ECONNRESET;
   }
 
   bool HasReceived() const
@@ -191,5 +192,27 @@
   BOOST_TEST(!result.get().has_value());
   threads.Stop();
   BOOST_TEST(link.HasReceived() == permit.isSent_);
+  BOOST_TEST(link.DeliversLater() == !permit.isSent_);
+}
+
+// Guards against a call that is still delivered after its machine was
+// suspended: the time that it has ends, while the timers stand still.
+BOOST_DATA_TEST_CASE(A_call_ends_with_its_permit_whatever_the_timers_say,
+                     data::make(kCalls))
+{
+  HeldLink link;
+  TrafficThreads threads(1);
+  // Asked before the request is sent and before its answer is awaited.
+  std::atomic<int> allowed{ 2 };
+  auto result =
+    Start(threads,
+          link,
+          sample,
+          { [] { return true; },
+            [&] { return allowed-- > 0 ? Duration(10s) : Duration(-1s); } });
+  link.Accept();
+  BOOST_TEST((result.wait_for(1s) == std::future_status::ready));
+  BOOST_TEST(!result.get().has_value());
+  threads.Stop();
   BOOST_TEST(!link.DeliversLater());
 }
