--- a/src/tanagerstall/process/tanagerstall_clock.cpp
+++ b/src/tanagerstall/process/tanagerstall_clock.cpp
@@ -40,8 +40,19 @@
 Duration
 ReadSuspendedTime()
 {
-  // Only one of the two clocks counts that time.
-  return ReadTime(CLOCK_BOOTTIME) - ReadTime(CLOCK_MONOTONIC);
+  // Only one of the two clocks counts that time. They are read again if the
+  // thread was interrupted in between.
+  constexpr Duration kMaxReadTime = std::chrono::milliseconds(1);
+  constexpr int kMaxReads = 5;
+  Duration suspended{ 0 };
+  for (int i = 0; i < kMaxReads; ++i) {
+    Duration before = ReadTime(CLOCK_MONOTONIC);
+    suspended = ReadTime(CLOCK_BOOTTIME) - before;
+    if (ReadTime(CLOCK_MONOTONIC) - before < kMaxReadTime) {
+      break;
+    }
+  }
+  return suspended;
 }
 
 WallTime
