Extend the time to act only by a confirmation that a quorum gave

A confirmation that failed also set the time from which calls are permitted; only the pause between two rounds kept that without effect. The fraction of the lease that is kept free of deliveries is relative to it now, so that a short lease still permits calls, and the comment no longer rests on the length of an election, which the platform's settings make shorter than was said.

--- a/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
+++ b/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
@@ -11,12 +11,12 @@
 
 /// Time between two rounds of the leader tasks.
 constexpr Duration kTaskInterval = std::chrono::milliseconds(500);
-/// How long a confirmation by a quorum permits calls to the cloud. It is
-/// shorter than any election, so that no successor can act in the meantime.
+/// How long a confirmation by a quorum permits calls to the cloud. A successor
+/// is elected after it was requested and waits for the whole lease.
 constexpr Duration kConfirmationValidity = std::chrono::milliseconds(600);
-/// The part of the lease in which nothing that was sent may arrive any more. It
-/// covers the delay of the network and of a process that is late.
-constexpr Duration kDeliveryMargin = std::chrono::milliseconds(500);
+/// The fraction of the lease in which nothing that was sent may arrive any
+/// more. It covers the delay of the network and of a process that is late.
+constexpr int kDeliveryMarginDivisor = 6;
 /// Time from the end of a usage window until all entries have reported it.
 constexpr std::chrono::milliseconds kUsageReportDelay{ 3000 };
 /// The number of most recent ended windows that are still reported.
@@ -88,9 +88,10 @@
                     Core().CurrentTerm() == term;
     if (isLeader) {
       lease_.Confirm(term, requestedAt);
+      confirmedAt_ = requestedAt;
     }
-    token_ = lease_.Token(clock_.Now()).value_or(0);
-    confirmedAt_ = requestedAt;
+    auto token = lease_.Token(clock_.Now());
+    token_ = isLeader && token == term ? term : 0;
     aDone(token_ != 0);
   };
   member_.Query(GroupName::Configuration, {}, confirm);
@@ -106,12 +107,11 @@
 CallPermit
 LeaderTasks::Permit() const
 {
-  // A successor is elected after the confirmation was requested and waits for
-  // the whole lease before it acts.
+  Duration deliveryTime =
+    settings_.lease_ - settings_.lease_ / kDeliveryMarginDivisor;
   return { [this] { return CanAct(); },
-           [this] {
-             return confirmedAt_.load() + settings_.lease_ - kDeliveryMargin -
-                    clock_.Now();
+           [this, deliveryTime] {
+             return confirmedAt_.load() + deliveryTime - clock_.Now();
            } };
 }
 
