--- a/tests/raft_fault_tests.cpp
+++ b/tests/raft_fault_tests.cpp
@@ -2,7 +2,7 @@
 // unavailable: injects every fault and every pair of faults at every step of
 // replication and of a membership change, and random faults in long runs.
 #define BOOST_TEST_MODULE raft_faults
-#include "tanagerstall_raft_simulation.hpp"
+#include "tanagerstall_raft_faults.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -29,38 +29,6 @@
 
 namespace {
 
-enum class Fault
-{
-  Kill,
-  Freeze,
-  BlockBoth,
-  BlockIncoming,
-  BlockOutgoing,
-  Loss,
-  Duplication,
-  Reordering,
-  DiskLoss,
-  TornWrite,
-  FailedSync
-};
-
-std::ostream&
-operator<<(std::ostream& aOut, Fault aFault)
-{
-  constexpr const char* kNames[] = { "kill",
-                                     "freeze",
-                                     "no messages",
-                                     "no incoming messages",
-                                     "no outgoing messages",
-                                     "message loss",
-                                     "message duplication",
-                                     "message reordering",
-                                     "disk loss",
-                                     "torn write",
-                                     "failed sync" };
-  return aOut << kNames[static_cast<int>(aFault)];
-}
-
 const std::vector<Step> kSteps{ Step::Propose, Step::Append,
                                 Step::Sync,    Step::Replicate,
                                 Step::Commit,  Step::Apply,
@@ -74,122 +42,6 @@
                                   Fault::DiskLoss,      Fault::TornWrite,
                                   Fault::FailedSync };
 
-/// Injects faults into members and ends them later.
-class FaultInjector
-{
-public:
-  explicit FaultInjector(Simulation& aSim)
-    : sim_(aSim)
-  {
-  }
-
-  /// Injects a fault into the member whose call is running; a crash unwinds
-  /// that call.
-  void InjectInCall(SimulatedMember& aMember, Fault aFault)
-  {
-    if (auto crash = CrashOf(aFault)) {
-      lostDisks_.insert(crash->isDiskLost_ ? aMember.key_ : 0);
-      throw *crash;
-    }
-    Inject(aMember, aFault);
-  }
-
-  void Inject(SimulatedMember& aMember, Fault aFault)
-  {
-    MemberKey key = aMember.key_;
-    if (auto crash = CrashOf(aFault)) {
-      lostDisks_.insert(crash->isDiskLost_ ? key : 0);
-      sim_.Kill(key, *crash);
-      return;
-    }
-    LinkFaults& link = sim_.faults_[key];
-    switch (aFault) {
-      case Fault::Freeze:
-        aMember.isFrozen_ = true;
-        break;
-      case Fault::BlockBoth:
-      case Fault::BlockIncoming:
-      case Fault::BlockOutgoing:
-        sim_.BlockLinks(
-          key, aFault != Fault::BlockOutgoing, aFault != Fault::BlockIncoming);
-        break;
-      case Fault::Loss:
-        link.lostPercent_ = 30;
-        break;
-      case Fault::Duplication:
-        link.duplicatedPercent_ = 60;
-        break;
-      case Fault::Reordering:
-        link.extraDelay_ = milliseconds(400);
-        break;
-      default:
-        aMember.disk_.failsSyncs_ = true;
-        break;
-    }
-  }
-
-  /// Ends every fault and restarts crashed members. A member that lost its disk
-  /// is replaced by one with a new key.
-  void ClearFaults()
-  {
-    sim_.blockedLinks_.clear();
-    sim_.faults_.clear();
-    std::vector<MemberKey> keys;
-    for (const auto& [key, member] : sim_.members_) {
-      keys.push_back(key);
-    }
-    for (MemberKey key : keys) {
-      SimulatedMember& member = sim_.members_[key];
-      member.disk_.failsSyncs_ = false;
-      if (member.isFrozen_) {
-        sim_.Resume(key);
-      }
-      if (member.group_) {
-        continue;
-      }
-      if (!lostDisks_.contains(key)) {
-        sim_.Start(key);
-      } else if (sim_.wanted_.erase(key) > 0) {
-        sim_.wanted_.insert(key + 10);
-        sim_.Start(key + 10);
-      }
-    }
-  }
-
-  std::size_t LostDiskCount() const
-  {
-    return lostDisks_.size() - lostDisks_.count(0);
-  }
-
-private:
-  static std::optional<SimulatedCrash> CrashOf(Fault aFault)
-  {
-    switch (aFault) {
-      case Fault::Kill:
-        return SimulatedCrash{ false, false };
-      case Fault::TornWrite:
-        return SimulatedCrash{ true, false };
-      case Fault::DiskLoss:
-        return SimulatedCrash{ false, true };
-      default:
-        return std::nullopt;
-    }
-  }
-
-  Simulation& sim_;
-  std::set<MemberKey> lostDisks_;
-};
-
-RaftSettings
-SmallSnapshots()
-{
-  RaftSettings settings;
-  settings.snapshotEntries_ = 25;
-  settings.keptEntries_ = 3;
-  settings.snapshotChunkBytes_ = 64;
-  return settings;
-}
-
 /// Injects the faults when a step is reached while the group replaces its third
 /// member, ends them and checks that no invariant is violated and that the
 /// group works again.
--- a/tests/tanagerstall_raft_checker.hpp
+++ b/tests/tanagerstall_raft_checker.hpp
@@ -37,6 +37,12 @@
   std::map<std::string, std::string> values_;
   std::unique_ptr<RaftGroup> group_;
   bool isFrozen_ = false;
+  /// Runs for a quarter of the time.
+  bool isSlow_ = false;
+  /// Set while the member is suspended, when its clock does not go on.
+  std::optional<TimePoint> suspendedAt_;
+  /// How far its clock is behind because of suspensions.
+  Duration clockLag_{ 0 };
   /// Handles messages but never starts an election.
   bool isElectionDisabled_ = false;
   bool isFlushDue_ = false;
--- a/tests/tanagerstall_raft_simulation.hpp
+++ b/tests/tanagerstall_raft_simulation.hpp
@@ -73,7 +73,7 @@
       LogStorage(member.disk_.Hooks(), "group"),
       MachineOf(member),
       random_(),
-      clock_.Now(),
+      TimeOf(member),
       RaftGroup::Hooks{ [this, &member](const RaftMessage& aMessage) {
                          SendMessage(member, aMessage);
                        },
@@ -93,9 +93,32 @@
     }
   }
 
+  /// Ends a member's process; the machine and its disk keep running.
+  void KillProcess(MemberKey aKey)
+  {
+    members_[aKey].group_.reset();
+    members_[aKey].inbox_.clear();
+  }
+
+  /// Freezes a member and stops its clock until Resume().
+  void Suspend(MemberKey aKey)
+  {
+    members_[aKey].isFrozen_ = true;
+    members_[aKey].suspendedAt_ = clock_.Now();
+  }
+
+  /// Returns the time on a member's clock.
+  TimePoint TimeOf(const SimulatedMember& aMember) const
+  {
+    return aMember.suspendedAt_.value_or(clock_.Now()) - aMember.clockLag_;
+  }
+
   void Resume(MemberKey aKey)
   {
     SimulatedMember& member = members_[aKey];
+    member.clockLag_ +=
+      clock_.Now() - member.suspendedAt_.value_or(clock_.Now());
+    member.suspendedAt_.reset();
     member.isFrozen_ = false;
     auto inbox = std::exchange(member.inbox_, {});
     for (const auto& event : inbox) {
@@ -154,12 +177,15 @@
       DeliverDueMessages();
       for (auto& [key, member] : members_) {
         SimulatedMember& it = member;
+        if (it.isSlow_) {
+          PauseSlowMember(it);
+        }
         if (it.isFrozen_) {
           continue;
         }
         Deliver(it, [this, &it] {
           if (!it.isElectionDisabled_) {
-            it.group_->Tick(clock_.Now());
+            it.group_->Tick(TimeOf(it));
           }
           FlushNow(it);
         });
@@ -305,6 +331,19 @@
     };
   }
 
+  /// Lets a slow member run for 100 of every 400 ms.
+  void PauseSlowMember(SimulatedMember& aMember)
+  {
+    constexpr Duration kPeriod = milliseconds(400);
+    constexpr Duration kRunTime = milliseconds(100);
+    Duration at = clock_.Now().time_since_epoch() % kPeriod;
+    if (at >= kRunTime) {
+      aMember.isFrozen_ = true;
+    } else if (aMember.isFrozen_) {
+      Resume(aMember.key_);
+    }
+  }
+
   void FlushNow(SimulatedMember& aMember)
   {
     if (std::exchange(aMember.isFlushDue_, false)) {
@@ -350,7 +389,7 @@
       }
       SimulatedMember& member = it->second;
       Deliver(member, [this, &member, message] {
-        member.group_->Receive(message, clock_.Now());
+        member.group_->Receive(message, TimeOf(member));
       });
     }
   }
@@ -397,7 +436,7 @@
         next.push_back(MakeMember(key, false));
       }
     }
-    MemberKey learner = leader->group_->Core().CaughtUpLearner(clock_.Now());
+    MemberKey learner = leader->group_->Core().CaughtUpLearner(TimeOf(*leader));
     bool isComplete = true;
     for (auto& member : next) {
       member.isVoter_ |= next.size() == now.size() && member.key_ == learner;
