Show that an answer to a former process confirms reads

A leader's process ends and is elected again, and a message of the former process reaches a member that already knows the new term.

--- a/tests/raft_group_tests.cpp
+++ b/tests/raft_group_tests.cpp
@@ -328,3 +328,44 @@
   BOOST_TEST(status->IsDone());
   BOOST_TEST(status->voters_ == 2U);
 }
+
+// Guards against reads and leases that a leader confirms by itself: a message
+// of its former process, handled late by a member that knows the new term, was
+// answered with the old process's round, which the new process had not reached.
+BOOST_AUTO_TEST_CASE(An_answer_to_a_former_process_confirms_no_read,
+                     *boost::unit_test::label("raft"))
+{
+  IdleSimulation sim(3);
+  auto& leader = sim.Leader();
+  auto& follower = sim.Follower();
+  RaftMessage late;
+  sim.isDelivered_ = [&](const RaftMessage& aIt) {
+    late =
+      aIt.kind_ == MessageKind::Append && aIt.to_ == follower.key_ ? aIt : late;
+    return true;
+  };
+  sim.Run(seconds(5));
+  sim.isDelivered_ = [](const RaftMessage&) { return true; };
+  for (auto& [key, member] : sim.members_) {
+    member.isElectionDisabled_ = key != leader.key_;
+  }
+  sim.KillProcess(leader.key_);
+  sim.Run(seconds(1));
+  sim.Start(leader.key_);
+  sim.Run(seconds(3));
+  BOOST_TEST_REQUIRE(sim.Leader().key_ == leader.key_);
+  BOOST_TEST_REQUIRE(late.term_ < leader.group_->Core().CurrentTerm());
+  sim.Deliver(follower,
+              [&] { follower.group_->Receive(late, sim.TimeOf(follower)); });
+  sim.Run(milliseconds(50));
+  sim.BlockLinks(leader.key_, true, true);
+  sim.Run(milliseconds(50));
+  bool isAnswered = false;
+  sim.Deliver(leader, [&] {
+    leader.group_->Query(
+      {}, [&](const GroupResult& aIt) { isAnswered = aIt.has_value(); });
+  });
+  sim.Run(milliseconds(500));
+  BOOST_TEST((leader.group_->Core().Role() == RaftRole::Leader));
+  BOOST_TEST(!isAnswered);
+}
