Return no round of an earlier term in an answer

What callers saw: a leader that is cut off could answer a read, and confirm its lease, by itself. The state may be older than what a successor has acknowledged.

Cause: a member that gets an append of an earlier term answers with its own term and the append's round. A leader counts rounds from 0 in each process. If it was restarted and elected again, such an answer to its former process names a round that the new process reaches only later, so that every read up to then counts as confirmed by this member. It takes a message that was under way, or in a frozen member's socket, while the leader restarted.

Class: a counter that is unique within a process is compared across processes. Rounds are the only such counter in the log's messages: the others are terms and indexes, which are durable, and answers of the leader's own term are to its own messages, as a term has one leader and a restart costs it the term.

Change: the answer carries no round. The leader needs only its term.

--- a/src/tanagerstall/process/raft/tanagerstall_raft.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft.cpp
@@ -156,7 +156,11 @@
   }
   if (aMessage.term_ < hardState_.term_) {
     if (isFromLeader) {
-      Send(Reply(aMessage, MessageKind::AppendReply));
+      // The round is from an earlier term. The sender may lead this term in a
+      // new process, whose rounds began at 0 again, so it must not be returned.
+      RaftMessage reply = Reply(aMessage, MessageKind::AppendReply);
+      reply.round_ = 0;
+      Send(std::move(reply));
     } else if (aMessage.kind_ == MessageKind::Vote) {
       Send(Reply(aMessage, MessageKind::VoteReply));
     }
