Show that a start relies on entries that no sync covers

A process that ends between the write and the sync of its log leaves content that the next process reads and a later loss of power takes.

--- a/tests/log_storage_tests.cpp
+++ b/tests/log_storage_tests.cpp
@@ -143,6 +143,24 @@
   BOOST_CHECK_THROW(Storage().Write({ 3, 0 }, {}), DiskError);
 }
 
+// Guards against entries and votes that a restarted process answers for and
+// that a loss of power then takes: its former process ended before the sync.
+BOOST_FIXTURE_TEST_CASE(What_a_start_reads_survives_a_later_loss_of_power,
+                        Fixture,
+                        *boost::unit_test::label("log"))
+{
+  Fill();
+  disk_.failsSyncs_ = true;
+  BOOST_CHECK_THROW(Storage().Write({ 3, 7 }, { Entry(4, 3, "d") }), DiskError);
+  disk_.failsSyncs_ = false;
+  auto read = Storage().Open();
+  std::mt19937_64 random(1);
+  disk_.Crash(random, false);
+  auto left = Storage().Open();
+  BOOST_TEST(read.entries_.size() == left.entries_.size());
+  BOOST_TEST((read.hardState_ == left.hardState_));
+}
+
 BOOST_FIXTURE_TEST_CASE(An_identity_is_read_back_and_its_corruption_detected,
                         Fixture,
                         *boost::unit_test::label("log"))
