Show that an acknowledged write can be lost after a process end

The follower's process ends between the write and the sync of an entry. The next one confirms the entry that it found, without writing it; the leader then loses its disk and the others lose power.

--- a/tests/raft_fault_tests.cpp
+++ b/tests/raft_fault_tests.cpp
@@ -105,6 +105,44 @@
   RunFaultCase(step, { first, second }, 5);
 }
 
+// Guards against an acknowledged write that is on one disk only: the process of
+// the other member ended before its sync, and the next one confirmed the entry
+// that it found.
+BOOST_AUTO_TEST_CASE(A_write_found_by_a_restarted_process_survives_power_loss,
+                     *boost::unit_test::label("raft"))
+{
+  struct ProcessEnd
+  {};
+  Simulation sim(1, 3, SmallSnapshots());
+  sim.hasClients_ = false;
+  sim.Run(seconds(4));
+  auto& leader = *sim.LeaderOfNewestTerm();
+  auto& follower = sim.members_[leader.key_ % 3 + 1];
+  MemberKey absent = follower.key_ % 3 + 1;
+  sim.BlockLinks(absent, true, true);
+  sim.onStep_ = [&](SimulatedMember& aMember, Step aStep) {
+    if (&aMember == &follower && aStep == Step::Sync) {
+      throw ProcessEnd();
+    }
+  };
+  sim.Write(leader, "k");
+  BOOST_CHECK_THROW(sim.Run(seconds(1)), ProcessEnd);
+  sim.onStep_ = [](SimulatedMember&, Step) {};
+  sim.KillProcess(follower.key_);
+  sim.Start(follower.key_);
+  sim.Run(milliseconds(500));
+  BOOST_TEST_REQUIRE(sim.acknowledged_ == 1U);
+  sim.Kill(leader.key_, { false, true });
+  for (MemberKey key : { follower.key_, absent }) {
+    sim.Kill(key, { false, false });
+    sim.Start(key);
+  }
+  BOOST_TEST(sim.HealAndCheck(seconds(8)));
+  for (const auto& violation : sim.checker_.violations_) {
+    BOOST_ERROR(violation);
+  }
+}
+
 BOOST_TEST_DECORATOR(*boost::unit_test::label("raft"))
 BOOST_DATA_TEST_CASE(Long_runs_under_random_faults_lose_nothing,
                      data::xrange(1, 41),
