Sync the log at the start, before it is relied on

What callers saw: an acknowledged change could be gone, if the process of a member ended while it wrote the change and, before its next write, one disk was lost and the other members lost power.

Cause: a process that ends between the write and the sync of its log leaves entries, a term and a vote that no sync covers. The next process reads them as durable. When the leader sends these entries again, they match, nothing is written, and the member confirms them; the leader counts it towards the quorum.

Class: content that was read is taken for durable. The simulated kills of the tests always lost what wasn't synced, which is a loss of power; none ended the process only.

Change: a start syncs the log that it read, also when it cuts nothing off.

Result: What_a_start_reads_survives_a_later_loss_of_power and A_write_found_by_a_restarted_process_survives_power_loss failed before and pass, as do the other cases of log_storage_tests and raft_fault_tests, and raft_group_tests, raft_member_tests and raft_rule_violation_tests.

--- a/src/tanagerstall/process/raft/tanagerstall_log_storage.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_log_storage.cpp
@@ -107,8 +107,10 @@
   }
   if (scan.end_ != file->size()) {
     disk_.truncate_(logFile_, scan.end_);
-    disk_.sync_(logFile_);
   }
+  // The process before may have ended between a write and its sync. The member
+  // confirms what it reads here without writing it again.
+  disk_.sync_(logFile_);
   bool isFirst = true;
   for (BytesView content : scan.frames_) {
     FlatMessage message(content);
