--- a/tests/tanagerstall_raft_simulation.hpp
+++ b/tests/tanagerstall_raft_simulation.hpp
@@ -302,7 +302,11 @@
         return Bytes{};
       },
       [&aMember](BytesView aQuery) {
-        auto view = ViewOf(aMember.values_[TextOf(aQuery)]);
+        auto it = aMember.values_.find(TextOf(aQuery));
+        if (it == aMember.values_.end()) {
+          return Bytes{};
+        }
+        auto view = ViewOf(it->second);
         return Bytes(view.begin(), view.end());
       },
       [this, &aMember] {
