Log with a failed attempt which request it was

An "attempt failed" line has now a fingerprint of organisation, method, host, path with query, and body. It is computed once a request.

--- a/src/tanagerstall/process/tanagerstall_bytes.cpp
+++ b/src/tanagerstall/process/tanagerstall_bytes.cpp
@@ -12,9 +12,9 @@
 namespace tanagerstall {
 
 std::uint64_t
-Checksum(BytesView aBytes)
+Checksum(BytesView aBytes, std::uint64_t aSeed)
 {
-  return XXH3_64bits(aBytes.data(), aBytes.size());
+  return XXH3_64bits_withSeed(aBytes.data(), aBytes.size(), aSeed);
 }
 
 std::string
--- a/src/tanagerstall/process/tanagerstall_bytes.hpp
+++ b/src/tanagerstall/process/tanagerstall_bytes.hpp
@@ -26,7 +26,7 @@
 
 /// Returns the 64-bit XXH3 checksum, which is not cryptographic.
 std::uint64_t
-Checksum(BytesView aBytes);
+Checksum(BytesView aBytes, std::uint64_t aSeed = 0);
 
 /// Returns the SHA-256 digest in lower-case hexadecimal. Throws
 /// std::runtime_error if OpenSSL fails to compute it.
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -44,6 +44,8 @@
   /// The earlier of the caller's own deadline and the route's timeout.
   TimePoint deadline_;
   PromptFacts prompt_;
+  /// The same for all requests that ask for the same; 0 before it is known.
+  std::uint64_t fingerprint_ = 0;
   /// The estimated work, in prompt tokens, by which replicas are chosen.
   double cost_ = 1.0;
   /// The cost charged to the organisation's limit, in the limit's unit.
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -4,6 +4,7 @@
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
 #include "tanagerstall/request/tanagerstall_forward_refusal.hpp"
 #include "tanagerstall/request/tanagerstall_request_admission.hpp"
+#include "tanagerstall/request/tanagerstall_request_fingerprint.hpp"
 #include "tanagerstall/request/tanagerstall_request_log.hpp"
 #include "tanagerstall/request/tanagerstall_request_work.hpp"
 
@@ -293,6 +294,7 @@
     return tl::make_unexpected(*refusal);
   }
   request.prompt_ = ReadPromptFacts(http, settings_.protocol_);
+  request.fingerprint_ = FingerprintOf(http, request.OrganisationName());
   if (auto refusal = CheckPrompt(request)) {
     return tl::make_unexpected(*refusal);
   }
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -98,6 +98,7 @@
              { "may_have_run", aMayHaveRun },
              { "answer_begun", aResult.hasHead_ },
              { "prompt_parts", PromptPartsOf(aRequest) },
+             { "fingerprint", ToHex(aRequest.fingerprint_) },
              { "detail", aResult.detail_ } });
 }
 
