Show that a plain request goes on crashing replicas

A request without a prompt that crashes each replica that runs it comes again at any of 7 to 191 entries, each time with another id. The simulation of replicas that crash by prompt parts now has plain requests too. Rows of crashes with other causes pass.

--- a/tests/tanagerstall_prompt_crash_simulation.hpp
+++ b/tests/tanagerstall_prompt_crash_simulation.hpp
@@ -29,6 +29,11 @@
   std::size_t deadlyPosition_ = 0;
   /// Whether all deadly requests have one subject, which sound ones have too.
   bool sharesSubject_ = false;
+  /// Whether requests have no prompt. A deadly request is the same each time
+  /// then, a sound one often another one.
+  bool isPlain_ = false;
+  /// How often a request may run.
+  std::size_t maxRuns_ = 2;
 };
 
 /// Counts of requests by the time at which callers sent them.
@@ -54,6 +59,7 @@
 public:
   static constexpr std::uint64_t kDeadlyPart = 666;
   static constexpr std::uint64_t kNewPart = 777;
+  static constexpr std::uint64_t kDeadlyRequest = 6666;
 
   PromptCrashSimulation(const CrashingFleet& aFleet, unsigned aSeed)
     : fleet_(aFleet)
@@ -93,6 +99,15 @@
     }
   }
 
+  /// Crashes one replica at a time, by turns.
+  void CrashReplicasByTurns(Duration aInterval, std::size_t aTimes)
+  {
+    for (std::size_t i = 0; i < aTimes; ++i) {
+      events_.At(events_.Now() + aInterval * i,
+                 [this, i] { Crash(i % replicas_.size()); });
+    }
+  }
+
   /// Crashes each replica once, one after the other.
   void CrashReplicasInTurn(Duration aPause)
   {
@@ -154,17 +169,21 @@
   static constexpr std::uint64_t kFirstSubject = 1000;
   static constexpr std::chrono::milliseconds kFirstPart{ 300 };
   static constexpr std::chrono::milliseconds kWhole{ 1800 };
+  static constexpr std::chrono::milliseconds kPlainCrash{ 43 };
+  static constexpr std::chrono::milliseconds kPlainWhole{ 90 };
+  static constexpr std::uint64_t kFirstLookup = 10000;
+  static constexpr double kLookupShare = 0.3;
   static constexpr std::chrono::milliseconds kRestart{ 4000 };
   static constexpr std::chrono::milliseconds kSyncInterval{ 250 };
   static constexpr std::chrono::milliseconds kLatency{ 30 };
   static constexpr std::chrono::milliseconds kNotify{ 90 };
   static constexpr std::chrono::milliseconds kTick{ 100 };
-  static constexpr std::size_t kMaxRuns = 2;
   static constexpr std::size_t kMaxTries = 6;
 
   struct Request
   {
     PromptParts parts_;
+    std::uint64_t fingerprint_ = 0;
     bool isDeadly_ = false;
     TimePoint sentAt_;
     std::set<std::string> excluded_;
@@ -237,6 +256,11 @@
   {
     auto request = std::make_shared<Request>();
     request->sentAt_ = events_.Now();
+    request->fingerprint_ = ++fingerprints_;
+    if (fleet_.isPlain_) {
+      DrawPlain(*request);
+      return request;
+    }
     request->parts_ = { kSystemPart,
                         kFirstOrganisation + Draw(kOrganisations),
                         DrawSubject() };
@@ -254,6 +278,18 @@
     return request;
   }
 
+  /// Makes a request deadly, a lookup that comes often, or one of its own.
+  void DrawPlain(Request& aRequest)
+  {
+    double uniform = std::uniform_real_distribution<double>()(random_);
+    aRequest.isDeadly_ = uniform < deadlyShare_;
+    if (aRequest.isDeadly_) {
+      aRequest.fingerprint_ = kDeadlyRequest;
+    } else if (uniform > 1.0 - kLookupShare) {
+      aRequest.fingerprint_ = kFirstLookup + DrawSubject();
+    }
+  }
+
   void Arrive()
   {
     auto request = MakeRequest();
@@ -277,7 +313,7 @@
       return;
     }
     auto chosen = entry.chooser_.Choose({ kService,
-                                          aRequest->parts_.back(),
+                                          LastPart(*aRequest),
                                           WorkClass::Short,
                                           1.0,
                                           aRequest->excluded_ },
@@ -298,8 +334,15 @@
     auto attempt = std::make_shared<Attempt>(
       Attempt{ aEntry, entry.run_, aRequest, *chosen, std::nullopt });
     replica.attempts_.push_back(attempt);
-    events_.At(now + kFirstPart, [=, this] { Begin(attempt); });
-    events_.At(now + kWhole, [=, this] { End(attempt); });
+    events_.At(now + (fleet_.isPlain_ ? kPlainCrash : kFirstPart),
+               [=, this] { Begin(attempt); });
+    events_.At(now + (fleet_.isPlain_ ? kPlainWhole : kWhole),
+               [=, this] { End(attempt); });
+  }
+
+  static std::uint64_t LastPart(const Request& aRequest)
+  {
+    return aRequest.parts_.empty() ? 0 : aRequest.parts_.back();
   }
 
   /// Removes an attempt from its replica; false if it was lost before.
@@ -323,13 +366,18 @@
     if (!IsRunning(aAttempt)) {
       return;
     }
-    aAttempt->begunAt_ = events_.Now();
+    if (!fleet_.isPlain_) {
+      aAttempt->begunAt_ = events_.Now();
+    }
     if (aAttempt->request_->isDeadly_) {
       deadlyCrashes_.push_back(events_.Now());
       Crash(std::stoul(aAttempt->replica_.id_.substr(1)));
       return;
     }
     aAttempt->request_->hasBegunAtOnce_ |= aAttempt->request_->tries_ == 1;
+    if (fleet_.isPlain_) {
+      return;
+    }
     events_.At(events_.Now() + PromptQuarantine::kBeginning,
                [=, this] { Survive(aAttempt); });
   }
@@ -352,6 +400,9 @@
     TimePoint now = events_.Now();
     entry.chooser_.Finish(
       aAttempt->replica_, 1.0, AttemptOutcome::Answered, now);
+    if (fleet_.isPlain_) {
+      entry.quarantine_.RecordSuccess(aAttempt->request_->parts_, now);
+    }
   }
 
   void Crash(std::size_t aReplica)
@@ -383,7 +434,7 @@
     entry.quarantine_.RecordLoss(
       request.parts_, aAttempt->replica_, aAttempt->begunAt_, now);
     request.excluded_.insert(aAttempt->replica_.id_);
-    if (++request.runs_ < kMaxRuns &&
+    if (++request.runs_ < fleet_.maxRuns_ &&
         !entry.quarantine_.IsSuspected(request.parts_)) {
       Send(aAttempt->entry_, aAttempt->request_);
     }
@@ -449,6 +500,8 @@
   std::vector<SimulatedReplica> replicas_;
   std::vector<std::unique_ptr<Entry>> entries_;
   std::uint64_t runs_ = 0;
+  /// Fingerprints of requests that come once.
+  std::uint64_t fingerprints_ = std::uint64_t{ 1 } << 32U;
   double deadlyShare_ = 0.0;
   double newPartShare_ = 0.0;
   std::vector<std::shared_ptr<Request>> sound_;
