--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -1,6 +1,6 @@
 #include "tanagerstall/connection/tanagerstall_fleet_codec.hpp"
 
-#include "tanagerstall/connection/tanagerstall_prompt_codec.hpp"
+#include "tanagerstall/connection/tanagerstall_crash_codec.hpp"
 #include "tanagerstall/internal/tanagerstall_entry_wire.hpp"
 
 #include <kj/debug.h>
@@ -276,8 +276,8 @@
   aTo.setReadsCompressed(aFrom.canRestore_.readsCompressed_);
   aTo.setBase(aFrom.canRestore_.base_);
   aTo.setPromptRevision(aFrom.promptRevision_);
-  if (aFrom.promptEvidence_) {
-    WriteEvidence(aTo.initPromptEvidence(), *aFrom.promptEvidence_);
+  if (aFrom.crashReport_) {
+    WriteCrashes(aTo, *aFrom.crashReport_);
   }
   WriteRates(aTo.initNamedRates(aFrom.namedRates_.size()), aFrom.namedRates_);
   aTo.setRateRevision(aFrom.rateRevision_);
@@ -336,7 +336,7 @@
   report.canRestore_ = { aFrom.getReadsCompressed(), aFrom.getBase() };
   report.promptRevision_ = aFrom.getPromptRevision();
   if (aFrom.hasPromptEvidence()) {
-    report.promptEvidence_ = ReadEvidence(aFrom.getPromptEvidence());
+    report.crashReport_ = ReadCrashes(aFrom);
   }
   report.namedRates_ = ReadRates(aFrom.getNamedRates());
   report.rateRevision_ = aFrom.getRateRevision();
@@ -421,8 +421,8 @@
   WriteAdmission(
     aTo.initAdmission(static_cast<unsigned>(aFrom.admission_.size())),
     aFrom.admission_);
-  if (aFrom.promptVerdicts_) {
-    WriteVerdicts(aTo.initPromptVerdicts(), *aFrom.promptVerdicts_);
+  if (aFrom.crashVerdicts_) {
+    WriteVerdicts(aTo.initPromptVerdicts(), *aFrom.crashVerdicts_);
   }
 }
 
@@ -472,7 +472,7 @@
   }
   answer.admission_ = ReadAdmission(aFrom.getAdmission());
   if (aFrom.hasPromptVerdicts()) {
-    answer.promptVerdicts_ = ReadVerdicts(aFrom.getPromptVerdicts());
+    answer.crashVerdicts_ = ReadVerdicts(aFrom.getPromptVerdicts());
   }
   return answer;
 }
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -5,8 +5,8 @@
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 #include "tanagerstall/request/tanagerstall_admission_sums.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
+#include "tanagerstall/request/tanagerstall_crash_report.hpp"
 #include "tanagerstall/request/tanagerstall_named_rate.hpp"
-#include "tanagerstall/request/tanagerstall_prompt_evidence.hpp"
 #include "tanagerstall/version/tanagerstall_declaration_transfer.hpp"
 #include "tanagerstall/version/tanagerstall_rollout.hpp"
 
@@ -108,7 +108,7 @@
   bool wantsDeclaration_ = false;
   TransferCapability canRestore_;
   /// Sent to the leader only.
-  std::optional<PromptEvidence> promptEvidence_;
+  std::optional<CrashReport> crashReport_;
   /// The revision of this control process's verdicts that the entry has.
   std::uint64_t promptRevision_ = 0;
   /// The rate limits that replicas have named; sent to the leader only, now and
@@ -158,7 +158,7 @@
   /// Whether it applies the commands of roll-outs.
   bool appliesRollouts_ = false;
   /// The leader's verdicts, if the entry doesn't have them.
-  std::optional<PromptVerdicts> promptVerdicts_;
+  std::optional<CrashVerdicts> crashVerdicts_;
   /// The rate limits of replicas that the leader knows, if the entry doesn't
   /// have this revision of them.
   std::optional<NamedRates> namedRates_;
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -110,11 +110,19 @@
 }
 
 struct PromptEvidence {
+  # Of requests with shared prompt parts, whose ids are the parts. Also of the
+  # requests to a service, whose ids are the fingerprints.
   answered @0 :UInt64;
   lost @1 :UInt64;
   crashes @2 :List(PromptCrash);
   successes @3 :List(PromptPart);
   quarantined @4 :List(PromptPart);
+  # Prompt parts and fingerprints.
+}
+
+struct ServiceEvidence {
+  service @0 :Text;
+  evidence @1 :PromptEvidence;
 }
 
 struct PromptVerdicts {
@@ -219,6 +227,8 @@
   admission @20 :List(AdmissionSums);
   # Sent to the leader.
   readsPackedReplicas @21 :Bool;
+  requestEvidence @22 :List(ServiceEvidence);
+  # Sent to the leader.
 }
 
 struct CostGrant {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -38,6 +38,7 @@
 CAPNP_DECLARE_SCHEMA(847a8a984529b1f0);
 CAPNP_DECLARE_SCHEMA(dfa4466ad39fdac2);
 CAPNP_DECLARE_SCHEMA(92f38c1f52b27f30);
+CAPNP_DECLARE_SCHEMA(ed4f628154687abf);
 CAPNP_DECLARE_SCHEMA(e8712151c729c516);
 CAPNP_DECLARE_SCHEMA(eeae05d42230df4e);
 CAPNP_DECLARE_SCHEMA(9287765b78ec3837);
@@ -255,6 +256,21 @@
   };
 };
 
+struct ServiceEvidence {
+  ServiceEvidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ed4f628154687abf, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PromptVerdicts {
   PromptVerdicts() = delete;
 
@@ -370,7 +386,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 9, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1705,6 +1721,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServiceEvidence::Reader {
+public:
+  typedef ServiceEvidence Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasEvidence() const;
+  inline  ::tanagerstall::wire::PromptEvidence::Reader getEvidence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServiceEvidence::Builder {
+public:
+  typedef ServiceEvidence Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasEvidence();
+  inline  ::tanagerstall::wire::PromptEvidence::Builder getEvidence();
+  inline void setEvidence( ::tanagerstall::wire::PromptEvidence::Reader value);
+  inline  ::tanagerstall::wire::PromptEvidence::Builder initEvidence();
+  inline void adoptEvidence(::capnp::Orphan< ::tanagerstall::wire::PromptEvidence>&& value);
+  inline ::capnp::Orphan< ::tanagerstall::wire::PromptEvidence> disownEvidence();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceEvidence::Pipeline {
+public:
+  typedef ServiceEvidence Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::tanagerstall::wire::PromptEvidence::Pipeline getEvidence();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PromptVerdicts::Reader {
 public:
   typedef PromptVerdicts Reads;
@@ -2494,6 +2602,9 @@
 
   inline bool getReadsPackedReplicas() const;
 
+  inline bool hasRequestEvidence() const;
+  inline  ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>::Reader getRequestEvidence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2620,6 +2731,13 @@
   inline bool getReadsPackedReplicas();
   inline void setReadsPackedReplicas(bool value);
 
+  inline bool hasRequestEvidence();
+  inline  ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>::Builder getRequestEvidence();
+  inline void setRequestEvidence( ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>::Builder initRequestEvidence(unsigned int size);
+  inline void adoptRequestEvidence(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>> disownRequestEvidence();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4467,6 +4585,79 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool ServiceEvidence::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceEvidence::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceEvidence::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceEvidence::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceEvidence::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceEvidence::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceEvidence::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceEvidence::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ServiceEvidence::Reader::hasEvidence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceEvidence::Builder::hasEvidence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tanagerstall::wire::PromptEvidence::Reader ServiceEvidence::Reader::getEvidence() const {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptEvidence>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::tanagerstall::wire::PromptEvidence::Builder ServiceEvidence::Builder::getEvidence() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptEvidence>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::tanagerstall::wire::PromptEvidence::Pipeline ServiceEvidence::Pipeline::getEvidence() {
+  return  ::tanagerstall::wire::PromptEvidence::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void ServiceEvidence::Builder::setEvidence( ::tanagerstall::wire::PromptEvidence::Reader value) {
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptEvidence>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::tanagerstall::wire::PromptEvidence::Builder ServiceEvidence::Builder::initEvidence() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptEvidence>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ServiceEvidence::Builder::adoptEvidence(
+    ::capnp::Orphan< ::tanagerstall::wire::PromptEvidence>&& value) {
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptEvidence>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tanagerstall::wire::PromptEvidence> ServiceEvidence::Builder::disownEvidence() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::PromptEvidence>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PromptVerdicts::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5640,6 +5831,40 @@
       ::capnp::bounded<164>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncRequest::Reader::hasRequestEvidence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasRequestEvidence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getRequestEvidence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getRequestEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setRequestEvidence( ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initRequestEvidence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptRequestEvidence(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownRequestEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline bool CostGrant::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -160,7 +160,7 @@
       { "voters", static_cast<double>(voters) },
       { "declaration", static_cast<double>(fleet_.Current().number_) },
       { "entries_serving", static_cast<double>(ServingEntries().size()) },
-      { "prompt_parts_quarantined",
+      { "crash_causes_quarantined",
         static_cast<double>(detector_.CountQuarantined(now)) },
       { "entries_active", static_cast<double>(workingSet_.ActiveCount()) },
       { "replicas_ready_here", static_cast<double>(replicas_.Ready().size()) }
@@ -256,16 +256,16 @@
       admission_.Record(aReport.entry_.id_, aReport.admission_, clock_.Now());
     }
     rollouts_.Record(RunOf(aReport.entry_), aReport, clock_.Now());
-    if (isLeading_ && aReport.promptEvidence_) {
+    if (isLeading_ && aReport.crashReport_) {
       detector_.RecordReport(
-        RunOf(aReport.entry_), *aReport.promptEvidence_, clock_.Now());
+        RunOf(aReport.entry_), *aReport.crashReport_, clock_.Now());
     }
   }
 
   /// Whether the report is one to the leader and lacks its verdicts.
   bool LacksVerdicts(const EntryReport& aReport) const
   {
-    return isLeading_ && aReport.promptEvidence_ &&
+    return isLeading_ && aReport.crashReport_ &&
            aReport.promptRevision_ != detector_.Revision();
   }
 
@@ -300,7 +300,7 @@
       });
   }
 
-  void DecideOnPrompts(TimePoint aNow)
+  void DecideOnCrashes(TimePoint aNow)
   {
     if (!isLeading_ || !detector_.Update(aNow)) {
       return;
@@ -414,7 +414,7 @@
       answer.declaration_ = history_.TransferFor(aReport.canRestore_);
     }
     if (LacksVerdicts(aReport)) {
-      answer.promptVerdicts_ = detector_.Verdicts(clock_.Now());
+      answer.crashVerdicts_ = detector_.Verdicts(clock_.Now());
     }
     if (LacksRates(aReport)) {
       answer.namedRates_ = namedRates_.Rates(clock_.Now());
@@ -505,7 +505,7 @@
         }
         rollouts_.SetLeading(isLeading_, now);
         namedRates_.Update(now);
-        DecideOnPrompts(now);
+        DecideOnCrashes(now);
         rollouts_.Update(now, ReadWallTime());
         if (now >= nextSettingsReadAt_) {
           Reload(false);
@@ -605,7 +605,7 @@
   EntryWorkingSet workingSet_;
   MemberDirectory members_;
   CostLeases leases_;
-  PromptCrashDetector detector_{ runId_ };
+  CrashDetector detector_{ runId_ };
   NamedRateTable namedRates_{ runId_ };
   AdmissionLevels admission_;
   RolloutLeader rollouts_{ settings_.rollouts_,
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -167,7 +167,7 @@
     }
     if (aIsLeader) {
       report.admission_ = traffic_.admissionSums_;
-      report.promptEvidence_ = traffic_.promptEvidence_;
+      report.crashReport_ = traffic_.crashReport_;
       report.promptRevision_ =
         aControl == verdictsFrom_ ? verdictsRevision_ : 0;
       report.rateRevision_ = aControl == ratesFrom_ ? ratesRevision_ : 0;
@@ -270,8 +270,8 @@
         forwarder_.AdoptAdmissionSums(sums, reportedAt);
       });
     }
-    if (aAnswer.promptVerdicts_) {
-      ReceiveVerdicts(aControl, *aAnswer.promptVerdicts_);
+    if (aAnswer.crashVerdicts_) {
+      ReceiveVerdicts(aControl, *aAnswer.crashVerdicts_);
     }
     if (aAnswer.namedRates_) {
       ratesFrom_ = aControl;
@@ -321,7 +321,7 @@
   }
 
   void ReceiveVerdicts(const std::string& aControl,
-                       const PromptVerdicts& aVerdicts)
+                       const CrashVerdicts& aVerdicts)
   {
     verdictsFrom_ = aControl;
     verdictsRevision_ = aVerdicts.revision_;
@@ -502,7 +502,7 @@
   {
     loop_.Post([this, aIsUrgent, report = forwarder_.Report()] {
       bool hasLosses =
-        report.promptEvidence_.lost_ > traffic_.promptEvidence_.lost_;
+        report.crashReport_.Lost() > traffic_.crashReport_.Lost();
       bool hasRateNews = report.rateNews_ != traffic_.rateNews_;
       traffic_ = report;
       if (aIsUrgent || hasLosses || hasRateNews || IsBusy()) {
--- a/src/tanagerstall/request/tanagerstall_attempt_recorder.cpp
+++ b/src/tanagerstall/request/tanagerstall_attempt_recorder.cpp
@@ -6,7 +6,7 @@
 namespace tanagerstall {
 
 AttemptRecorder::AttemptRecorder(ReplicaChooser& aChooser,
-                                 PromptQuarantine& aQuarantine,
+                                 CrashQuarantine& aQuarantine,
                                  Metrics& aMetrics,
                                  Clock aClock)
   : chooser_(aChooser)
@@ -58,12 +58,21 @@
                                 const AttemptResult& aResult,
                                 bool aIsCounted)
 {
-  const PromptParts& parts = aRequest.prompt_.sharedParts_;
+  RequestCauses causes = aRequest.Causes();
   TimePoint now = clock_.Now();
-  if (aResult.isSuccess_ && !aIsCounted) {
-    quarantine_.RecordSuccess(parts, now);
-  } else if (aResult.isConnectionLost_) {
-    quarantine_.RecordLoss(parts, aReplica, aResult.begunAt_, now);
+  if (aResult.isConnectionLost_) {
+    quarantine_.RecordLoss(causes, aReplica, aResult.begunAt_, now);
+    return;
+  }
+  if (!aResult.isSuccess_) {
+    // A lookup that finds nothing doesn't crash its replica either.
+    causes.parts_ = {};
+  }
+  bool hasSurvived =
+    aResult.isSuccess_ ||
+    (aResult.outcome_ == AttemptOutcome::Answered && !aResult.isServerError_);
+  if (hasSurvived && !aIsCounted) {
+    quarantine_.RecordSuccess(causes, now);
   }
 }
 
--- a/src/tanagerstall/request/tanagerstall_attempt_recorder.hpp
+++ b/src/tanagerstall/request/tanagerstall_attempt_recorder.hpp
@@ -2,9 +2,9 @@
 #define TANAGERSTALL_ATTEMPT_RECORDER_HPP_INCLUDED
 
 #include "tanagerstall/process/metrics/tanagerstall_metrics.hpp"
+#include "tanagerstall/request/tanagerstall_crash_quarantine.hpp"
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
 #include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
-#include "tanagerstall/request/tanagerstall_prompt_quarantine.hpp"
 #include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
 
 namespace tanagerstall {
@@ -16,7 +16,7 @@
 {
 public:
   AttemptRecorder(ReplicaChooser& aChooser,
-                  PromptQuarantine& aQuarantine,
+                  CrashQuarantine& aQuarantine,
                   Metrics& aMetrics,
                   Clock aClock);
 
@@ -45,7 +45,7 @@
 
 private:
   ReplicaChooser& chooser_;
-  PromptQuarantine& quarantine_;
+  CrashQuarantine& quarantine_;
   Metrics& metrics_;
   Clock clock_;
 };
--- a/src/tanagerstall/request/tanagerstall_prompt_crash_detector.cpp
+++ b/src/tanagerstall/request/tanagerstall_cause_search.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/request/tanagerstall_prompt_crash_detector.hpp"
+#include "tanagerstall/request/tanagerstall_cause_search.hpp"
 
 #include <algorithm>
 #include <numeric>
@@ -9,39 +9,38 @@
 
 namespace {
 
-/// With fewer crashes a part is not suspected.
+/// With fewer crashes a prompt part is not suspected.
 constexpr std::size_t kMinCrashes = 3;
+/// With fewer losses of replicas a request is not suspected: a sound one that
+/// is repeated beside the deadly one is lost twice.
+constexpr std::size_t kMinLossesOfRequest = 3;
 /// Replicas that are lost within this time are lost at the same moment.
 constexpr Duration kMoment = std::chrono::milliseconds(50);
-/// A part that was present at this share of another one's crashes came along
+/// A cause that was present at this share of another one's crashes came along
 /// with it.
 constexpr double kMinCompanionShare = 0.9;
-/// The time in which entries report successes of a suspected part.
+/// The time in which entries report successes of a suspected cause.
 constexpr Duration kConfirmation = std::chrono::milliseconds(400);
 /// The time within which entries report what they have counted.
 constexpr Duration kReportDelay = std::chrono::milliseconds(250);
-/// The list of suspected parts is sent no more often than this.
+/// The list of suspected causes is sent no more often than this.
 constexpr Duration kListInterval = std::chrono::milliseconds(200);
 /// Crashes that are older don't count.
 constexpr Duration kEvidenceAge = std::chrono::seconds(60);
-constexpr std::chrono::seconds kFirstQuarantine = std::chrono::minutes(10);
-constexpr std::chrono::seconds kMaxQuarantine = std::chrono::hours(4);
-/// How long after its end a quarantine is remembered.
-constexpr Duration kQuarantineMemory = std::chrono::hours(4);
 /// Bounds for what is kept and sent.
 constexpr std::size_t kMaxSuspicions = 2048;
 constexpr std::size_t kMaxListed = 32;
-constexpr std::size_t kMaxQuarantines = 64;
 
 } // namespace
 
-PromptCrashDetector::PromptCrashDetector(std::uint64_t aRun)
-  : run_(aRun)
+CauseSearch::CauseSearch(std::string aService, QuarantineTable& aQuarantines)
+  : service_(std::move(aService))
+  , quarantines_(aQuarantines)
 {
 }
 
 auto
-PromptCrashDetector::Totals::operator-(const Totals& aOther) const -> Totals
+CauseSearch::Totals::operator-(const Totals& aOther) const -> Totals
 {
   return { answered_ - aOther.answered_,
            lost_ - aOther.lost_,
@@ -49,16 +48,16 @@
 }
 
 void
-PromptCrashDetector::StartLeading()
+CauseSearch::StartLeading()
 {
   entries_.clear();
   suspicions_.clear();
 }
 
 void
-PromptCrashDetector::RecordReport(const std::string& aEntryRun,
-                                  const PromptEvidence& aEvidence,
-                                  TimePoint aNow)
+CauseSearch::RecordReport(const std::string& aEntryRun,
+                          const LossEvidence& aEvidence,
+                          TimePoint aNow)
 {
   std::uint64_t known = RecordTotals(aEntryRun, aEvidence, aNow);
   for (const auto& crash : aEvidence.crashes_) {
@@ -69,18 +68,15 @@
   for (const auto& success : aEvidence.successes_) {
     RecordSuccess(success, aNow);
   }
-  for (const auto& part : aEvidence.quarantined_) {
-    Adopt(part, aNow);
-  }
 }
 
 /// Adds what the entry has counted since its last report to this leader.
 /// Returns the number of losses that it had reported before. Of an entry that
 /// is new to this leader only the reported crashes count.
 std::uint64_t
-PromptCrashDetector::RecordTotals(const std::string& aEntryRun,
-                                  const PromptEvidence& aEvidence,
-                                  TimePoint aNow)
+CauseSearch::RecordTotals(const std::string& aEntryRun,
+                          const LossEvidence& aEvidence,
+                          TimePoint aNow)
 {
   auto [it, isNew] = entries_.try_emplace(aEntryRun);
   EntryTotals& entry = it->second;
@@ -106,7 +102,7 @@
 /// Returns the moment of a crash at `aTime`. Replicas that are lost together
 /// may have a common cause and count as one crash.
 TimePoint
-PromptCrashDetector::FindMoment(TimePoint aTime)
+CauseSearch::FindMoment(TimePoint aTime)
 {
   auto it = crashes_.lower_bound(aTime - kMoment);
   if (it != crashes_.end() && it->first <= aTime + kMoment) {
@@ -118,21 +114,23 @@
 }
 
 void
-PromptCrashDetector::RecordCrash(const PromptCrash& aCrash, TimePoint aNow)
+CauseSearch::RecordCrash(const ReportedCrash& aCrash, TimePoint aNow)
 {
   Totals before = totals_;
   TimePoint at = FindMoment(aNow - aCrash.age_);
   crashes_[at].insert(aCrash.replica_);
-  if (IsQuarantined(aCrash.part_, aNow)) {
+  if (quarantines_.IsQuarantined(aCrash.cause_, aNow)) {
     Explain(at);
     return;
   }
-  bool isKnown = suspicions_.contains(aCrash.part_);
-  if (explained_.contains(at) ||
-      (!isKnown && suspicions_.size() >= kMaxSuspicions)) {
+  if (explained_.contains(at)) {
     return;
   }
-  Suspicion& suspicion = suspicions_[aCrash.part_];
+  if (!suspicions_.contains(aCrash.cause_) &&
+      suspicions_.size() >= kMaxSuspicions) {
+    ForgetOneSuspicion();
+  }
+  Suspicion& suspicion = suspicions_[aCrash.cause_];
   suspicion.wasAnswered_ = suspicion.wasAnswered_ || aCrash.wasAnswered_;
   if (at <= suspicion.lastSuccess_) {
     return;
@@ -152,25 +150,42 @@
   suspicion.changedAt_ = aNow;
 }
 
-/// A crash that a quarantined part explains doesn't count against other parts.
+/// Forgets the cause with the fewest crashes, of these the one that was lost
+/// first: many requests that are lost once each must not keep out one that is
+/// lost again and again.
 void
-PromptCrashDetector::Explain(TimePoint aMoment)
+CauseSearch::ForgetOneSuspicion()
+{
+  suspicions_.erase(std::min_element(
+    suspicions_.begin(),
+    suspicions_.end(),
+    [](const auto& aLeft, const auto& aRight) {
+      auto rank = [](const Suspicion& aSuspicion) {
+        return std::pair(aSuspicion.crashes_.size(), aSuspicion.changedAt_);
+      };
+      return rank(aLeft.second) < rank(aRight.second);
+    }));
+}
+
+/// A crash that a quarantined cause explains doesn't count against other
+/// causes.
+void
+CauseSearch::Explain(TimePoint aMoment)
 {
   if (!explained_.insert(aMoment).second) {
     return;
   }
-  for (auto& [part, suspicion] : suspicions_) {
+  for (auto& [cause, suspicion] : suspicions_) {
     suspicion.crashes_.erase(aMoment);
   }
 }
 
-/// A part that was answered does not crash replicas: what happened to requests
+/// A cause that was answered does not crash replicas: what happened to requests
 /// with it before had another cause.
 void
-PromptCrashDetector::RecordSuccess(const PromptSuccess& aSuccess,
-                                   TimePoint aNow)
+CauseSearch::RecordSuccess(const ReportedSuccess& aSuccess, TimePoint aNow)
 {
-  auto it = suspicions_.find(aSuccess.part_);
+  auto it = suspicions_.find(aSuccess.cause_);
   if (it == suspicions_.end()) {
     return;
   }
@@ -180,24 +195,13 @@
   suspicion.wasAnswered_ = true;
   suspicion.crashes_.erase(suspicion.crashes_.begin(),
                            suspicion.crashes_.upper_bound(at));
-  if (!IsQuarantined(aSuccess.part_, aNow)) {
-    quarantines_.erase(aSuccess.part_);
-  }
-}
-
-void
-PromptCrashDetector::Adopt(const QuarantinedPart& aPart, TimePoint aNow)
-{
-  if (IsQuarantined(aPart.part_, aNow) ||
-      quarantines_.size() >= kMaxQuarantines) {
-    return;
+  if (!quarantines_.IsQuarantined(aSuccess.cause_, aNow)) {
+    quarantines_.Forget(aSuccess.cause_);
   }
-  quarantines_[aPart.part_] = { aNow + aPart.remaining_, kFirstQuarantine };
-  hasChanged_ = true;
 }
 
 bool
-PromptCrashDetector::Update(TimePoint aNow)
+CauseSearch::Update(TimePoint aNow)
 {
   ForgetOldEvidence(aNow);
   auto candidates = Candidates(aNow);
@@ -205,19 +209,18 @@
     List(candidates, aNow);
   }
   bool isFirst = true;
-  for (std::uint64_t part : candidates) {
-    if (!HasLikelierCause(part) && IsConfirmed(part, isFirst, aNow)) {
-      StartQuarantine(part, aNow);
+  for (std::uint64_t cause : candidates) {
+    if (!HasLikelierCause(cause) && IsConfirmed(cause, isFirst, aNow)) {
+      StartQuarantine(cause, aNow);
       break;
     }
     isFirst = false;
   }
-  changes_ += hasChanged_ ? 1 : 0;
   return std::exchange(hasChanged_, false);
 }
 
 void
-PromptCrashDetector::ForgetOldEvidence(TimePoint aNow)
+CauseSearch::ForgetOldEvidence(TimePoint aNow)
 {
   std::erase_if(entries_, [&](const auto& aIt) {
     return aNow - aIt.second.reportedAt_ > kEvidenceAge;
@@ -228,53 +231,70 @@
   std::erase_if(suspicions_, [&](const auto& aIt) {
     return aNow - aIt.second.changedAt_ > kEvidenceAge;
   });
-  std::erase_if(quarantines_, [&](const auto& aIt) {
-    return aNow - aIt.second.until_ > kQuarantineMemory;
-  });
 }
 
-/// Returns the suspected parts, those that were present at most crashes first.
-/// Of parts that always come together, the one that was answered earlier is the
-/// less likely one.
+std::size_t
+CauseSearch::CountReplicaLosses(const Suspicion& aSuspicion)
+{
+  return std::accumulate(
+    aSuspicion.crashes_.begin(),
+    aSuspicion.crashes_.end(),
+    std::size_t{ 0 },
+    [](std::size_t aSum, const auto& aIt) { return aSum + aIt.second.size(); });
+}
+
+bool
+CauseSearch::IsSuspected(std::uint64_t aCause,
+                         const Suspicion& aSuspicion) const
+{
+  auto crashes = aSuspicion.crashes_.size();
+  if (crashes == 0 || quarantines_.IsRemembered(aCause)) {
+    return crashes > 0;
+  }
+  return service_.empty()
+           ? crashes >= kMinCrashes
+           : CountReplicaLosses(aSuspicion) >= kMinLossesOfRequest;
+}
+
+/// Returns the suspected causes, those that were present at most crashes first.
+/// Of causes that always come together, the one that was answered earlier is
+/// the less likely one.
 std::vector<std::uint64_t>
-PromptCrashDetector::Candidates(TimePoint aNow) const
+CauseSearch::Candidates(TimePoint aNow) const
 {
-  std::vector<std::uint64_t> parts;
-  for (const auto& [part, suspicion] : suspicions_) {
-    auto crashes = suspicion.crashes_.size();
-    bool isSuspected =
-      crashes >= kMinCrashes || (crashes > 0 && quarantines_.contains(part));
-    if (isSuspected && !IsQuarantined(part, aNow)) {
-      parts.push_back(part);
+  std::vector<std::uint64_t> causes;
+  for (const auto& [cause, suspicion] : suspicions_) {
+    if (IsSuspected(cause, suspicion) &&
+        !quarantines_.IsQuarantined(cause, aNow)) {
+      causes.push_back(cause);
     }
   }
-  auto rank = [this](std::uint64_t aPart) {
-    const Suspicion& suspicion = suspicions_.at(aPart);
+  auto rank = [this](std::uint64_t aCause) {
+    const Suspicion& suspicion = suspicions_.at(aCause);
     return std::tuple(suspicion.crashes_.size(),
                       suspicion.requests_,
                       !suspicion.wasAnswered_,
                       -suspicion.lastSuccess_.time_since_epoch());
   };
-  std::sort(parts.begin(), parts.end(), [&](auto aLeft, auto aRight) {
+  std::sort(causes.begin(), causes.end(), [&](auto aLeft, auto aRight) {
     return rank(aLeft) > rank(aRight);
   });
-  return parts;
+  return causes;
 }
 
 /// Lists the first candidates, so that entries report successes of them.
-/// Entries need not be told of parts that leave the list.
+/// Entries need not be told of causes that leave the list.
 void
-PromptCrashDetector::List(const std::vector<std::uint64_t>& aCandidates,
-                          TimePoint aNow)
+CauseSearch::List(const std::vector<std::uint64_t>& aCandidates, TimePoint aNow)
 {
   std::map<std::uint64_t, TimePoint> listed;
-  for (std::uint64_t part : aCandidates) {
+  for (std::uint64_t cause : aCandidates) {
     if (listed.size() == kMaxListed) {
       break;
     }
-    auto it = listedSince_.find(part);
+    auto it = listedSince_.find(cause);
     bool isNew = it == listedSince_.end();
-    listed[part] = isNew ? aNow : it->second;
+    listed[cause] = isNew ? aNow : it->second;
     if (isNew) {
       hasChanged_ = true;
       nextListAt_ = aNow + kListInterval;
@@ -283,13 +303,13 @@
   listedSince_ = std::move(listed);
 }
 
-/// Whether the part was answered earlier, and one that never was came along at
+/// Whether the cause was answered earlier, and one that never was came along at
 /// nearly all of its crashes.
 bool
-PromptCrashDetector::HasLikelierCause(std::uint64_t aPart) const
+CauseSearch::HasLikelierCause(std::uint64_t aCause) const
 {
-  const Suspicion& suspicion = suspicions_.at(aPart);
-  if (!suspicion.wasAnswered_ || quarantines_.contains(aPart)) {
+  const Suspicion& suspicion = suspicions_.at(aCause);
+  if (!suspicion.wasAnswered_ || quarantines_.IsRemembered(aCause)) {
     return false;
   }
   double needed =
@@ -307,10 +327,10 @@
     });
 }
 
-/// Counts the parts that no success has cleared of their crashes. One that was
+/// Counts the causes that no success has cleared of their crashes. One that was
 /// never answered is weighed against its like only, since there are few.
 std::size_t
-PromptCrashDetector::CountSuspected(bool aWasAnswered) const
+CauseSearch::CountSuspected(bool aWasAnswered) const
 {
   return static_cast<std::size_t>(
     std::count_if(suspicions_.begin(), suspicions_.end(), [&](const auto& aIt) {
@@ -319,11 +339,25 @@
     }));
 }
 
+/// The most losses of one replica at one moment of another cause that was never
+/// answered.
+std::size_t
+CauseSearch::MostLossesBut(const Suspicion& aSuspicion) const
+{
+  std::size_t most = 0;
+  for (const auto& [cause, other] : suspicions_) {
+    if (&other == &aSuspicion || other.wasAnswered_) {
+      continue;
+    }
+    most = std::max(most, CountReplicaLosses(other));
+  }
+  return most;
+}
+
 /// Only the time from its first to its last crash counts: later there may have
-/// been no request with the part.
+/// been no request with the cause.
 CrashEvidence
-PromptCrashDetector::EvidenceOf(const Suspicion& aSuspicion,
-                                bool aIsFirst) const
+CauseSearch::EvidenceOf(const Suspicion& aSuspicion, bool aIsFirst) const
 {
   Totals totals = aSuspicion.latest_ - aSuspicion.before_;
   CrashEvidence evidence;
@@ -332,9 +366,9 @@
   std::set<std::uint64_t> replicas;
   for (const auto& [at, lost] : aSuspicion.crashes_) {
     replicas.insert(lost.begin(), lost.end());
-    evidence.replicaLosses_ += lost.size();
   }
   evidence.replicas_ = replicas.size();
+  evidence.replicaLosses_ = CountReplicaLosses(aSuspicion);
   if (!aSuspicion.crashes_.empty()) {
     evidence.allReplicaLosses_ = CountUnexplainedLosses(
       aSuspicion.crashes_.begin()->first, aSuspicion.crashes_.rbegin()->first);
@@ -348,14 +382,15 @@
   evidence.parts_ = CountSuspected(aSuspicion.wasAnswered_);
   evidence.wasAnswered_ = aSuspicion.wasAnswered_;
   evidence.isFirst_ = aIsFirst;
+  evidence.isWholeRequest_ = !service_.empty();
+  evidence.otherReplicaLosses_ = MostLossesBut(aSuspicion);
   return evidence;
 }
 
 /// Counts the losses of one replica at one moment, without those at which a
 /// quarantined part was present.
 std::size_t
-PromptCrashDetector::CountUnexplainedLosses(TimePoint aFrom,
-                                            TimePoint aTo) const
+CauseSearch::CountUnexplainedLosses(TimePoint aFrom, TimePoint aTo) const
 {
   return std::accumulate(crashes_.lower_bound(aFrom),
                          crashes_.upper_bound(aTo),
@@ -369,13 +404,11 @@
 /// Whether the evidence has been convincing for a while in which entries could
 /// report a success.
 bool
-PromptCrashDetector::IsConfirmed(std::uint64_t aPart,
-                                 bool aIsFirst,
-                                 TimePoint aNow)
+CauseSearch::IsConfirmed(std::uint64_t aCause, bool aIsFirst, TimePoint aNow)
 {
-  Suspicion& suspicion = suspicions_.at(aPart);
-  auto listed = listedSince_.find(aPart);
-  bool isConvincing = quarantines_.contains(aPart) ||
+  Suspicion& suspicion = suspicions_.at(aCause);
+  auto listed = listedSince_.find(aCause);
+  bool isConvincing = quarantines_.IsRemembered(aCause) ||
                       IsConvincing(EvidenceOf(suspicion, aIsFirst));
   if (listed == listedSince_.end() || !isConvincing) {
     suspicion.convincingSince_ = std::nullopt;
@@ -387,75 +420,35 @@
 }
 
 void
-PromptCrashDetector::StartQuarantine(std::uint64_t aPart, TimePoint aNow)
+CauseSearch::StartQuarantine(std::uint64_t aCause, TimePoint aNow)
 {
-  if (quarantines_.size() >= kMaxQuarantines && !quarantines_.contains(aPart)) {
-    return;
-  }
-  Quarantine& quarantine = quarantines_[aPart];
-  bool isFirst = quarantine.duration_ == std::chrono::seconds(0);
-  quarantine.duration_ = isFirst
-                           ? kFirstQuarantine
-                           : std::min(2 * quarantine.duration_, kMaxQuarantine);
-  quarantine.until_ = aNow + quarantine.duration_;
-  const Suspicion& found = suspicions_.at(aPart);
+  const Suspicion& found = suspicions_.at(aCause);
   Totals totals = found.latest_ - found.before_;
-  decisions_.push_back({ aPart,
+  decisions_.push_back({ aCause,
+                         service_,
                          found.crashes_.size(),
                          totals.answered_,
                          totals.lost_,
-                         quarantine.duration_ });
+                         quarantines_.Start(aCause, aNow) });
   for (const auto& [at, replicas] : Crashes(found.crashes_)) {
     Explain(at);
   }
   hasChanged_ = true;
 }
 
-bool
-PromptCrashDetector::IsQuarantined(std::uint64_t aPart, TimePoint aNow) const
-{
-  auto it = quarantines_.find(aPart);
-  return it != quarantines_.end() && aNow < it->second.until_;
-}
-
-PromptVerdicts
-PromptCrashDetector::Verdicts(TimePoint aNow) const
+void
+CauseSearch::AddSuspects(std::vector<std::uint64_t>& aTo) const
 {
-  PromptVerdicts verdicts;
-  verdicts.revision_ = Revision();
-  for (const auto& [part, since] : listedSince_) {
-    verdicts.suspects_.push_back(part);
-  }
-  for (const auto& [part, quarantine] : quarantines_) {
-    if (aNow < quarantine.until_) {
-      verdicts.quarantined_.push_back(
-        { part,
-          std::chrono::duration_cast<std::chrono::milliseconds>(
-            quarantine.until_ - aNow) });
-    }
+  for (const auto& [cause, since] : listedSince_) {
+    aTo.push_back(cause);
   }
-  return verdicts;
-}
-
-std::uint64_t
-PromptCrashDetector::Revision() const
-{
-  return changes_ == 0 ? 0 : run_ + changes_;
 }
 
-std::vector<QuarantineDecision>
-PromptCrashDetector::TakeDecisions()
-{
-  return std::exchange(decisions_, {});
-}
-
-std::size_t
-PromptCrashDetector::CountQuarantined(TimePoint aNow) const
+void
+CauseSearch::TakeDecisions(std::vector<QuarantineDecision>& aTo)
 {
-  return static_cast<std::size_t>(std::count_if(
-    quarantines_.begin(), quarantines_.end(), [&](const auto& aIt) {
-      return aNow < aIt.second.until_;
-    }));
+  aTo.insert(aTo.end(), decisions_.begin(), decisions_.end());
+  decisions_.clear();
 }
 
 } // namespace tanagerstall
--- a/src/tanagerstall/request/tanagerstall_crash_evidence.cpp
+++ b/src/tanagerstall/request/tanagerstall_crash_evidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace tanagerstall {
 
@@ -21,6 +22,17 @@
 /// there by chance: failure domains can be lost one after the other.
 constexpr std::uint64_t kMinCrashesOfNewPart = 4;
 constexpr std::size_t kMinReplicaLosses = 8;
+/// The same for a whole request. Fewer are enough, since hardly any sound
+/// request is lost as often without one answer ever, while sound requests share
+/// prompt parts.
+constexpr std::uint64_t kMinCrashesOfNewRequest = 3;
+constexpr std::size_t kMinReplicaLossesOfRequest = 5;
+/// The same if no other request was lost as often. A sound request that is
+/// repeated beside the deadly one is lost with it at two replicas.
+constexpr std::uint64_t kMinCrashesOfOnlyRequest = 2;
+constexpr std::size_t kMinReplicaLossesOfOnlyRequest = 3;
+/// With fewer crashes a share of lost requests says too little.
+constexpr std::uint64_t kMinCrashesForShare = 3;
 
 /// The requests without the part that were lost; at least 1.
 double
@@ -45,7 +57,8 @@
 
 /// Whether the part was present at nearly all crashes. It has a large share of
 /// the requests then, so that some of those that were answered should have had
-/// it.
+/// it. A request that was answered earlier is spared: one lookup can be most of
+/// what a small service gets.
 bool
 CoversCrashes(const CrashEvidence& aEvidence)
 {
@@ -54,11 +67,26 @@
   double chanceOfAbsence =
     std::pow(1.0 - kMinCoverage,
              static_cast<double>(aEvidence.answered_) / lostPerCrash);
-  return aEvidence.isFirst_ && aEvidence.crashes_ >= kMinCoveredCrashes &&
+  bool isSpared = aEvidence.isWholeRequest_ && aEvidence.wasAnswered_;
+  return !isSpared && aEvidence.isFirst_ &&
+         aEvidence.crashes_ >= kMinCoveredCrashes &&
          static_cast<double>(aEvidence.crashes_) >= kMinCoverage * allCrashes &&
          chanceOfAbsence < kMaxChanceWithCoverage;
 }
 
+/// The least crashes, and losses of replicas, with which a part or request that
+/// appeared when the crashes began is no chance.
+std::pair<std::uint64_t, std::size_t>
+LeastLossesOfNew(const CrashEvidence& aEvidence)
+{
+  if (!aEvidence.isWholeRequest_) {
+    return { kMinCrashesOfNewPart, kMinReplicaLosses };
+  }
+  return aEvidence.replicaLosses_ > aEvidence.otherReplicaLosses_
+           ? std::pair(kMinCrashesOfOnlyRequest, kMinReplicaLossesOfOnlyRequest)
+           : std::pair(kMinCrashesOfNewRequest, kMinReplicaLossesOfRequest);
+}
+
 /// Whether the part appeared when the crashes began: nearly each replica was
 /// lost with it, and by its share of the lost requests some of those that were
 /// answered before should have had it. This needs no answer after the first
@@ -70,9 +98,9 @@
                  std::max(1.0, static_cast<double>(aEvidence.lost_));
   double chanceOfAbsence = std::pow(
     std::max(0.0, 1.0 - share), static_cast<double>(aEvidence.answeredEver_));
-  return !aEvidence.wasAnswered_ &&
-         aEvidence.crashes_ >= kMinCrashesOfNewPart &&
-         aEvidence.replicaLosses_ >= kMinReplicaLosses &&
+  auto [minCrashes, minLosses] = LeastLossesOfNew(aEvidence);
+  return !aEvidence.wasAnswered_ && aEvidence.crashes_ >= minCrashes &&
+         aEvidence.replicaLosses_ >= minLosses &&
          static_cast<double>(aEvidence.replicaLosses_) >=
            kMinCoverage * static_cast<double>(aEvidence.allReplicaLosses_) &&
          chanceOfAbsence < kMaxChance;
@@ -84,8 +112,9 @@
 IsConvincing(const CrashEvidence& aEvidence)
 {
   return aEvidence.replicas_ >= kMinReplicas &&
-         (ChanceOfLosses(aEvidence) < kMaxChance || CoversCrashes(aEvidence) ||
-          AppearedWithCrashes(aEvidence));
+         ((aEvidence.crashes_ >= kMinCrashesForShare &&
+           ChanceOfLosses(aEvidence) < kMaxChance) ||
+          CoversCrashes(aEvidence) || AppearedWithCrashes(aEvidence));
 }
 
 } // namespace tanagerstall
--- a/src/tanagerstall/request/tanagerstall_crash_evidence.hpp
+++ b/src/tanagerstall/request/tanagerstall_crash_evidence.hpp
@@ -6,8 +6,9 @@
 
 namespace tanagerstall {
 
-/// What is known of a prompt part that was present at crashes, counted from
-/// the part's first crash that no success followed to its last one.
+/// What is known of a prompt part, or a request, that was present at crashes,
+/// counted from the part's first crash that no success followed to its last
+/// one.
 struct CrashEvidence
 {
   /// Moments at which replicas were lost: with the part, and all.
@@ -32,6 +33,11 @@
   bool wasAnswered_ = false;
   /// Whether no other suspected part was present at more crashes.
   bool isFirst_ = false;
+  /// Whether the possible cause is a whole request, not a part of its prompt.
+  bool isWholeRequest_ = false;
+  /// The most losses of one replica at one moment that another possible cause
+  /// has which was never answered.
+  std::size_t otherReplicaLosses_ = 0;
 };
 
 /// Whether the part crashes replicas: chance no longer explains that all
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
@@ -46,9 +46,12 @@
 const ForwardRefusal kBackingOff{ 503,
                                   "backing_off",
                                   "all replicas asked for fewer requests" };
-const ForwardRefusal kQuarantined{ 503,
-                                   "prompt_quarantined",
-                                   "a prompt part crashes replicas" };
+const ForwardRefusal kQuarantinedPart{ 503,
+                                       "prompt_quarantined",
+                                       "a prompt part crashes replicas" };
+const ForwardRefusal kQuarantinedRequest{ 503,
+                                          "request_quarantined",
+                                          "the request crashes replicas" };
 const ForwardRefusal kOverloaded{ 503,
                                   "overloaded",
                                   "too little capacity for its priority" };
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
@@ -29,7 +29,8 @@
 extern const ForwardRefusal kOverMemory;
 extern const ForwardRefusal kUnavailable;
 extern const ForwardRefusal kBackingOff;
-extern const ForwardRefusal kQuarantined;
+extern const ForwardRefusal kQuarantinedPart;
+extern const ForwardRefusal kQuarantinedRequest;
 /// More urgent requests need the capacity.
 extern const ForwardRefusal kOverloaded;
 /// No response is expected before the request's deadline.
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -4,7 +4,7 @@
 #include "tanagerstall/connection/tanagerstall_http_message.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica.hpp"
 #include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
-#include "tanagerstall/request/tanagerstall_prompt_evidence.hpp"
+#include "tanagerstall/request/tanagerstall_crash_report.hpp"
 #include "tanagerstall/request/tanagerstall_request_rank.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
@@ -77,6 +77,12 @@
     return organisation_ == nullptr ? std::string_view() : organisation_->name_;
   }
 
+  /// What may be the cause if the request crashes its replica.
+  RequestCauses Causes() const
+  {
+    return { prompt_.sharedParts_, fingerprint_, service_ };
+  }
+
   /// Where the request stands among the others of its service; 0 comes first.
   std::uint32_t Rank() const
   {
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -135,7 +135,7 @@
 }
 
 void
-Forwarder::ApplyVerdicts(const PromptVerdicts& aVerdicts)
+Forwarder::ApplyVerdicts(const CrashVerdicts& aVerdicts)
 {
   quarantine_.Apply(aVerdicts, clock_.Now());
 }
@@ -191,14 +191,17 @@
 
 /// Refuses a request that would crash its replica.
 std::optional<HttpResponse>
-Forwarder::CheckPrompt(const ForwardedRequest& aRequest)
+Forwarder::CheckQuarantine(const ForwardedRequest& aRequest)
 {
-  auto remaining =
-    quarantine_.RemainingFor(aRequest.prompt_.sharedParts_, clock_.Now());
+  RequestCauses causes = aRequest.Causes();
+  auto remaining = quarantine_.RemainingFor(causes, clock_.Now());
   if (!remaining) {
     return std::nullopt;
   }
-  ForwardRefusal refusal = kQuarantined;
+  causes.request_ = 0;
+  ForwardRefusal refusal = quarantine_.RemainingFor(causes, clock_.Now())
+                             ? kQuarantinedPart
+                             : kQuarantinedRequest;
   refusal.retryAfter_ = remaining;
   return Refuse(aRequest, refusal);
 }
@@ -295,7 +298,7 @@
   }
   request.prompt_ = ReadPromptFacts(http, settings_.protocol_);
   request.fingerprint_ = FingerprintOf(http, request.OrganisationName());
-  if (auto refusal = CheckPrompt(request)) {
+  if (auto refusal = CheckQuarantine(request)) {
     return tl::make_unexpected(*refusal);
   }
   request.cost_ = EstimateWork(request.prompt_);
@@ -409,7 +412,7 @@
 Forwarder::Run(HttpExchange& aExchange, ForwardedRequest& aRequest)
 {
   const Route& route = *aRequest.route_;
-  const PromptParts& parts = aRequest.prompt_.sharedParts_;
+  RequestCauses causes = aRequest.Causes();
   bool hasRun = false;
   bool canRetry = true;
   std::optional<HttpResponse> failure;
@@ -418,7 +421,7 @@
   auto side = rollouts_.Assign(
     aRequest.service_, aRequest.prompt_.LastSharedPart(), clock_.Now());
   while (canRetry && !hasEndedRequests_ &&
-         !quarantine_.RemainingFor(parts, clock_.Now())) {
+         !quarantine_.RemainingFor(causes, clock_.Now())) {
     ChoiceRequest choice{ aRequest.service_,
                           aRequest.prompt_.LastSharedPart(),
                           WorkClassOf(aRequest),
@@ -448,10 +451,9 @@
        },
         [&](Duration aSinceFirst) {
           counted.OnEvent();
-          if (!isSuccessCounted &&
-              aSinceFirst >= PromptQuarantine::kBeginning) {
+          if (!isSuccessCounted && aSinceFirst >= CrashQuarantine::kBeginning) {
             isSuccessCounted = true;
-            quarantine_.RecordSuccess(parts, clock_.Now());
+            quarantine_.RecordSuccess(causes, clock_.Now());
           }
         },
         [&](const ReplicaNotice& aNotice) {
@@ -486,7 +488,8 @@
                       last.outcome_ == AttemptOutcome::Answered;
     aRequest.runs_ += mayHaveRun ? 1 : 0;
     LogAttemptFailed(aRequest, last, mayHaveRun);
-    bool isSuspected = last.isConnectionLost_ && quarantine_.IsSuspected(parts);
+    bool isSuspected =
+      last.isConnectionLost_ && quarantine_.IsSuspected(causes);
     if (mayHaveRun && (!mayRunAgain || isSuspected)) {
       break;
     }
@@ -522,7 +525,7 @@
     aRequest.runs_ > 0 ||
     (aLast.outcome_ == AttemptOutcome::Abandoned && aLast.isSent_);
   if (!mayHaveRun) {
-    auto refusal = CheckPrompt(aRequest);
+    auto refusal = CheckQuarantine(aRequest);
     if (!refusal && hasEndedRequests_) {
       refusal = Refuse(aRequest, kStopping);
     }
@@ -564,7 +567,7 @@
   report.services_ = loads_;
   report.admissionSums_ = admission_.Report(clock_.Now());
   report.requestRate_ = arrivals_.Update(clock_.Now());
-  report.promptEvidence_ = quarantine_.Report(clock_.Now());
+  report.crashReport_ = quarantine_.Report(clock_.Now());
   report.namedRates_ = chooser_.RateLimits().Report(clock_.Now());
   report.rateNews_ = chooser_.RateLimits().News();
   report.rolloutCounts_ = rollouts_.Report();
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -9,10 +9,10 @@
 #include "tanagerstall/request/tanagerstall_attempt_recorder.hpp"
 #include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
+#include "tanagerstall/request/tanagerstall_crash_quarantine.hpp"
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
 #include "tanagerstall/request/tanagerstall_forward_refusal.hpp"
 #include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
-#include "tanagerstall/request/tanagerstall_prompt_quarantine.hpp"
 #include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
 #include "tanagerstall/request/tanagerstall_request_rate.hpp"
 #include "tanagerstall/request/tanagerstall_retry_budgets.hpp"
@@ -53,7 +53,7 @@
   AdmissionSumsByService admissionSums_;
   /// Requests per second from callers; refused ones count for a part.
   double requestRate_ = 0.0;
-  PromptEvidence promptEvidence_;
+  CrashReport crashReport_;
   NamedRates namedRates_;
   /// The number of limits that this entry learnt by itself; grows with each.
   std::uint64_t rateNews_ = 0;
@@ -87,8 +87,8 @@
     const std::map<std::string, std::uint32_t>& aLongResponses);
   /// The roll-outs that this entry knows, and their counts.
   RolloutTraffic& Rollouts() { return rollouts_; }
-  /// Adopts the leader's verdicts on prompt parts.
-  void ApplyVerdicts(const PromptVerdicts& aVerdicts);
+  /// Adopts the leader's verdicts on prompt parts and requests.
+  void ApplyVerdicts(const CrashVerdicts& aVerdicts);
   /// Adopts the sums over all entries that answer this entry's report of
   /// `aReportedAt`.
   void AdoptAdmissionSums(const AdmissionSumsByService& aSums,
@@ -139,7 +139,7 @@
                          double aCost);
   std::optional<HttpResponse> CheckBackoff(const ForwardedRequest& aRequest);
   std::optional<HttpResponse> CheckAdmission(const ForwardedRequest& aRequest);
-  std::optional<HttpResponse> CheckPrompt(const ForwardedRequest& aRequest);
+  std::optional<HttpResponse> CheckQuarantine(const ForwardedRequest& aRequest);
   const std::string& PickService(const Route& aRoute);
   void CountLatency(const ForwardedRequest& aRequest, ServiceLoad& aLoad);
   void Run(HttpExchange& aExchange, ForwardedRequest& aRequest);
@@ -162,7 +162,7 @@
   RolloutTraffic rollouts_;
   CostLimits limits_;
   AdmissionControl admission_;
-  PromptQuarantine quarantine_;
+  CrashQuarantine quarantine_;
   Metrics metrics_;
   AttemptRecorder recorder_;
   UsageCounter usage_;
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -105,9 +105,20 @@
 void
 LogQuarantined(const QuarantineDecision& aDecision)
 {
+  if (aDecision.service_.empty()) {
+    LogEvent(Severity::Warning,
+             "prompt part quarantined",
+             { { "part", ToHex(aDecision.cause_) },
+               { "crashes", aDecision.crashes_ },
+               { "answered", aDecision.answered_ },
+               { "lost", aDecision.lost_ },
+               { "for_s", aDecision.duration_.count() } });
+    return;
+  }
   LogEvent(Severity::Warning,
-           "prompt part quarantined",
-           { { "part", ToHex(aDecision.part_) },
+           "request quarantined",
+           { { "fingerprint", ToHex(aDecision.cause_) },
+             { "service", aDecision.service_ },
              { "crashes", aDecision.crashes_ },
              { "answered", aDecision.answered_ },
              { "lost", aDecision.lost_ },
--- a/src/tanagerstall/request/tanagerstall_request_log.hpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.hpp
@@ -1,9 +1,9 @@
 #ifndef TANAGERSTALL_REQUEST_LOG_HPP_INCLUDED
 #define TANAGERSTALL_REQUEST_LOG_HPP_INCLUDED
 
+#include "tanagerstall/request/tanagerstall_crash_detector.hpp"
 #include "tanagerstall/request/tanagerstall_forward_attempt.hpp"
 #include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
-#include "tanagerstall/request/tanagerstall_prompt_crash_detector.hpp"
 
 #include <string_view>
 
@@ -33,7 +33,8 @@
                  const AttemptResult& aResult,
                  bool aMayHaveRun);
 
-/// Logs that requests with a prompt part are refused from now on.
+/// Logs that requests with a prompt part, or one request, are refused from now
+/// on.
 void
 LogQuarantined(const QuarantineDecision& aDecision);
 
--- a/tests/crash_evidence_tests.cpp
+++ b/tests/crash_evidence_tests.cpp
@@ -71,6 +71,27 @@
   return aEvidence;
 }
 
+/// A request that was lost whenever one of a few replicas was.
+CrashEvidence
+AsRequest(std::size_t aLosses, std::uint64_t aCrashes, std::size_t aOthers)
+{
+  CrashEvidence evidence;
+  evidence.crashes_ = aCrashes;
+  evidence.allCrashes_ = aCrashes;
+  evidence.replicas_ = 3;
+  evidence.replicaLosses_ = aLosses;
+  evidence.allReplicaLosses_ = aLosses;
+  evidence.requests_ = aLosses;
+  evidence.lost_ = 12;
+  evidence.answered_ = 10;
+  evidence.answeredEver_ = 400;
+  evidence.parts_ = 8;
+  evidence.isFirst_ = true;
+  evidence.isWholeRequest_ = true;
+  evidence.otherReplicaLosses_ = aOthers;
+  return evidence;
+}
+
 const std::vector<EvidenceCase> kCases = {
   { "no crash", {}, false },
   { "lost each time among many answered", AmongAnswered(), true },
@@ -107,6 +128,24 @@
   { "too rare to have been answered before",
     With(AmongLost(), [](auto& aIt) { aIt.requests_ = 1; }),
     false },
+  { "the only request at three losses", AsRequest(3, 2, 2), true },
+  { "the only request, one moment", AsRequest(3, 1, 2), false },
+  { "the only request, two losses", AsRequest(2, 2, 1), false },
+  { "one of two requests at three losses", AsRequest(3, 3, 3), false },
+  { "one of two requests at five losses", AsRequest(5, 3, 5), true },
+  { "a request that was answered earlier",
+    With(AsRequest(6, 6, 2), [](auto& aIt) { aIt.wasAnswered_ = true; }),
+    false },
+  { "a request that was answered earlier, among many answers",
+    With(AsRequest(6, 6, 2),
+         [](auto& aIt) {
+           aIt.wasAnswered_ = true;
+           aIt.answered_ = 2000;
+         }),
+    true },
+  { "a request lost twice among many answers",
+    With(AsRequest(2, 2, 1), [](auto& aIt) { aIt.answered_ = 100000; }),
+    false },
 };
 
 } // namespace
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -3,6 +3,8 @@
 #define BOOST_TEST_MODULE forwarder
 #include "tanagerstall_forwarder_environment.hpp"
 
+#include "tanagerstall/request/tanagerstall_request_fingerprint.hpp"
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 
@@ -492,6 +494,71 @@
 
 namespace {
 
+struct QuarantinedRequestCase
+{
+  const char* path_;
+  int status_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const QuarantinedRequestCase& aCase)
+{
+  return aOut << aCase.path_;
+}
+
+/// The fingerprint of the request that Environment::Fetch() makes.
+std::uint64_t
+FingerprintOfFetch(const std::string& aPath)
+{
+  return FingerprintOf({ "GET", aPath, { { "Host", "h" } }, "" }, "");
+}
+
+const std::vector<QuarantinedRequestCase> kQuarantinedPaths{
+  { "/safe/x", 503 },     { "/once/x", 503 }, { "/stream/x", 503 },
+  { "/resume/x?y", 503 }, { "/safe/y", 200 }, { "/safe/x?y", 200 },
+};
+
+} // namespace
+
+// Guards against a request without prompt parts that is sent although it is
+// known to crash replicas, on a route of any kind.
+BOOST_DATA_TEST_CASE(A_quarantined_request_is_refused_as_not_run,
+                     data::make(kQuarantinedPaths),
+                     sample)
+{
+  ScriptedUpstream upstream({ kWhole });
+  Environment environment({ &upstream });
+  CrashVerdicts verdicts{ 1, {}, {} };
+  for (const char* path :
+       { "/safe/x", "/once/x", "/stream/x", "/resume/x?y" }) {
+    verdicts.quarantined_.push_back({ FingerprintOfFetch(path), 30s });
+  }
+  environment.ApplyVerdicts(verdicts);
+  auto answer = environment.Fetch(sample.path_);
+  BOOST_REQUIRE(answer);
+  BOOST_TEST(answer->status_ == sample.status_);
+  bool isRefused = sample.status_ == 503;
+  BOOST_TEST(upstream.Requests() == (isRefused ? 0 : 1));
+  BOOST_TEST((answer->body_.find("not_run") != std::string::npos) == isRefused);
+  BOOST_TEST(answer->Header("Retry-After").empty() != isRefused);
+}
+
+// Guards against a suspected request without prompt parts that crashes a second
+// replica.
+BOOST_AUTO_TEST_CASE(A_lost_request_that_is_suspected_is_not_repeated)
+{
+  ScriptedUpstream first({ "", After::Close });
+  ScriptedUpstream second({ "", After::Close });
+  Environment environment({ &first, &second });
+  environment.ApplyVerdicts({ 1, { FingerprintOfFetch("/safe/x") }, {} });
+  BOOST_TEST(environment.Fetch("/safe/x")->status_ == 502);
+  BOOST_TEST(first.Requests() + second.Requests() == 1);
+  BOOST_TEST(environment.Fetch("/safe/y")->status_ == 502);
+  BOOST_TEST(first.Requests() + second.Requests() == 3);
+}
+
+namespace {
+
 struct EvidenceCase
 {
   const char* name_;
@@ -551,11 +618,34 @@
   ScriptedUpstream upstream(sample.script_);
   Environment environment({ &upstream });
   (void)environment.Fetch(sample.path_, "a:1,b:1,c:1");
-  auto evidence = environment.Evidence();
-  BOOST_TEST(evidence.answered_ == sample.answered_);
-  BOOST_TEST(evidence.lost_ == sample.lost_);
+  auto report = environment.Evidence();
+  const LossEvidence& prompts = report.prompts_;
+  BOOST_TEST(prompts.answered_ == sample.answered_);
+  BOOST_TEST(prompts.lost_ == sample.lost_);
   // One for each shared part.
-  BOOST_TEST(evidence.crashes_.size() == 2 * sample.lost_);
+  BOOST_TEST(prompts.crashes_.size() == 2 * sample.lost_);
+  const LossEvidence& requests = report.services_["s"];
+  BOOST_TEST(requests.answered_ == sample.answered_);
+  BOOST_TEST(requests.lost_ == sample.lost_);
+  BOOST_TEST(requests.crashes_.size() == sample.lost_);
+  bool isKnown =
+    requests.crashes_.empty() ||
+    requests.crashes_[0].cause_ == FingerprintOfFetch(sample.path_);
+  BOOST_TEST(isKnown);
+}
+
+// Guards against a lookup that is taken for the cause of crashes although it is
+// answered each time, with an error of the caller.
+BOOST_AUTO_TEST_CASE(An_answer_that_is_no_success_clears_its_request)
+{
+  ScriptedUpstream upstream(
+    { Head("404 Not Found") + "Content-Length: 2\r\n\r\nno" });
+  Environment environment({ &upstream });
+  BOOST_TEST(environment.Fetch("/safe/x", "a:1,b:1")->status_ == 404);
+  environment.ApplyVerdicts({ 1, { FingerprintOfFetch("/safe/x") }, {} });
+  auto report = environment.Evidence();
+  BOOST_TEST(report.services_["s"].successes_.size() == 1U);
+  BOOST_TEST(report.prompts_.answered_ == 0U);
 }
 
 // Guards against one request that crashes a second replica.
--- a/tests/prompt_crash_tests.cpp
+++ b/tests/prompt_crash_tests.cpp
@@ -266,20 +266,21 @@
 /// Reports crashes of one replica each to a leader, among many answers, and
 /// returns what it has put in quarantine then. `aAddRequests` adds the requests
 /// that were lost at a crash, by its number from 1, which is also its replica.
-std::vector<QuarantinedPart>
+std::vector<QuarantinedCause>
 QuarantinedAfterCrashes(
-  const std::function<void(PromptEvidence&, std::uint64_t)>& aAddRequests)
+  const std::function<void(LossEvidence&, std::uint64_t)>& aAddRequests)
 {
-  PromptCrashDetector detector(1);
+  CrashDetector detector(1);
   TimePoint now{ std::chrono::hours(1) };
-  PromptEvidence evidence;
-  detector.RecordReport("entry", evidence, now);
+  CrashReport report;
+  LossEvidence& evidence = report.prompts_;
+  detector.RecordReport("entry", report, now);
   for (std::uint64_t crash = 1; crash <= kCrashCount; ++crash) {
     now += std::chrono::milliseconds(300);
     evidence.answered_ += 100;
     evidence.crashes_.clear();
     aAddRequests(evidence, crash);
-    detector.RecordReport("entry", evidence, now);
+    detector.RecordReport("entry", report, now);
     detector.Update(now);
   }
   return detector.Verdicts(now).quarantined_;
@@ -300,7 +301,7 @@
                      row)
 {
   auto quarantined =
-    QuarantinedAfterCrashes([&](PromptEvidence& aTo, std::uint64_t aCrash) {
+    QuarantinedAfterCrashes([&](LossEvidence& aTo, std::uint64_t aCrash) {
       aTo.lost_ = aCrash;
       aTo.crashes_.push_back({ kDeadlyPart, aCrash, aCrash, {} });
       if (aCrash >= row.firstCrash_) {
@@ -308,7 +309,7 @@
       }
     });
   BOOST_REQUIRE(quarantined.size() == 1U);
-  BOOST_TEST(quarantined.front().part_ == kDeadlyPart);
+  BOOST_TEST(quarantined.front().cause_ == kDeadlyPart);
 }
 
 namespace {
@@ -344,7 +345,7 @@
                      row)
 {
   auto quarantined =
-    QuarantinedAfterCrashes([&](PromptEvidence& aTo, std::uint64_t aCrash) {
+    QuarantinedAfterCrashes([&](LossEvidence& aTo, std::uint64_t aCrash) {
       for (std::uint64_t request = 0; request <= row.others_; ++request) {
         ++aTo.lost_;
         aTo.crashes_.push_back(
@@ -353,5 +354,5 @@
       aTo.crashes_.push_back({ kDeadlyPart, aTo.lost_, aCrash, {}, false });
     });
   BOOST_REQUIRE(quarantined.size() == 1U);
-  BOOST_TEST(quarantined.front().part_ == row.quarantined_);
+  BOOST_TEST(quarantined.front().cause_ == row.quarantined_);
 }
--- a/tests/tanagerstall_forwarder_environment.hpp
+++ b/tests/tanagerstall_forwarder_environment.hpp
@@ -308,7 +308,7 @@
     return promise.get_future().get();
   }
 
-  void ApplyVerdicts(const PromptVerdicts& aVerdicts)
+  void ApplyVerdicts(const CrashVerdicts& aVerdicts)
   {
     Call<bool>([&](Forwarder& aForwarder) {
       aForwarder.ApplyVerdicts(aVerdicts);
@@ -316,11 +316,10 @@
     });
   }
 
-  PromptEvidence Evidence()
+  CrashReport Evidence()
   {
-    return Call<PromptEvidence>([](Forwarder& aForwarder) {
-      return aForwarder.Report().promptEvidence_;
-    });
+    return Call<CrashReport>(
+      [](Forwarder& aForwarder) { return aForwarder.Report().crashReport_; });
   }
 
   TrafficThreads threads_;
--- a/tests/tanagerstall_prompt_crash_simulation.hpp
+++ b/tests/tanagerstall_prompt_crash_simulation.hpp
@@ -3,8 +3,8 @@
 
 #include "tanagerstall_event_queue.hpp"
 
-#include "tanagerstall/request/tanagerstall_prompt_crash_detector.hpp"
-#include "tanagerstall/request/tanagerstall_prompt_quarantine.hpp"
+#include "tanagerstall/request/tanagerstall_crash_detector.hpp"
+#include "tanagerstall/request/tanagerstall_crash_quarantine.hpp"
 #include "tanagerstall/request/tanagerstall_replica_chooser.hpp"
 
 #include <algorithm>
@@ -64,7 +64,7 @@
   PromptCrashSimulation(const CrashingFleet& aFleet, unsigned aSeed)
     : fleet_(aFleet)
     , random_(aSeed)
-    , detector_(std::make_unique<PromptCrashDetector>(term_))
+    , detector_(std::make_unique<CrashDetector>(term_))
     , replicas_(aFleet.replicas_)
   {
     for (std::size_t i = 0; i < fleet_.replicas_; ++i) {
@@ -119,7 +119,7 @@
   /// Another control process leads and knows nothing yet.
   void ReplaceLeader()
   {
-    detector_ = std::make_unique<PromptCrashDetector>(term_);
+    detector_ = std::make_unique<CrashDetector>(term_);
     ++term_;
   }
 
@@ -212,7 +212,7 @@
   {
     std::uint64_t run_ = 0;
     ReplicaChooser chooser_;
-    PromptQuarantine quarantine_;
+    CrashQuarantine quarantine_;
     std::uint64_t term_ = 0;
     std::uint64_t revision_ = 0;
   };
@@ -308,7 +308,7 @@
   {
     Entry& entry = *entries_[aEntry];
     TimePoint now = events_.Now();
-    if (entry.quarantine_.RemainingFor(aRequest->parts_, now) ||
+    if (entry.quarantine_.RemainingFor(CausesOf(*aRequest), now) ||
         ++aRequest->tries_ > kMaxTries) {
       return;
     }
@@ -340,6 +340,11 @@
                [=, this] { End(attempt); });
   }
 
+  static RequestCauses CausesOf(const Request& aRequest)
+  {
+    return { aRequest.parts_, aRequest.fingerprint_, kService };
+  }
+
   static std::uint64_t LastPart(const Request& aRequest)
   {
     return aRequest.parts_.empty() ? 0 : aRequest.parts_.back();
@@ -378,7 +383,7 @@
     if (fleet_.isPlain_) {
       return;
     }
-    events_.At(events_.Now() + PromptQuarantine::kBeginning,
+    events_.At(events_.Now() + CrashQuarantine::kBeginning,
                [=, this] { Survive(aAttempt); });
   }
 
@@ -386,7 +391,7 @@
   {
     Entry& entry = *entries_[aAttempt->entry_];
     if (IsRunning(aAttempt) && entry.run_ == aAttempt->entryRun_) {
-      entry.quarantine_.RecordSuccess(aAttempt->request_->parts_,
+      entry.quarantine_.RecordSuccess(CausesOf(*aAttempt->request_),
                                       events_.Now());
     }
   }
@@ -401,7 +406,7 @@
     entry.chooser_.Finish(
       aAttempt->replica_, 1.0, AttemptOutcome::Answered, now);
     if (fleet_.isPlain_) {
-      entry.quarantine_.RecordSuccess(aAttempt->request_->parts_, now);
+      entry.quarantine_.RecordSuccess(CausesOf(*aAttempt->request_), now);
     }
   }
 
@@ -432,10 +437,10 @@
     Request& request = *aAttempt->request_;
     entry.chooser_.Finish(aAttempt->replica_, 1.0, AttemptOutcome::Broken, now);
     entry.quarantine_.RecordLoss(
-      request.parts_, aAttempt->replica_, aAttempt->begunAt_, now);
+      CausesOf(request), aAttempt->replica_, aAttempt->begunAt_, now);
     request.excluded_.insert(aAttempt->replica_.id_);
     if (++request.runs_ < fleet_.maxRuns_ &&
-        !entry.quarantine_.IsSuspected(request.parts_)) {
+        !entry.quarantine_.IsSuspected(CausesOf(request))) {
       Send(aAttempt->entry_, aAttempt->request_);
     }
   }
@@ -485,7 +490,7 @@
       return;
     }
     for (const auto& part : detector_->Verdicts(events_.Now()).quarantined_) {
-      quarantined_.insert(part.part_);
+      quarantined_.insert(part.cause_);
     }
     for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
       SendVerdicts(entry, kNotify);
@@ -495,7 +500,7 @@
   CrashingFleet fleet_;
   std::mt19937 random_;
   EventQueue events_;
-  std::unique_ptr<PromptCrashDetector> detector_;
+  std::unique_ptr<CrashDetector> detector_;
   std::uint64_t term_ = 1;
   std::vector<SimulatedReplica> replicas_;
   std::vector<std::unique_ptr<Entry>> entries_;
