--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -4,7 +4,7 @@
 #include "tanagerstall/connection/tanagerstall_http_message.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica.hpp"
 #include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
-#include "tanagerstall/request/tanagerstall_prompt_evidence.hpp"
+#include "tanagerstall/request/tanagerstall_crash_report.hpp"
 #include "tanagerstall/request/tanagerstall_request_rank.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
@@ -44,6 +44,8 @@
   /// The earlier of the caller's own deadline and the route's timeout.
   TimePoint deadline_;
   PromptFacts prompt_;
+  /// The same for all requests that ask for the same; 0 before it is known.
+  std::uint64_t fingerprint_ = 0;
   /// The estimated work, in prompt tokens, by which replicas are chosen.
   double cost_ = 1.0;
   /// The cost charged to the organisation's limit, in the limit's unit.
@@ -75,6 +77,12 @@
     return organisation_ == nullptr ? std::string_view() : organisation_->name_;
   }
 
+  /// What may be the cause if the request crashes its replica.
+  RequestCauses Causes() const
+  {
+    return { prompt_.sharedParts_, fingerprint_, service_ };
+  }
+
   /// Where the request stands among the others of its service; 0 comes first.
   std::uint32_t Rank() const
   {
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -92,15 +92,27 @@
              { "may_have_run", aMayHaveRun },
              { "answer_begun", aResult.hasHead_ },
              { "prompt_parts", PromptPartsOf(aRequest) },
+             { "fingerprint", ToHex(aRequest.fingerprint_) },
              { "detail", aResult.detail_ } });
 }
 
 void
 LogQuarantined(const QuarantineDecision& aDecision)
 {
+  if (aDecision.service_.empty()) {
+    LogEvent(Severity::Warning,
+             "prompt part quarantined",
+             { { "part", ToHex(aDecision.cause_) },
+               { "crashes", aDecision.crashes_ },
+               { "answered", aDecision.answered_ },
+               { "lost", aDecision.lost_ },
+               { "for_s", aDecision.duration_.count() } });
+    return;
+  }
   LogEvent(Severity::Warning,
-           "prompt part quarantined",
-           { { "part", ToHex(aDecision.part_) },
+           "request quarantined",
+           { { "fingerprint", ToHex(aDecision.cause_) },
+             { "service", aDecision.service_ },
              { "crashes", aDecision.crashes_ },
              { "answered", aDecision.answered_ },
              { "lost", aDecision.lost_ },
