--- a/tests/request_crash_tests.cpp
+++ b/tests/request_crash_tests.cpp
@@ -147,3 +147,51 @@
     }
   }
 }
+
+// Guards against a request that is forgotten because a client sends many
+// different ones that are lost with replicas.
+BOOST_TEST_DECORATOR(*boost::unit_test::label("request crash"))
+BOOST_AUTO_TEST_CASE(Many_different_requests_hide_no_deadly_one)
+{
+  constexpr std::uint64_t kDeadly = 1;
+  constexpr std::uint64_t kOthersPerCrash = 1500;
+  CrashDetector detector(1);
+  TimePoint now{ std::chrono::hours(1) };
+  CrashReport report;
+  LossEvidence& evidence = report.services_["s"];
+  evidence.answered_ = 100000;
+  detector.RecordReport("entry", report, now);
+  for (std::uint64_t crash = 1; crash <= 8; ++crash) {
+    now += seconds(1);
+    evidence.answered_ += 10;
+    evidence.crashes_.clear();
+    evidence.crashes_.push_back({ kDeadly, ++evidence.lost_, crash, {} });
+    for (std::uint64_t i = 0; i < kOthersPerCrash; ++i) {
+      std::uint64_t loss = ++evidence.lost_;
+      evidence.crashes_.push_back({ kDeadly + loss, loss, crash, {} });
+    }
+    detector.RecordReport("entry", report, now);
+    detector.Update(now);
+  }
+  auto quarantined = detector.Verdicts(now).quarantined_;
+  BOOST_REQUIRE(quarantined.size() == 1U);
+  BOOST_TEST(quarantined.front().cause_ == kDeadly);
+}
+
+// Guards against a sound prompt part that is suspected because answers to many
+// different requests have taken the place of its own.
+BOOST_TEST_DECORATOR(*boost::unit_test::label("request crash"))
+BOOST_AUTO_TEST_CASE(Many_different_answers_leave_parts_known)
+{
+  CrashQuarantine quarantine;
+  const PromptParts parts{ 7 };
+  TimePoint now{ std::chrono::hours(1) };
+  quarantine.RecordSuccess({ parts, 1, "s" }, now);
+  for (std::uint64_t request = 2; request < 100000; ++request) {
+    quarantine.RecordSuccess({ {}, request, "s" }, now + seconds(1));
+  }
+  quarantine.RecordLoss({ parts, 1, "s" }, Replica(), std::nullopt, now);
+  auto report = quarantine.Report(now);
+  BOOST_REQUIRE(report.prompts_.crashes_.size() == 1U);
+  BOOST_TEST(report.prompts_.crashes_.front().wasAnswered_);
+}
