--- a/tests/tanagerstall_raft_simulation.hpp
+++ b/tests/tanagerstall_raft_simulation.hpp
@@ -276,7 +276,9 @@
         return Bytes{};
       },
       [&aMember](BytesView aQuery) {
-        auto view = ViewOf(aMember.values_[TextOf(aQuery)]);
+        auto it = aMember.values_.find(TextOf(aQuery));
+        auto view =
+          it == aMember.values_.end() ? BytesView() : ViewOf(it->second);
         return Bytes(view.begin(), view.end());
       },
       [this, &aMember] {
