--- a/tests/full_disk_tests.cpp
+++ b/tests/full_disk_tests.cpp
@@ -240,3 +240,39 @@
   // Every member must have had something to write while its disk was full.
   BOOST_TEST((!disks.hasCalls_ || group.paused_.size() == disks.members_));
 }
+
+// Guards against a snapshot that finds no room and leaves none for the log, so
+// that the member pauses although there is room for its changes.
+BOOST_AUTO_TEST_CASE(A_member_without_room_for_a_snapshot_takes_changes,
+                     *boost::unit_test::label("raft"))
+{
+  constexpr std::size_t kSnapshotBytes = 100'000;
+  RaftSettings settings;
+  settings.snapshotEntries_ = 1;
+  Simulation sim(1, 1, settings);
+  sim.hasClients_ = false;
+  sim.Run(seconds(4));
+  SimulatedMember& member = *sim.LeaderOfNewestTerm();
+  unsigned committed = 0;
+  auto propose = [&](const std::string& aCommand) {
+    sim.Deliver(member, [&] {
+      member.group_->Propose(ViewOf(aCommand), [&](const GroupResult& aIt) {
+        committed += aIt ? 1 : 0;
+      });
+    });
+    sim.Run(milliseconds(20));
+  };
+  propose("large=" + std::string(kSnapshotBytes, 'x'));
+  member.disk_.capacity_ = member.disk_.UsedBytes() + kSnapshotBytes / 2;
+  for (int i = 0; i < 10; ++i) {
+    propose("small=" + std::to_string(i));
+  }
+  BOOST_TEST(committed == 11U);
+  BOOST_TEST(!member.group_->IsDiskFull());
+  member.disk_.capacity_ += 4 * kSnapshotBytes;
+  propose("small=last");
+  LogIndex last = member.group_->Core().Log().LastIndex();
+  sim.Kill(member.key_, {});
+  sim.Start(member.key_);
+  BOOST_TEST(member.group_->Core().Log().Snapshot()->index_ == last);
+}
--- a/tests/tanagerstall_fake_disk.hpp
+++ b/tests/tanagerstall_fake_disk.hpp
@@ -3,6 +3,8 @@
 
 #include "tanagerstall/process/raft/tanagerstall_log_disk.hpp"
 
+#include <algorithm>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -18,6 +20,10 @@
     onCall_ = [](const std::string&, const std::string&) {};
   bool failsSyncs_ = false;
   bool isFull_ = false;
+  /// Bytes that all files together can take. An append that exceeds it writes
+  /// what fits; as on a real disk, that part is removed with the next append to
+  /// the file or with the file.
+  std::size_t capacity_ = std::numeric_limits<std::size_t>::max();
   /// Makes syncs succeed without making content durable.
   bool ignoresSyncs_ = false;
 
@@ -34,8 +40,7 @@
         if (isFull_) {
           throw DiskFullError("no room");
         }
-        auto& now = Open(aFile).content_;
-        now.insert(now.end(), aBytes.begin(), aBytes.end());
+        Append(aFile, aBytes);
       },
       [this](const std::string& aFile, std::uint64_t aLength) {
         Open(aFile).content_.resize(aLength);
@@ -45,7 +50,10 @@
         directory_[aTo] = directory_.at(aFrom);
         directory_.erase(aFrom);
       },
-      [this](const std::string& aFile) { directory_.erase(aFile); },
+      [this](const std::string& aFile) {
+        directory_.erase(aFile);
+        incomplete_.erase(aFile);
+      },
       [this] { durableDirectory_ = directory_; },
     };
   }
@@ -74,6 +82,7 @@
       file->synced_ = torn;
     }
     durableDirectory_ = directory_;
+    incomplete_.clear();
     failsSyncs_ = false;
   }
 
@@ -81,6 +90,16 @@
   {
     directory_.clear();
     durableDirectory_.clear();
+    incomplete_.clear();
+  }
+
+  std::size_t UsedBytes() const
+  {
+    std::size_t used = 0;
+    for (const auto& [name, file] : directory_) {
+      used += file->content_.size();
+    }
+    return used;
   }
 
   Bytes& Content(const std::string& aFile)
@@ -104,6 +123,23 @@
     return *file;
   }
 
+  void Append(const std::string& aFile, BytesView aBytes)
+  {
+    Bytes& now = Open(aFile).content_;
+    if (auto it = incomplete_.find(aFile); it != incomplete_.end()) {
+      now.resize(it->second);
+      incomplete_.erase(it);
+    }
+    std::size_t room = capacity_ - std::min(capacity_, UsedBytes());
+    std::size_t before = now.size();
+    auto part = aBytes.first(std::min(room, aBytes.size()));
+    now.insert(now.end(), part.begin(), part.end());
+    if (part.size() < aBytes.size()) {
+      incomplete_[aFile] = before;
+      throw DiskFullError("no room");
+    }
+  }
+
   void Sync(const std::string& aFile)
   {
     onCall_("sync", aFile);
@@ -116,6 +152,8 @@
   }
 
   std::map<std::string, std::shared_ptr<File>> directory_;
+  /// The lengths that files had before an append to them failed.
+  std::map<std::string, std::size_t> incomplete_;
   std::map<std::string, std::shared_ptr<File>> durableDirectory_;
 };
 
