--- a/src/tanagerstall/process/raft/tanagerstall_log_disk.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_log_disk.cpp
@@ -252,6 +252,17 @@
   std::map<std::string, std::uint64_t> incomplete_;
 };
 
+/// Removes a file, unless the full disk refuses that as well.
+void
+RemoveIfRoom(const LogDisk& aDisk, const std::string& aFile)
+{
+  try {
+    aDisk.remove_(aFile);
+  } catch (const DiskFullError&) {
+    // The next ReplaceFile() of this file removes it first.
+  }
+}
+
 } // namespace
 
 LogDisk
@@ -280,9 +291,15 @@
 {
   std::string temporary = aFile + ".new";
   aDisk.remove_(temporary);
-  aDisk.append_(temporary, aBytes);
-  aDisk.sync_(temporary);
-  aDisk.rename_(temporary, aFile);
+  try {
+    aDisk.append_(temporary, aBytes);
+    aDisk.sync_(temporary);
+    aDisk.rename_(temporary, aFile);
+  } catch (const DiskFullError&) {
+    // What was written would take the room that appends to other files need.
+    RemoveIfRoom(aDisk, temporary);
+    throw;
+  }
   aDisk.syncFolder_();
 }
 
--- a/src/tanagerstall/process/raft/tanagerstall_log_disk.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_log_disk.hpp
@@ -50,7 +50,8 @@
 LogDisk
 OpenLogDisk(const std::filesystem::path& aFolder);
 
-/// Replaces a file's content atomically and durably.
+/// Replaces a file's content atomically and durably. Leaves no temporary file
+/// behind if the disk is full.
 void
 ReplaceFile(const LogDisk& aDisk, const std::string& aFile, BytesView aBytes);
 
