Fill disks in turn in the soak, and require acknowledgements

The soak demanded that acknowledged changes be in force, not that any change be acknowledged: a group that answers reads and refuses every change after the faults would have shown no finding. A change that is not acknowledged 8 s after it was sent first and 8 s after the last repair is one now. The new fault full-disks fills the disk of every control process once, for 1 to 8 s and never two at a time.

--- a/tests/soak/tanagerstall_soak_environment.hpp
+++ b/tests/soak/tanagerstall_soak_environment.hpp
@@ -117,6 +117,8 @@
   std::vector<Finding> findings_;
   /// When a control process last lost its data folder.
   std::optional<TimePoint> diskLostAt_;
+  /// Whether disks are being filled one after another.
+  bool areDisksFilledInTurn_ = false;
   SteadyCounts steadyCounts_;
   /// When the last fault was repaired; empty during faults.
   std::optional<TimePoint> steadySince_;
--- a/tests/soak/tanagerstall_soak_faults.cpp
+++ b/tests/soak/tanagerstall_soak_faults.cpp
@@ -15,6 +15,9 @@
 
 constexpr milliseconds kMinFaultTime(300);
 constexpr milliseconds kMaxFaultTime(4000);
+/// The longest of these also lets the leader replace the voter.
+constexpr milliseconds kMinFullDiskTime(1000);
+constexpr milliseconds kMaxFullDiskTime(8000);
 constexpr milliseconds kRestartDelay(500);
 /// Longest wait until a control process acknowledges that a replica drains.
 constexpr milliseconds kDrainAcceptTimeout(12000);
@@ -292,11 +295,14 @@
 void
 ApplyMachineFaults(const FaultContext& aContext,
                    Node& aNode,
-                   const MachineFaults& aFaults)
+                   const MachineFaults& aFaults,
+                   milliseconds aMinTime = kMinFaultTime,
+                   milliseconds aMaxTime = kMaxFaultTime)
 {
   aNode.isExitAllowed_ = true;
   aNode.process_->SetFaults(aFaults);
-  aContext.Wait();
+  aContext.fiber_.Sleep(
+    aContext.environment_.random_.Between(aMinTime, aMaxTime));
   aNode.process_->SetFaults({});
   // The process may exit because of the fault shortly after its repair.
   aContext.fiber_.Sleep(kRestartDelay);
@@ -334,6 +340,27 @@
   ApplyMachineFaults(aContext, node, { {}, {}, true });
 }
 
+/// Fills the disk of every control process once, never two at a time.
+void
+FillDisksInTurn(const FaultContext& aContext)
+{
+  Environment& environment = aContext.environment_;
+  if (std::exchange(environment.areDisksFilledInTurn_, true)) {
+    return;
+  }
+  std::vector<Node*> nodes;
+  for (auto& node : environment.control_) {
+    nodes.push_back(&node);
+  }
+  environment.random_.Shuffle(nodes);
+  for (Node* node : nodes) {
+    LogFault("fail disk writes in turn", node->process_->Name());
+    ApplyMachineFaults(
+      aContext, *node, { {}, {}, true }, kMinFullDiskTime, kMaxFullDiskTime);
+  }
+  environment.areDisksFilledInTurn_ = false;
+}
+
 void
 CrashReplica(const FaultContext& aContext)
 {
@@ -384,21 +411,47 @@
 {
   std::string_view name_;
   void (*inject_)(const FaultContext&);
+  /// Whether it is drawn if no faults are named. A fault that takes much of a
+  /// run isn't.
+  bool isDefault_ = true;
 };
 
 constexpr NamedFault kFaults[] = {
-  { "kill-entry", KillEntry },       { "kill-control", KillControl },
-  { "kill-all", KillAllControl },    { "lose-disk", LoseDisk },
-  { "freeze", FreezeProcess },       { "stop", StopRandomProcess },
-  { "reload", ReloadSettings },      { "delay", DelayLinks },
-  { "reset", ResetLinks },           { "silence", BlackholeLinks },
-  { "cut-one-way", CutLinkOneWay },  { "isolate", Isolate },
-  { "mute", HoldOutgoing },          { "split", SplitControl },
-  { "clock-step", StepClock },       { "slow-disk", SlowDisk },
-  { "full-disk", FullDisk },         { "crash-replica", CrashReplica },
-  { "drain-replica", DrainReplica }, { "break-answers", BreakResponses },
+  { "kill-entry", KillEntry },
+  { "kill-control", KillControl },
+  { "kill-all", KillAllControl },
+  { "lose-disk", LoseDisk },
+  { "freeze", FreezeProcess },
+  { "stop", StopRandomProcess },
+  { "reload", ReloadSettings },
+  { "delay", DelayLinks },
+  { "reset", ResetLinks },
+  { "silence", BlackholeLinks },
+  { "cut-one-way", CutLinkOneWay },
+  { "isolate", Isolate },
+  { "mute", HoldOutgoing },
+  { "split", SplitControl },
+  { "clock-step", StepClock },
+  { "slow-disk", SlowDisk },
+  { "full-disk", FullDisk },
+  { "crash-replica", CrashReplica },
+  { "drain-replica", DrainReplica },
+  { "break-answers", BreakResponses },
+  { "full-disks", FillDisksInTurn, false },
 };
 
+std::vector<std::string_view>
+DefaultFaultNames()
+{
+  std::vector<std::string_view> names;
+  for (const auto& fault : kFaults) {
+    if (fault.isDefault_) {
+      names.push_back(fault.name_);
+    }
+  }
+  return names;
+}
+
 } // namespace
 
 std::vector<std::string_view>
@@ -428,7 +481,7 @@
 {
   aEnvironment.steadySince_.reset();
   auto names = aEnvironment.options_.faults_.empty()
-                 ? FaultNames()
+                 ? DefaultFaultNames()
                  : aEnvironment.options_.faults_;
   int count = aEnvironment.random_.Between(1, kMaxFaults);
   auto pending = std::make_shared<int>(count);
--- a/tests/soak/tanagerstall_soak_operators.cpp
+++ b/tests/soak/tanagerstall_soak_operators.cpp
@@ -24,6 +24,9 @@
 /// A change must be in force at all processes this long after its
 /// acknowledgement.
 constexpr milliseconds kInForceAfter(3000);
+/// A change must be acknowledged this long after it was sent first and after
+/// the last repair.
+constexpr milliseconds kAcknowledgedAfter(8000);
 /// Number of most recent changes whose added routes a document contains.
 constexpr std::uint64_t kKeptRoutes = 4;
 
@@ -153,6 +156,8 @@
   {
     std::string document = MakeDocument(aNumber);
     environment_.configuration_.OnSent(aNumber, document);
+    TimePoint dueAt = environment_.clock_.Now() + kAcknowledgedAfter;
+    bool isLate = false;
     while (!environment_.isFinished_) {
       auto response = Call(aFiber, PickControl(), "PUT", document);
       if (response && response->status_ == 200) {
@@ -167,6 +172,14 @@
                                     std::to_string(response->status_) });
         return;
       }
+      if (!isLate && environment_.options_.checksTimeBounds_ &&
+          environment_.clock_.Now() > dueAt &&
+          environment_.IsSteadyFor(kAcknowledgedAfter)) {
+        isLate = true;
+        environment_.AddFinding(
+          { "RECOVER",
+            "change " + std::to_string(aNumber) + " is not acknowledged" });
+      }
       aFiber.Sleep(kReadPause);
     }
   }
--- a/tests/soak/tanagerstall_soak_random.hpp
+++ b/tests/soak/tanagerstall_soak_random.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerstall/process/tanagerstall_clock.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <iterator>
 #include <random>
@@ -44,6 +45,12 @@
       Between(0, static_cast<int>(std::size(aList)) - 1))];
   }
 
+  template<class List>
+  void Shuffle(List& aList)
+  {
+    std::shuffle(std::begin(aList), std::end(aList), engine_);
+  }
+
 private:
   std::mt19937_64 engine_;
 };
