Show that a record is appended again after each sync without room

A group repeats the attempt with every tick and message, so that a member whose disk refuses syncs for seconds fills the disk with copies.

--- a/tests/log_storage_tests.cpp
+++ b/tests/log_storage_tests.cpp
@@ -5,9 +5,11 @@
 #include "tanagerstall/process/raft/tanagerstall_raft_identity.hpp"
 #include "tanagerstall_fake_disk.hpp"
 
+#include <atomic>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <filesystem>
 #include <unistd.h>
 
@@ -16,6 +18,24 @@
 
 namespace {
 
+/// Whether a sync has to fail as it does on a full disk that allocates blocks
+/// only when it writes them back.
+std::atomic<bool> gIsSyncRefused{ false };
+
+} // namespace
+
+extern "C" int
+fdatasync(int aFile) // NOLINT(readability-identifier-naming)
+{
+  if (gIsSyncRefused) {
+    errno = ENOSPC;
+    return -1;
+  }
+  return ::fsync(aFile);
+}
+
+namespace {
+
 LogEntry
 Entry(LogIndex aIndex, Term aTerm, std::string_view aText)
 {
@@ -175,3 +195,33 @@
   }
   std::filesystem::remove_all(folder);
 }
+
+// Guards against a record that stays in the log although its sync found no
+// room: repeated attempts would fill the disk, and a later sync doesn't cover
+// it.
+BOOST_AUTO_TEST_CASE(A_record_whose_sync_found_no_room_is_written_once,
+                     *boost::unit_test::label("log"))
+{
+  auto folder = std::filesystem::temp_directory_path() /
+                ("tanagerstall-sync-" + std::to_string(::getpid()));
+  {
+    LogStorage storage(OpenLogDisk(folder), "group");
+    storage.Open();
+    storage.Write({ 1, 0 }, { Entry(1, 1, "a") });
+    auto before = std::filesystem::file_size(folder / "group.log");
+    gIsSyncRefused = true;
+    for (int i = 0; i < 3; ++i) {
+      BOOST_CHECK_THROW(storage.Write({ 1, 0 }, { Entry(2, 1, "b") }),
+                        DiskFullError);
+    }
+    gIsSyncRefused = false;
+    storage.Write({ 1, 0 }, { Entry(2, 1, "b") });
+    auto record = std::filesystem::file_size(folder / "group.log") - before;
+    storage.Write({ 1, 0 }, { Entry(3, 1, "c") });
+    BOOST_TEST(std::filesystem::file_size(folder / "group.log") ==
+               before + 2 * record);
+  }
+  BOOST_TEST(LogStorage(OpenLogDisk(folder), "group").Open().entries_.size() ==
+             3U);
+  std::filesystem::remove_all(folder);
+}
