Remove a record whose sync found no room before it is written again

On a disk that refuses syncs (blocks are allocated only when data is written back), a paused member appended its pending record again with every tick and message. A sync that succeeds later need not cover the first copy either, as the kernel reports a failed write-back once.

Cause: DiskFullError promises that the file is as it was, so that the write can be repeated. That held for an append that failed, not for an append that succeeded and whose sync failed.

The folder now keeps the length of each open file at its last sync. After a failed sync, the next append first cuts the file to that length. Raft's rules are unchanged: nothing was sent or answered on the strength of a record whose sync failed, and a process that ends before the cut finds the record whole, torn or missing, as after any crash between append and sync.

--- a/src/tanagerstall/process/raft/tanagerstall_log_disk.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_log_disk.cpp
@@ -1,5 +1,6 @@
 #include "tanagerstall/process/raft/tanagerstall_log_disk.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
@@ -151,13 +152,19 @@
     if (::ftruncate(Open(aFile), static_cast<off_t>(aLength)) != 0) {
       ThrowSystemError("truncate", path_ / aFile);
     }
+    auto& synced = synced_[aFile];
+    synced = std::min(synced, aLength);
   }
 
+  /// If the sync fails, what was appended since the last one is removed before
+  /// the next append: a later sync need not cover it.
   void Sync(const std::string& aFile)
   {
     if (::fdatasync(Open(aFile)) != 0) {
+      incomplete_[aFile] = synced_[aFile];
       ThrowSystemError("sync", path_ / aFile);
     }
+    synced_[aFile] = LengthOf(aFile);
   }
 
   void Rename(const std::string& aFrom, const std::string& aTo)
@@ -233,6 +240,7 @@
       ThrowSystemError("open", path_ / aFile);
     }
     files_[aFile] = file;
+    synced_[aFile] = LengthOf(aFile);
     return file;
   }
 
@@ -242,13 +250,16 @@
     if (it != files_.end()) {
       ::close(it->second);
       files_.erase(it);
+      synced_.erase(aFile);
     }
   }
 
   std::filesystem::path path_;
   int folder_ = -1;
   std::map<std::string, int> files_;
-  /// The lengths that files had before an append to them failed.
+  /// The lengths of open files at their last sync.
+  std::map<std::string, std::uint64_t> synced_;
+  /// The lengths that files had before an append or a sync failed.
   std::map<std::string, std::uint64_t> incomplete_;
 };
 
