Show a learner that keeps to a leader it no longer hears

The new test fails: after three seconds without messages the learner still names the leader. A member asks to be added again only if it knows no leader for three seconds or isn't a member by its own log, so a learner that was removed while it was cut off or paused stays outside, and passes calls to a member that may lead no longer.

--- a/tests/raft_group_tests.cpp
+++ b/tests/raft_group_tests.cpp
@@ -194,6 +194,27 @@
   BOOST_TEST(sim.acknowledged_ == 1U);
 }
 
+// Guards against a learner that was removed while it was cut off: it kept to
+// its last leader, called that one for good and never asked to be added again.
+BOOST_AUTO_TEST_CASE(A_learner_without_messages_knows_no_leader,
+                     *boost::unit_test::label("raft"))
+{
+  IdleSimulation sim(3);
+  sim.Start(9);
+  Membership members = sim.Leader().group_->Core().Log().Members();
+  members.push_back({ 9, "9", "", "", false });
+  sim.Leader().group_->ChangeMembers(members, [](const GroupResult&) {});
+  sim.Run(seconds(1));
+  const Raft& learner = sim.members_[9].group_->Core();
+  BOOST_TEST(learner.Leader() == sim.Leader().key_);
+  sim.BlockLinks(9, true, true);
+  sim.Run(seconds(3));
+  BOOST_TEST(learner.Leader() == 0U);
+  sim.blockedLinks_.clear();
+  sim.Run(seconds(1));
+  BOOST_TEST(learner.Leader() == sim.Leader().key_);
+}
+
 BOOST_AUTO_TEST_CASE(Members_change_one_at_a_time,
                      *boost::unit_test::label("raft"))
 {
