Let a learner forget a leader that it no longer hears

A control process that was removed as a learner while it was cut off, frozen or paused by a full disk (30 s) never asked to be added again once it was back. It went on passing its callers' changes to the leader it had heard last; after that one had lost its lead, every change through this process was refused.

Cause: a voter forgets its leader when it stands for election after an election timeout; a learner stands for none and kept the leader for good. A member asks to be added again only if it knows no leader for three seconds or isn't a member by its own log.

A learner now forgets its leader at its election timeout. Votes and commits don't depend on the leader that a member names, so no rule of Raft changes; the requests that a learner then sends change nothing if it is a member.

--- a/src/tanagerstall/process/raft/tanagerstall_raft.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft.cpp
@@ -113,6 +113,8 @@
     ResetElection(aNow);
     if (IsVoter(self_)) {
       Campaign(RaftRole::PreCandidate, aNow);
+    } else {
+      leader_ = 0;
     }
   }
 }
