--- a/tests/tanagerstall_raft_simulation.hpp
+++ b/tests/tanagerstall_raft_simulation.hpp
@@ -303,10 +303,8 @@
       },
       [&aMember](BytesView aQuery) {
         auto it = aMember.values_.find(TextOf(aQuery));
-        if (it == aMember.values_.end()) {
-          return Bytes{};
-        }
-        auto view = ViewOf(it->second);
+        auto view =
+          it == aMember.values_.end() ? BytesView() : ViewOf(it->second);
         return Bytes(view.begin(), view.end());
       },
       [this, &aMember] {
