Soak: judge each call to the cloud, also during faults

Cause: the check didn't know when a sender or its link had been disturbed.

Change: the environment records when a process was continued and when delays and holds of a link change. A call is excused only while its link to the cloud holds data back, and for 300 ms after that or after its sender was continued. All other calls count: with an older token than one before, or of two holders in turn (A, B, A) within the lease of 3 s. Calls under one token by two senders always count, as before.

The proxy read data before it held it back, so that a sender that gave up a call could not take it back by a reset. It now waits until the link lets data pass, and drops the data if the sender has reset the connection meanwhile.

--- a/tests/soak/tanagerstall_soak_checker.cpp
+++ b/tests/soak/tanagerstall_soak_checker.cpp
@@ -1,5 +1,6 @@
 #include "tanagerstall_soak_checker.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace tanagerstall::soak {
@@ -7,6 +8,8 @@
 namespace {
 
 constexpr std::size_t kBodyBytes = 800;
+/// How long a leader may act after its last confirmation by a quorum.
+constexpr Duration kLeaderLease = std::chrono::seconds(3);
 
 /// Whether a status assures the caller that the request was not run.
 bool
@@ -197,26 +200,53 @@
 }
 
 void
-LeaderTaskChecker::OnCall(const std::string& aSubject,
-                          std::uint64_t aFencingToken,
-                          const std::string& aSender,
-                          bool aCanBeStale)
+LeaderTaskChecker::OnCall(const LeaderCall& aCall)
 {
-  Subject& subject = subjects_[aSubject];
-  std::string token = std::to_string(aFencingToken);
-  if (aFencingToken < subject.newest_ && !aCanBeStale) {
+  Subject& subject = subjects_[aCall.subject_];
+  auto holder = subject.senders_.try_emplace(aCall.fencingToken_, aCall.sender_)
+                  .first->second;
+  if (holder != aCall.sender_) {
     addFinding_({ "ONE",
-                  aSender + " acted for " + aSubject + " under token " + token +
-                    " after token " + std::to_string(subject.newest_) });
+                  aCall.sender_ + " and " + holder + " acted for " +
+                    aCall.subject_ + " under the same token " +
+                    std::to_string(aCall.fencingToken_) });
   }
-  auto holder =
-    subject.senders_.try_emplace(aFencingToken, aSender).first->second;
-  if (holder != aSender) {
+  if (!aCall.canBeLate_) {
+    CheckOrder(subject, aCall);
+  }
+  subject.newest_ = std::max(subject.newest_, aCall.fencingToken_);
+}
+
+/// Checks a call against the earlier ones for its subject: its token must not
+/// be older, and a sender must not act, be followed by another one and act
+/// again within a lease.
+void
+LeaderTaskChecker::CheckOrder(Subject& aSubject, const LeaderCall& aCall)
+{
+  if (aCall.fencingToken_ < aSubject.newest_) {
+    addFinding_({ "ONE",
+                  aCall.sender_ + " acted for " + aCall.subject_ +
+                    " under token " + std::to_string(aCall.fencingToken_) +
+                    " after token " + std::to_string(aSubject.newest_) });
+  }
+  auto& recent = aSubject.recent_;
+  while (!recent.empty() && recent.front().at_ + kLeaderLease <= aCall.at_) {
+    recent.pop_front();
+  }
+  auto isOther = [&](const LeaderCall& aIt) {
+    return aIt.sender_ != aCall.sender_;
+  };
+  auto first = std::find_if_not(recent.begin(), recent.end(), isOther);
+  auto between = std::find_if(first, recent.end(), isOther);
+  if (between != recent.end()) {
+    auto span = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aCall.at_ - first->at_);
     addFinding_({ "ONE",
-                  aSender + " and " + holder + " acted for " + aSubject +
-                    " under the same token " + token });
+                  aCall.sender_ + ", " + between->sender_ + " and " +
+                    aCall.sender_ + " acted in turn for " + aCall.subject_ +
+                    " within " + std::to_string(span.count()) + " ms" });
   }
-  subject.newest_ = std::max(subject.newest_, aFencingToken);
+  recent.push_back(aCall);
 }
 
 void
--- a/tests/soak/tanagerstall_soak_checker.hpp
+++ b/tests/soak/tanagerstall_soak_checker.hpp
@@ -2,10 +2,12 @@
 #define TANAGERSTALL_SOAK_CHECKER_HPP_INCLUDED
 
 #include "tanagerstall/connection/tanagerstall_http_message.hpp"
+#include "tanagerstall/process/tanagerstall_clock.hpp"
 #include "tanagerstall/request/tanagerstall_caller_protocol.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -113,20 +115,27 @@
   std::map<std::string, TrackedRequest> requests_;
 };
 
+/// A call of a leader task, as the cloud received it.
+struct LeaderCall
+{
+  std::string subject_;
+  std::uint64_t fencingToken_ = 0;
+  std::string sender_;
+  TimePoint at_;
+  /// Whether the sender was continued, or its link to the cloud repaired, so
+  /// shortly before that the call may be late.
+  bool canBeLate_ = false;
+};
+
 /// Checks that at most one control member at a time executes leader tasks, by
-/// the fencing tokens in its calls to the cloud.
+/// its calls to the cloud.
 class LeaderTaskChecker
 {
 public:
   explicit LeaderTaskChecker(RequestChecker::FindingHook aAddFinding);
 
-  /// Called for each call that the cloud receives. `aCanBeStale` allows an
-  /// outdated token: during and shortly after faults a former leader may still
-  /// send one.
-  void OnCall(const std::string& aSubject,
-              std::uint64_t aFencingToken,
-              const std::string& aSender,
-              bool aCanBeStale);
+  /// Called for each call that the cloud receives, in the order of arrival.
+  void OnCall(const LeaderCall& aCall);
   /// Called for each usage report; a window must have the same counts in every
   /// report.
   void OnReport(std::uint64_t aWindow, const std::string& aCounts);
@@ -136,8 +145,12 @@
   {
     std::uint64_t newest_ = 0;
     std::map<std::uint64_t, std::string> senders_;
+    /// The calls of the last lease time that weren't excused as late.
+    std::deque<LeaderCall> recent_;
   };
 
+  void CheckOrder(Subject& aSubject, const LeaderCall& aCall);
+
   RequestChecker::FindingHook addFinding_;
   std::map<std::string, Subject> subjects_;
   std::map<std::uint64_t, std::string> windows_;
--- a/tests/soak/tanagerstall_soak_environment.cpp
+++ b/tests/soak/tanagerstall_soak_environment.cpp
@@ -4,6 +4,7 @@
 #include "tanagerstall_platform_fakes.hpp"
 #include "tanagerstall_platform_names.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -263,6 +264,29 @@
            { { "rule", aFinding.rule_ }, { "detail", aFinding.detail_ } });
 }
 
+void
+Environment::Continue(Node& aNode)
+{
+  aNode.process_->Signal(SIGCONT);
+  aNode.continuedAt_ = clock_.Now();
+}
+
+bool
+Environment::CanCallBeLate(const std::string& aSender)
+{
+  auto isRecent = [now = clock_.Now()](std::optional<TimePoint> aTime) {
+    return aTime && now <= *aTime + kLateCallTime;
+  };
+  auto node = std::ranges::find_if(
+    control_, [&](const Node& aIt) { return aIt.process_->Name() == aSender; });
+  if (node == control_.end()) {
+    return false;
+  }
+  const auto& link = network_.Faults({ node->process_->GetHost(), kCloudHost });
+  return isRecent(node->continuedAt_) || link.HoldsUpRequests() ||
+         isRecent(link.changedAt_);
+}
+
 bool
 Environment::IsSteadyFor(Duration aFor) const
 {
--- a/tests/soak/tanagerstall_soak_environment.hpp
+++ b/tests/soak/tanagerstall_soak_environment.hpp
@@ -25,6 +25,10 @@
 /// process acknowledged that it drains.
 constexpr Duration kDrainBound = std::chrono::seconds(3);
 
+/// A call to the cloud may be late for this time after its sender was continued
+/// or its link repaired.
+constexpr Duration kLateCallTime = std::chrono::milliseconds(300);
+
 /// Limits given by the assignment of the last address byte: control processes
 /// from 1, entries from 11, replicas of both services from 101.
 constexpr int kMaxControl = 10;
@@ -66,6 +70,8 @@
   bool isStopExpected_ = false;
   /// Whether it may exit because of a fault of its clock or disk.
   bool isExitAllowed_ = false;
+  /// When it was last continued after a stop.
+  std::optional<TimePoint> continuedAt_;
 };
 
 /// Callers' requests in the part of a round without faults.
@@ -99,6 +105,12 @@
   std::vector<Host> ControlHosts() const;
   std::vector<Host> EntryHosts() const;
   void AddFinding(const Finding& aFinding);
+  /// Continues a stopped process.
+  void Continue(Node& aNode);
+  /// Whether a call that the cloud receives now from a control process may be
+  /// late, because the process was just continued, or because the link to the
+  /// cloud holds calls up or did so just before.
+  bool CanCallBeLate(const std::string& aSender);
   /// Whether the last fault was repaired at least `aFor` ago.
   bool IsSteadyFor(Duration aFor) const;
 
--- a/tests/soak/tanagerstall_soak_faults.cpp
+++ b/tests/soak/tanagerstall_soak_faults.cpp
@@ -156,7 +156,7 @@
   LogFault("freeze process", node.process_->Name());
   node.process_->Signal(SIGSTOP);
   aContext.Wait();
-  node.process_->Signal(SIGCONT);
+  aContext.environment_.Continue(node);
 }
 
 void
@@ -198,7 +198,9 @@
   LogFault("delay links of host", std::to_string(host));
   auto set = [&](Duration aDelay) {
     for (LinkEnds link : aContext.environment_.network_.LinksOf(host)) {
-      aContext.environment_.network_.Faults(link).delay_ = aDelay;
+      LinkFaults& faults = aContext.environment_.network_.Faults(link);
+      faults.delay_ = aDelay;
+      faults.changedAt_ = aContext.environment_.clock_.Now();
     }
   };
   set(delay);
@@ -238,6 +240,7 @@
       LinkFaults& faults = network.Faults(link);
       if (aIsCut(link)) {
         faults.isRequestHeld_ = aIsHeld;
+        faults.changedAt_ = aContext.environment_.clock_.Now();
       }
       if (aIsCut({ link.to_, link.from_ })) {
         faults.isResponseHeld_ = aIsHeld;
--- a/tests/soak/tanagerstall_soak_network.cpp
+++ b/tests/soak/tanagerstall_soak_network.cpp
@@ -61,8 +61,40 @@
   return { boost::asio::ip::make_address(aAddress.host_), aAddress.port_ };
 }
 
+/// Whether the peer has reset the connection or it has failed otherwise.
+/// Clears the error.
+bool
+TakeSocketError(tcp::socket& aSocket)
+{
+  int error = 0;
+  socklen_t size = sizeof(error);
+  return ::getsockopt(
+           aSocket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 ||
+         error != 0;
+}
+
+/// Waits until the faults of a link let data pass in one direction. Returns
+/// false if the sender has reset the connection meanwhile.
+bool
+HoldBack(Fiber& aFiber,
+         tcp::socket& aFrom,
+         const LinkFaults& aFaults,
+         const bool& aIsHeld)
+{
+  bool isLate = aIsHeld || aFaults.delay_ > Duration::zero();
+  while (aIsHeld) {
+    aFiber.Sleep(kHeldPoll);
+  }
+  if (aFaults.delay_ > Duration::zero()) {
+    aFiber.Sleep(aFaults.delay_);
+  }
+  return !isLate || !TakeSocketError(aFrom);
+}
+
 /// Copies data in one direction until the sender closes or the session is
-/// reset.
+/// reset. Data is read only once the link lets it pass: what a link holds back
+/// is lost if the sender resets the connection, but the kernel would still
+/// return it.
 void
 CopyBytes(Fiber& aFiber,
           const std::shared_ptr<Session>& aSession,
@@ -77,13 +109,14 @@
   std::array<char, kBufferBytes> buffer{};
   while (true) {
     error_code error;
-    auto count =
-      from.async_read_some(boost::asio::buffer(buffer), yield[error]);
-    while (isHeld) {
-      aFiber.Sleep(kHeldPoll);
+    from.async_wait(tcp::socket::wait_read, yield[error]);
+    if (!HoldBack(aFiber, from, aLink.faults_, isHeld)) {
+      aSession->Reset();
+      return;
     }
-    if (aLink.faults_.delay_ > Duration::zero()) {
-      aFiber.Sleep(aLink.faults_.delay_);
+    auto count = error ? 0 : from.read_some(boost::asio::buffer(buffer), error);
+    if (error == boost::asio::error::would_block) {
+      continue;
     }
     if (error == boost::asio::error::eof) {
       to.shutdown(tcp::socket::shutdown_send, error);
@@ -122,8 +155,10 @@
       return;
     }
     error_code ignored;
-    aSession->caller_.set_option(tcp::no_delay(true), ignored);
-    aSession->server_.set_option(tcp::no_delay(true), ignored);
+    for (tcp::socket* socket : { &aSession->caller_, &aSession->server_ }) {
+      socket->set_option(tcp::no_delay(true), ignored);
+      socket->non_blocking(true, ignored);
+    }
     aLink.sessions_.remove_if([](const auto& aIt) { return aIt.expired(); });
     aLink.sessions_.push_back(aSession);
     aFiber.Spawn([&aLink, aSession](Fiber& aOther) {
--- a/tests/soak/tanagerstall_soak_network.hpp
+++ b/tests/soak/tanagerstall_soak_network.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -40,6 +41,14 @@
   bool isResponseHeld_ = false;
   /// Resets new connections.
   bool isRefusing_ = false;
+  /// When a delay or hold of requests last began or ended.
+  std::optional<TimePoint> changedAt_;
+
+  /// Whether data from the connecting side arrives late.
+  bool HoldsUpRequests() const
+  {
+    return isRequestHeld_ || delay_ > Duration::zero();
+  }
 };
 
 /// A TCP proxy that injects faults between simulated instances. An instance
--- a/tests/soak/tanagerstall_soak_operators.cpp
+++ b/tests/soak/tanagerstall_soak_operators.cpp
@@ -256,9 +256,12 @@
     aExchange.Respond(JsonResponse(400, "{}"));
     return;
   }
-  bool canBeStale = !aEnvironment.IsSteadyFor(kSettleTime);
   aEnvironment.leaderTasks_.OnCall(
-    call->subject_, call->fence_, call->holder_, canBeStale);
+    { call->subject_,
+      call->fence_,
+      call->holder_,
+      aEnvironment.clock_.Now(),
+      aEnvironment.CanCallBeLate(call->holder_) });
   if (call->window_) {
     aEnvironment.leaderTasks_.OnReport(*call->window_, call->content_);
   }
--- a/tests/soak_checker_tests.cpp
+++ b/tests/soak_checker_tests.cpp
@@ -10,6 +10,7 @@
 
 using namespace tanagerstall;
 using namespace tanagerstall::soak;
+using namespace std::chrono_literals;
 namespace data = boost::unit_test::data;
 
 namespace {
@@ -88,6 +89,21 @@
   aCheckers.requests_.OnResponse("id-1", response);
 }
 
+/// Returns a call that the cloud receives `aAfter` the start of the run.
+LeaderCall
+MakeCall(std::uint64_t aFencingToken, const char* aSender, Duration aAfter)
+{
+  return { "usage", aFencingToken, aSender, TimePoint(1h) + aAfter, false };
+}
+
+LeaderCall
+MakeLateCall(std::uint64_t aFencingToken, const char* aSender, Duration aAfter)
+{
+  LeaderCall call = MakeCall(aFencingToken, aSender, aAfter);
+  call.canBeLate_ = true;
+  return call;
+}
+
 /// Records a request that reaches the replica with a modification.
 void
 RunModified(Checkers& aCheckers,
@@ -260,26 +276,92 @@
   { "a new leader executes the leader tasks",
     "",
     [](Checkers& aCheckers) {
-      aCheckers.leaderTasks_.OnCall("usage", 3, "a", false);
-      aCheckers.leaderTasks_.OnCall("usage", 4, "b", false);
+      aCheckers.leaderTasks_.OnCall(MakeCall(3, "a", 0ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 100ms));
+    } },
+  { "a leader executes the leader tasks repeatedly",
+    "",
+    [](Checkers& aCheckers) {
+      aCheckers.leaderTasks_.OnCall(MakeCall(3, "a", 0ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(3, "a", 100ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 200ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 300ms));
     } },
   { "a former leader calls with an outdated token",
     "ONE ",
     [](Checkers& aCheckers) {
-      aCheckers.leaderTasks_.OnCall("usage", 4, "b", false);
-      aCheckers.leaderTasks_.OnCall("usage", 3, "a", false);
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 0ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(3, "a", 5000ms));
+    } },
+  { "a former leader calls late with an outdated token",
+    "",
+    [](Checkers& aCheckers) {
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 0ms));
+      aCheckers.leaderTasks_.OnCall(MakeLateCall(3, "a", 100ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 200ms));
+    } },
+  { "a late call carries the newest token",
+    "ONE ",
+    [](Checkers& aCheckers) {
+      aCheckers.leaderTasks_.OnCall(MakeLateCall(5, "b", 0ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "a", 5000ms));
+    } },
+  { "another leader calls between two calls of one within a lease",
+    "ONE ",
+    [](Checkers& aCheckers) {
+      aCheckers.leaderTasks_.OnCall(MakeCall(3, "a", 0ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 1000ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(5, "a", 2999ms));
+    } },
+  { "another leader calls between two calls of one, a lease apart",
+    "",
+    [](Checkers& aCheckers) {
+      aCheckers.leaderTasks_.OnCall(MakeCall(3, "a", 0ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 1000ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(5, "a", 3000ms));
+    } },
+  { "a former leader calls between two calls of its successor",
+    "ONE ONE ",
+    [](Checkers& aCheckers) {
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 0ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(3, "a", 500ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 1000ms));
+    } },
+  { "other leaders call between two calls of one within a lease",
+    "ONE ",
+    [](Checkers& aCheckers) {
+      aCheckers.leaderTasks_.OnCall(MakeCall(3, "a", 0ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 500ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(5, "c", 1000ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(6, "a", 1500ms));
     } },
-  { "a former leader calls with an outdated token shortly after a fault",
+  { "a late call between two calls of one leader",
     "",
     [](Checkers& aCheckers) {
-      aCheckers.leaderTasks_.OnCall("usage", 4, "b", false);
-      aCheckers.leaderTasks_.OnCall("usage", 3, "a", true);
+      aCheckers.leaderTasks_.OnCall(MakeCall(3, "a", 0ms));
+      aCheckers.leaderTasks_.OnCall(MakeLateCall(4, "b", 500ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(5, "a", 1000ms));
     } },
   { "two leaders call with the same token",
     "ONE ",
     [](Checkers& aCheckers) {
-      aCheckers.leaderTasks_.OnCall("usage", 4, "b", false);
-      aCheckers.leaderTasks_.OnCall("usage", 4, "a", true);
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 0ms));
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "a", 5000ms));
+    } },
+  { "two leaders call with the same token, one of them late",
+    "ONE ",
+    [](Checkers& aCheckers) {
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 0ms));
+      aCheckers.leaderTasks_.OnCall(MakeLateCall(4, "a", 100ms));
+    } },
+  { "leaders call for different subjects in turn",
+    "",
+    [](Checkers& aCheckers) {
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 0ms));
+      LeaderCall other = MakeCall(3, "a", 100ms);
+      other.subject_ = "plain a";
+      aCheckers.leaderTasks_.OnCall(other);
+      aCheckers.leaderTasks_.OnCall(MakeCall(4, "b", 200ms));
     } },
   { "a window is reported again with other counts",
     "ONE ",
