Soak: suspend a control process, a fault that shows two leaders

No fault of the soak stopped a process without its monotonic clock going on.

Change: the fault "suspend" stops a control process, mostly the leader during a round of replica orders, for 8 to 12 s: time for an election, the wait for the end of the lease and calls of the successor. The preloaded object subtracts the time of the stop from all monotonic clocks of the process, under one lock, so that no thread reads a time that goes back; CLOCK_BOOTTIME and CLOCK_REALTIME count it, as on a suspended machine. The cloud of the soak takes time for each call and has no capacity for most orders, so that rounds of orders are long enough to be interrupted, and logs calls.

--- a/tests/soak/tanagerstall_soak_environment.cpp
+++ b/tests/soak/tanagerstall_soak_environment.cpp
@@ -125,6 +125,14 @@
   return nodes.at(static_cast<std::size_t>(aHost - first));
 }
 
+Node*
+Environment::FindControl(const std::string& aName)
+{
+  auto node = std::ranges::find_if(
+    control_, [&](const Node& aIt) { return aIt.process_->Name() == aName; });
+  return node == control_.end() ? nullptr : &*node;
+}
+
 void
 Environment::WriteSettings(const Node& aNode, bool aIsBootstrap) const
 {
@@ -272,18 +280,14 @@
 }
 
 bool
-Environment::CanCallBeLate(const std::string& aSender)
+Environment::CanCallBeLate(const Node& aSender)
 {
   auto isRecent = [now = clock_.Now()](std::optional<TimePoint> aTime) {
     return aTime && now <= *aTime + kLateCallTime;
   };
-  auto node = std::ranges::find_if(
-    control_, [&](const Node& aIt) { return aIt.process_->Name() == aSender; });
-  if (node == control_.end()) {
-    return false;
-  }
-  const auto& link = network_.Faults({ node->process_->GetHost(), kCloudHost });
-  return isRecent(node->continuedAt_) || link.HoldsUpRequests() ||
+  const auto& link =
+    network_.Faults({ aSender.process_->GetHost(), kCloudHost });
+  return isRecent(aSender.continuedAt_) || link.HoldsUpRequests() ||
          isRecent(link.changedAt_);
 }
 
--- a/tests/soak/tanagerstall_soak_environment.hpp
+++ b/tests/soak/tanagerstall_soak_environment.hpp
@@ -72,6 +72,10 @@
   bool isExitAllowed_ = false;
   /// When it was last continued after a stop.
   std::optional<TimePoint> continuedAt_;
+  /// Number of rounds of replica orders for a service that it has begun.
+  unsigned orderRounds_ = 0;
+  /// Whether a fault suspends it or is about to.
+  bool isSuspending_ = false;
 };
 
 /// Callers' requests in the part of a round without faults.
@@ -100,6 +104,8 @@
   void WriteSettings(const Node& aNode, bool aIsBootstrap) const;
   /// Returns the control process or entry on a host.
   Node& NodeAt(Host aHost);
+  /// Returns the control process with a name, or null.
+  Node* FindControl(const std::string& aName);
   /// Returns all control processes, then all entries.
   std::vector<Node*> Nodes();
   std::vector<Host> ControlHosts() const;
@@ -110,7 +116,7 @@
   /// Whether a call that the cloud receives now from a control process may be
   /// late, because the process was just continued, or because the link to the
   /// cloud holds calls up or did so just before.
-  bool CanCallBeLate(const std::string& aSender);
+  bool CanCallBeLate(const Node& aSender);
   /// Whether the last fault was repaired at least `aFor` ago.
   bool IsSteadyFor(Duration aFor) const;
 
@@ -127,6 +133,8 @@
   std::vector<std::unique_ptr<SoakReplica>> replicas_;
   std::unique_ptr<HttpServer> cloud_;
   std::vector<Finding> findings_;
+  /// The sender of the last call to the cloud.
+  Node* lastCloudCaller_ = nullptr;
   /// When a control process last lost its data folder.
   std::optional<TimePoint> diskLostAt_;
   SteadyCounts steadyCounts_;
--- a/tests/soak/tanagerstall_soak_faults.cpp
+++ b/tests/soak/tanagerstall_soak_faults.cpp
@@ -21,6 +21,15 @@
 constexpr milliseconds kPoll(50);
 constexpr int kMaxFaults = 4;
 constexpr milliseconds kMaxStartDelay(4000);
+/// Long enough for a successor to be elected, to wait for the end of the lease
+/// and to call the cloud.
+constexpr milliseconds kMinSuspension(8000);
+constexpr milliseconds kMaxSuspension(12000);
+/// Longer than a process needs to read changed faults.
+constexpr milliseconds kFaultsReadTime(500);
+/// Longer than the time between two rounds of the leader's replica orders.
+constexpr milliseconds kMaxOrderInterval(6000);
+constexpr milliseconds kCallPoll(5);
 /// Minimum time between two lost disks, so that the cluster can restore the
 /// first member's data before another member loses its own.
 constexpr Duration kDiskLossInterval = std::chrono::seconds(20);
@@ -159,6 +168,47 @@
   aContext.environment_.Continue(node);
 }
 
+/// Returns the control process that called the cloud last, in most cases, since
+/// only the leader does, and otherwise a random one.
+Node&
+LikelyLeader(const FaultContext& aContext)
+{
+  Node* caller = aContext.environment_.lastCloudCaller_;
+  bool isCaller =
+    caller != nullptr && aContext.environment_.random_.Chance(0.8);
+  return isCaller ? *caller : aContext.AnyControl();
+}
+
+/// Stops a control process during a round of replica orders, or after a time
+/// without one. Its monotonic clock doesn't count the
+/// stop, as on a machine that is suspended.
+void
+Suspend(const FaultContext& aContext)
+{
+  Environment& environment = aContext.environment_;
+  Node& node = LikelyLeader(aContext);
+  if (node.isSuspending_) {
+    return;
+  }
+  node.isSuspending_ = true;
+  node.process_->SetStopsAreSuspensions(true);
+  aContext.fiber_.Sleep(kFaultsReadTime);
+  auto until = environment.clock_.Now() + kMaxOrderInterval;
+  unsigned rounds = node.orderRounds_;
+  while (node.orderRounds_ == rounds && environment.clock_.Now() < until) {
+    aContext.fiber_.Sleep(kCallPoll);
+  }
+  LogFault("suspend process", node.process_->Name());
+  node.process_->Signal(SIGSTOP);
+  aContext.fiber_.Sleep(
+    environment.random_.Between(kMinSuspension, kMaxSuspension));
+  environment.Continue(node);
+  LogFault("continue process", node.process_->Name());
+  aContext.fiber_.Sleep(kFaultsReadTime);
+  node.process_->SetStopsAreSuspensions(false);
+  node.isSuspending_ = false;
+}
+
 void
 StopAndStart(const FaultContext& aContext, Node& aNode)
 {
@@ -390,16 +440,27 @@
 };
 
 constexpr NamedFault kFaults[] = {
-  { "kill-entry", KillEntry },       { "kill-control", KillControl },
-  { "kill-all", KillAllControl },    { "lose-disk", LoseDisk },
-  { "freeze", FreezeProcess },       { "stop", StopRandomProcess },
-  { "reload", ReloadSettings },      { "delay", DelayLinks },
-  { "reset", ResetLinks },           { "silence", BlackholeLinks },
-  { "cut-one-way", CutLinkOneWay },  { "isolate", Isolate },
-  { "mute", HoldOutgoing },          { "split", SplitControl },
-  { "clock-step", StepClock },       { "slow-disk", SlowDisk },
-  { "full-disk", FullDisk },         { "crash-replica", CrashReplica },
-  { "drain-replica", DrainReplica }, { "break-answers", BreakResponses },
+  { "kill-entry", KillEntry },
+  { "kill-control", KillControl },
+  { "kill-all", KillAllControl },
+  { "lose-disk", LoseDisk },
+  { "freeze", FreezeProcess },
+  { "stop", StopRandomProcess },
+  { "reload", ReloadSettings },
+  { "delay", DelayLinks },
+  { "reset", ResetLinks },
+  { "silence", BlackholeLinks },
+  { "cut-one-way", CutLinkOneWay },
+  { "isolate", Isolate },
+  { "mute", HoldOutgoing },
+  { "split", SplitControl },
+  { "clock-step", StepClock },
+  { "slow-disk", SlowDisk },
+  { "full-disk", FullDisk },
+  { "crash-replica", CrashReplica },
+  { "drain-replica", DrainReplica },
+  { "break-answers", BreakResponses },
+  { "suspend", Suspend },
 };
 
 } // namespace
--- a/tests/soak/tanagerstall_soak_operators.cpp
+++ b/tests/soak/tanagerstall_soak_operators.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall_soak_operators.hpp"
 
 #include "tanagerstall/connection/tanagerstall_http_client.hpp"
+#include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall_platform_fakes.hpp"
 #include "tanagerstall_platform_names.hpp"
 #include "tanagerstall_platform_plan.hpp"
@@ -21,6 +22,19 @@
 constexpr milliseconds kMaxPause(2500);
 constexpr milliseconds kReadPause(300);
 constexpr milliseconds kProbePause(150);
+/// How long the cloud takes for most calls, and for orders in one failure
+/// domain. The latter is longer than a call may be late, so that a leader that
+/// goes on with a round of orders after a suspension makes calls that count.
+constexpr milliseconds kCloudTime(30);
+constexpr milliseconds kSlowCloudTime(350);
+constexpr const char* kSlowDomain = " in b";
+/// The failure domain in which a leader first orders replicas of a service.
+constexpr const char* kFirstDomain = " in a";
+/// Share of the replica orders that the cloud can't place.
+constexpr double kNoCapacityRatio = 0.9;
+/// Replicas of a service that each failure domain should have. It is more than
+/// there are, so that the leader orders replicas all the time.
+constexpr std::uint32_t kMinScaling = 2;
 /// A change must be in force at all processes this long after its
 /// acknowledgement.
 constexpr milliseconds kInForceAfter(3000);
@@ -66,7 +80,8 @@
     PlanService service;
     service.name_ = name;
     service.maxConnections_ = 100;
-    service.scaling_ = ScalingBounds{ 1, 4, std::chrono::seconds(4), 0.0, {} };
+    service.scaling_ =
+      ScalingBounds{ kMinScaling, 4, std::chrono::seconds(4), 0.0, {} };
     plan.services_[name] = service;
   }
   PlanOrganisation organisation;
@@ -240,9 +255,43 @@
   unsigned probes_ = 0;
 };
 
-/// Responds to calls of leader tasks and passes them to the checker.
+/// Passes a call of a leader task to the checker.
 void
-HandleCloudCall(Environment& aEnvironment, HttpExchange& aExchange)
+CheckCloudCall(Environment& aEnvironment, const platform::CloudCall& aCall)
+{
+  Node* sender = aEnvironment.FindControl(aCall.holder_);
+  if (sender == nullptr) {
+    aEnvironment.AddFinding(
+      { "CLOUD", "call to the cloud by unknown " + aCall.holder_ });
+    return;
+  }
+  if (aCall.subject_.ends_with(kFirstDomain)) {
+    ++sender->orderRounds_;
+  }
+  aEnvironment.lastCloudCaller_ = sender;
+  bool canBeLate = aEnvironment.CanCallBeLate(*sender);
+  LogEvent(Severity::Info,
+           "call to the cloud",
+           { { "sender", aCall.holder_ },
+             { "subject", aCall.subject_ },
+             { "fence", aCall.fence_ },
+             { "can_be_late", canBeLate } });
+  aEnvironment.leaderTasks_.OnCall({ aCall.subject_,
+                                     aCall.fence_,
+                                     aCall.holder_,
+                                     aEnvironment.clock_.Now(),
+                                     canBeLate });
+  if (aCall.window_) {
+    aEnvironment.leaderTasks_.OnReport(*aCall.window_, aCall.content_);
+  }
+}
+
+/// Handles calls of leader tasks. Like a real interface it takes a while, and
+/// at times has no capacity for a replica order.
+void
+HandleCloudCall(Environment& aEnvironment,
+                Random& aRandom,
+                HttpExchange& aExchange)
 {
   const HttpRequest& request = aExchange.Request();
   auto call =
@@ -256,16 +305,11 @@
     aExchange.Respond(JsonResponse(400, "{}"));
     return;
   }
-  aEnvironment.leaderTasks_.OnCall(
-    { call->subject_,
-      call->fence_,
-      call->holder_,
-      aEnvironment.clock_.Now(),
-      aEnvironment.CanCallBeLate(call->holder_) });
-  if (call->window_) {
-    aEnvironment.leaderTasks_.OnReport(*call->window_, call->content_);
-  }
-  aExchange.Respond(JsonResponse(200, "{}"));
+  CheckCloudCall(aEnvironment, *call);
+  bool isSlow = call->subject_.ends_with(kSlowDomain);
+  aExchange.GetFiber().Sleep(isSlow ? kSlowCloudTime : kCloudTime);
+  bool hasCapacity = call->window_ || !aRandom.Chance(kNoCapacityRatio);
+  aExchange.Respond(JsonResponse(hasCapacity ? 200 : 409, "{}"));
 }
 
 } // namespace
@@ -307,12 +351,13 @@
 bool
 StartCloud(Environment& aEnvironment)
 {
-  aEnvironment.cloud_ =
-    std::make_unique<HttpServer>(aEnvironment.threads_,
-                                 HttpLimits(),
-                                 [&aEnvironment](HttpExchange& aExchange) {
-                                   HandleCloudCall(aEnvironment, aExchange);
-                                 });
+  auto random = std::make_shared<Random>(aEnvironment.options_.seed_ + 11);
+  aEnvironment.cloud_ = std::make_unique<HttpServer>(
+    aEnvironment.threads_,
+    HttpLimits(),
+    [&aEnvironment, random](HttpExchange& aExchange) {
+      HandleCloudCall(aEnvironment, *random, aExchange);
+    });
   return aEnvironment.cloud_
     ->Listen(aEnvironment.network_.ListenAddress(kCloudHost, kCloudPort))
     .has_value();
--- a/tests/soak/tanagerstall_soak_preload.cpp
+++ b/tests/soak/tanagerstall_soak_preload.cpp
@@ -9,6 +9,7 @@
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <sched.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -17,19 +18,36 @@
 
 constexpr long kNanosecondsPerMillisecond = 1'000'000;
 constexpr long kMillisecondsPerSecond = 1000;
+constexpr long kNanosecondsPerSecond = 1'000'000'000;
 /// Shortest interval between two reads of the faults file.
 constexpr long kReadIntervalMs = 50;
+/// A longer gap between two reads of the steady clock means that the process
+/// was stopped: its loops read the clock several times a second.
+constexpr long kMinStopNs = kNanosecondsPerSecond;
 
 struct Faults
 {
   std::atomic<long> clockStepMs_{ 0 };
   std::atomic<long> syncDelayMs_{ 0 };
   std::atomic<bool> isDiskFull_{ false };
+  /// Whether the steady clock doesn't count the time of a stop.
+  std::atomic<bool> isStopSuspension_{ false };
 };
 
 Faults gFaults;
 std::atomic<long> gLastReadMs{ 0 };
 
+/// The steady clock of a process that can be suspended.
+struct SteadyClock
+{
+  /// Guards the other members.
+  std::atomic_flag isLocked_;
+  long lastReadNs_ = 0;
+  long suspendedNs_ = 0;
+};
+
+SteadyClock gSteadyClock;
+
 /// Returns the libc function that this library replaces.
 template<class Function>
 Function
@@ -47,21 +65,49 @@
 }
 
 long
-MonotonicMs()
+MonotonicNs()
 {
   timespec now{};
   RealClock(CLOCK_MONOTONIC, &now);
-  return now.tv_sec * kMillisecondsPerSecond +
-         now.tv_nsec / kNanosecondsPerMillisecond;
+  return now.tv_sec * kNanosecondsPerSecond + now.tv_nsec;
+}
+
+/// Returns the monotonic time without suspensions. The time is read while the
+/// clock is locked: a thread that is stopped just after its read then can't
+/// hold a time that is later than another thread's next one.
+long
+AwakeNs()
+{
+  while (gSteadyClock.isLocked_.test_and_set()) {
+    sched_yield();
+  }
+  long now = MonotonicNs();
+  long gap = now - gSteadyClock.lastReadNs_;
+  bool hasStopped = gSteadyClock.lastReadNs_ != 0 && gap > kMinStopNs;
+  if (hasStopped && gFaults.isStopSuspension_) {
+    gSteadyClock.suspendedNs_ += gap;
+  }
+  gSteadyClock.lastReadNs_ = now;
+  long awake = now - gSteadyClock.suspendedNs_;
+  gSteadyClock.isLocked_.clear();
+  return awake;
+}
+
+/// Whether a clock stands still while a machine is suspended.
+bool
+IsSteadyClock(clockid_t aClock)
+{
+  return aClock == CLOCK_MONOTONIC || aClock == CLOCK_MONOTONIC_RAW ||
+         aClock == CLOCK_MONOTONIC_COARSE;
 }
 
-/// Reads "STEP_MS SYNC_DELAY_MS IS_FULL" from the file in
+/// Reads "STEP_MS SYNC_DELAY_MS IS_FULL IS_STOP_SUSPENSION" from the file in
 /// TANAGERSTALL_SOAK_FAULTS. At most one thread reads per interval.
 void
 ReadFaults()
 {
   static const char* path = std::getenv("TANAGERSTALL_SOAK_FAULTS");
-  long now = MonotonicMs();
+  long now = MonotonicNs() / kNanosecondsPerMillisecond;
   long last = gLastReadMs.load();
   if (path == nullptr || now - last < kReadIntervalMs ||
       !gLastReadMs.compare_exchange_strong(last, now)) {
@@ -74,10 +120,15 @@
   long step = 0;
   long delay = 0;
   int isFull = 0;
-  if (std::fscanf(file, "%ld %ld %d", &step, &delay, &isFull) == 3) { // NOLINT
+  int isSuspension = 0;
+  // NOLINTNEXTLINE(cert-err34-c)
+  int count =
+    std::fscanf(file, "%ld %ld %d %d", &step, &delay, &isFull, &isSuspension);
+  if (count == 4) {
     gFaults.clockStepMs_ = step;
     gFaults.syncDelayMs_ = delay;
     gFaults.isDiskFull_ = isFull != 0;
+    gFaults.isStopSuspension_ = isSuspension != 0;
   }
   std::fclose(file); // NOLINT
 }
@@ -125,6 +176,14 @@
 
   int clock_gettime(clockid_t aClock, timespec* aTime)
   {
+    if (IsSteadyClock(aClock)) {
+      // One source for all three, so that none of them goes back against
+      // another.
+      long now = AwakeNs();
+      ReadFaults();
+      *aTime = { now / kNanosecondsPerSecond, now % kNanosecondsPerSecond };
+      return 0;
+    }
     int result = RealClock(aClock, aTime);
     if (aClock == CLOCK_REALTIME && result == 0) {
       ReadFaults();
--- a/tests/soak/tanagerstall_soak_process.cpp
+++ b/tests/soak/tanagerstall_soak_process.cpp
@@ -137,13 +137,28 @@
 
 void
 Process::SetFaults(const MachineFaults& aFaults)
+{
+  faults_ = aFaults;
+  WriteFaults();
+}
+
+void
+Process::SetStopsAreSuspensions(bool aAreSuspensions)
+{
+  areStopsSuspensions_ = aAreSuspensions;
+  WriteFaults();
+}
+
+void
+Process::WriteFaults() const
 {
   // The file is replaced atomically because the process may read it at any
   // time.
   std::string next = FaultsPath() + ".next";
-  std::ofstream(next) << aFaults.clockStep_.count() * 1000 << ' '
-                      << aFaults.syncDelay_.count() << ' '
-                      << (aFaults.isDiskFull_ ? 1 : 0) << '\n';
+  std::ofstream(next) << faults_.clockStep_.count() * 1000 << ' '
+                      << faults_.syncDelay_.count() << ' '
+                      << (faults_.isDiskFull_ ? 1 : 0) << ' '
+                      << (areStopsSuspensions_ ? 1 : 0) << '\n';
   std::filesystem::rename(next, FaultsPath());
 }
 
--- a/tests/soak/tanagerstall_soak_process.hpp
+++ b/tests/soak/tanagerstall_soak_process.hpp
@@ -23,7 +23,7 @@
   Host host_ = 0;
 };
 
-/// Faults of a process's clock and disk.
+/// Faults of a process's wall clock and disk.
 struct MachineFaults
 {
   /// Added to the wall clock.
@@ -63,13 +63,19 @@
   /// Replaces the faults in force. The process rereads them at most every 50
   /// ms.
   void SetFaults(const MachineFaults& aFaults);
+  /// Whether a stop of the process is the suspension of its machine, so that
+  /// its monotonic clock doesn't count the time. Reread like the faults.
+  void SetStopsAreSuspensions(bool aAreSuspensions);
 
 private:
   std::string FaultsPath() const;
+  void WriteFaults() const;
 
   ProcessOptions options_;
   pid_t id_ = 0;
   unsigned incarnation_ = 0;
+  MachineFaults faults_;
+  bool areStopsSuspensions_ = false;
 };
 
 } // namespace tanagerstall::soak
