--- a/tests/processes/soak_test.sh
+++ b/tests/processes/soak_test.sh
@@ -5,10 +5,12 @@
 run=$(mktemp -d)
 trap 'rm -rf "$run"' EXIT
 export TANAGERSTALL_SOAK_FOLDER=$run/files
-while read -r seed rounds cause; do
+while read -r seed rounds faults cause; do
   [ "$seed" != '#' ] || continue
+  chosen=()
+  [ "$faults" = all ] || chosen=(--faults "$faults")
   if ! tools/scripts/soak.sh --seed "$seed" --rounds "$rounds" --without-times \
-    >"$run/log"; then
+    "${chosen[@]}" >"$run/log"; then
     echo "FAILED: seed $seed ($cause)"
     grep '"event":"finding"' "$run/log" || tail -n 20 "$run/log"
     exit 1
