--- a/tests/soak/tanagerstall_soak_environment.cpp
+++ b/tests/soak/tanagerstall_soak_environment.cpp
@@ -4,6 +4,7 @@
 #include "tanagerstall_platform_fakes.hpp"
 #include "tanagerstall_platform_names.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -124,6 +125,14 @@
   return nodes.at(static_cast<std::size_t>(aHost - first));
 }
 
+Node*
+Environment::FindControl(const std::string& aName)
+{
+  auto node = std::ranges::find_if(
+    control_, [&](const Node& aIt) { return aIt.process_->Name() == aName; });
+  return node == control_.end() ? nullptr : &*node;
+}
+
 void
 Environment::WriteSettings(const Node& aNode, bool aIsBootstrap) const
 {
@@ -263,6 +272,25 @@
            { { "rule", aFinding.rule_ }, { "detail", aFinding.detail_ } });
 }
 
+void
+Environment::Continue(Node& aNode)
+{
+  aNode.process_->Signal(SIGCONT);
+  aNode.continuedAt_ = clock_.Now();
+}
+
+bool
+Environment::CanCallBeLate(const Node& aSender)
+{
+  auto isRecent = [now = clock_.Now()](std::optional<TimePoint> aTime) {
+    return aTime && now <= *aTime + kLateCallTime;
+  };
+  const auto& link =
+    network_.Faults({ aSender.process_->GetHost(), kCloudHost });
+  return isRecent(aSender.continuedAt_) || link.HoldsUpRequests() ||
+         isRecent(link.changedAt_);
+}
+
 bool
 Environment::IsSteadyFor(Duration aFor) const
 {
