Write all fields of the faults file in the test of full disks

Its faults file had three fields, while the preloaded object reads four since it plays suspensions, so that no disk was full.

--- a/tests/processes/full_disks_test.sh
+++ b/tests/processes/full_disks_test.sh
@@ -13,7 +13,7 @@
 recovery_seconds=5
 
 # set_full N IS_FULL: lets writes of control process N fail, or succeed again.
-set_full() { echo "0 0 $2" >"$run/control-$1.faults"; }
+set_full() { echo "0 0 $2 0" >"$run/control-$1.faults"; }
 for i in 1 2 3 4 5; do
   control_settings $i true
   set_full $i 0
