Log at an entry when it learns that a replica leaves

The logs of the users' record don't show whether an entry was never told that a replica leaves or forgot it. An entry logs "replica withdrawn" once for each replica that drains or has left, with the control process that reported it.

--- a/src/tanagerstall/process/presence/tanagerstall_replica_view.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_view.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-void
+std::vector<Replica>
 ReplicaView::ApplyReport(const std::string& aControl,
                          const ReplicaReport& aReport,
                          TimePoint aNow)
@@ -33,16 +33,22 @@
     source.run_ = aReport.run_;
     hasChanged_ = true;
   }
+  std::vector<Replica> withdrawn;
   for (const auto& replica : aReport.changed_) {
     source.replicas_[replica.id_] = replica;
     auto [it, isNew] = newest_.try_emplace(replica.id_, replica);
+    bool wasReady = !isNew && it->second.state_ == ReplicaState::Ready;
     if (!isNew && Supersedes(replica, it->second)) {
       it->second = replica;
     }
+    if (wasReady && it->second.state_ != ReplicaState::Ready) {
+      withdrawn.push_back(replica);
+    }
     hasChanged_ = true;
   }
   source.stamp_ = aReport.stamp_;
   source.receivedAt_ = aNow;
+  return withdrawn;
 }
 
 std::pair<std::uint64_t, std::uint64_t>
--- a/src/tanagerstall/process/presence/tanagerstall_replica_view.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_view.hpp
@@ -43,10 +43,11 @@
 class ReplicaView
 {
 public:
-  /// Applies a report of the control process at the address `aControl`.
-  void ApplyReport(const std::string& aControl,
-                   const ReplicaReport& aReport,
-                   TimePoint aNow);
+  /// Applies a report of the control process at the address `aControl`. Returns
+  /// the replicas that take no new work from now on, by what they said.
+  std::vector<Replica> ApplyReport(const std::string& aControl,
+                                   const ReplicaReport& aReport,
+                                   TimePoint aNow);
   /// Returns the run and stamp after which to request changes of a control
   /// process; zeros for one that has not reported yet.
   std::pair<std::uint64_t, std::uint64_t> Position(
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -236,11 +236,24 @@
                { "took_ms", took.count() } });
   }
 
+  static void LogWithdrawn(const Replica& aReplica, const std::string& aControl)
+  {
+    LogEvent(Severity::Info,
+             "replica withdrawn",
+             { { "replica", aReplica.id_ },
+               { "start_ms", aReplica.startTimeMs_ },
+               { "departed", aReplica.state_ == ReplicaState::Departed },
+               { "control", aControl } });
+  }
+
   void HandleAnswer(const std::string& aControl, const ControlAnswer& aAnswer)
   {
     TimePoint now = clock_.Now();
     loopDelay_.CountReport();
-    view_.ApplyReport(aControl, aAnswer.replicas_, now);
+    for (const auto& replica :
+         view_.ApplyReport(aControl, aAnswer.replicas_, now)) {
+      LogWithdrawn(replica, aControl);
+    }
     LogDownload(aControl, aAnswer, now);
     source_.OnUpdate(aControl,
                      { aAnswer.planNumber_,
--- a/tests/replica_table_tests.cpp
+++ b/tests/replica_table_tests.cpp
@@ -340,6 +340,21 @@
   BOOST_TEST(table.Stamp() == stamp);
 }
 
+// Guards against an entry whose log doesn't show whether it was told that a
+// replica leaves.
+BOOST_AUTO_TEST_CASE(A_replica_that_leaves_is_named_once_by_the_view)
+{
+  ReplicaView view;
+  auto ready = MakeReplica("r", 1, 4);
+  auto draining = MakeReplica("r", 1, 5, ReplicaState::Draining);
+  auto departed = MakeReplica("r", 1, 5, ReplicaState::Departed);
+  BOOST_TEST(view.ApplyReport("c1", { 1, 1, { ready } }, kStart).empty());
+  BOOST_TEST(view.ApplyReport("c1", { 1, 2, { draining } }, kStart).size() ==
+             1U);
+  BOOST_TEST(view.ApplyReport("c2", { 1, 1, { draining } }, kStart).empty());
+  BOOST_TEST(view.ApplyReport("c1", { 1, 3, { departed } }, kStart).empty());
+}
+
 BOOST_AUTO_TEST_CASE(Replicas_of_the_previous_run_stay_for_a_grace_period)
 {
   ReplicaView view;
