Acknowledge that a replica leaves once a majority knows of it

Cause: a control process answered as soon as it had noted the drain or departure itself. The others and the entries ask for changes and wait 60 ms between two questions, so that a process that was killed within that time took the word along. After a departure the replica says nothing more, and entries go on using what the lost process had reported for 6 s.

Now the answer waits until the reports of the other control processes show that a majority of the cluster has the change. It needs no new message: each report names the last change that its sender has. Without a majority within 700 ms the replica gets 503 and asks the next process.

--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
@@ -105,6 +105,13 @@
   return it->second.replica_.startTimeMs_;
 }
 
+std::uint64_t
+ReplicaTable::StampOf(const std::string& aId) const
+{
+  auto it = replicas_.find(aId);
+  return it == replicas_.end() ? 0 : it->second.stamp_;
+}
+
 void
 ReplicaTable::AdoptReport(const Replica& aReplica, TimePoint aNow)
 {
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
@@ -41,6 +41,8 @@
   /// The start time of the newest run of a replica, if it is heard here or said
   /// here that it leaves.
   std::optional<std::uint64_t> NewestRun(const std::string& aId) const;
+  /// The stamp of the last change of a replica; 0 if it is not known.
+  std::uint64_t StampOf(const std::string& aId) const;
   /// The stamp of the last change.
   std::uint64_t Stamp() const { return stamp_; }
   /// Returns the replicas that changed after a stamp, in any state.
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -8,6 +8,7 @@
 #include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 #include "tanagerstall/process/presence/tanagerstall_departure.hpp"
 #include "tanagerstall/process/presence/tanagerstall_entry_working_set.hpp"
+#include "tanagerstall/process/presence/tanagerstall_peer_confirmations.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_batches.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
 #include "tanagerstall/process/tanagerstall_admission_levels.hpp"
@@ -47,6 +48,9 @@
 /// Time after the start of a control process during which it may not know all
 /// entries and returns none to callers.
 constexpr Duration kDirectoryWarmUp = std::chrono::milliseconds(300);
+/// A replica waits a second for an answer before it turns to the next control
+/// process.
+constexpr Duration kMaxConfirmationTime = std::chrono::milliseconds(700);
 
 std::uint64_t
 MakeRunId()
@@ -64,6 +68,14 @@
   return aReport.entry_.weight_ == 0;
 }
 
+/// Whether the report is one of another control process: entries name the
+/// address at which they serve callers, also before they do.
+bool
+IsFromControl(const EntryReport& aReport)
+{
+  return aReport.entry_.callerAddress_.empty();
+}
+
 /// Identifies one run of an entry.
 std::string
 RunOf(const EntryInfo& aEntry)
@@ -231,6 +243,11 @@
   void HandleReport(const EntryReport& aReport)
   {
     loopDelay_.CountReport();
+    if (IsFromControl(aReport) && aReport.entry_.id_ != settings_.id_) {
+      bool isOfThisRun = aReport.controlRun_ == runId_;
+      confirmations_.Record(aReport.entry_.id_,
+                            isOfThisRun ? aReport.stamp_ : 0);
+    }
     entries_.Observe(aReport.entry_, clock_.Now());
     if (!NeedsAllAtOnce(aReport)) {
       batches_.RecordFollower(aReport.entry_.id_, clock_.Now());
@@ -449,8 +466,68 @@
     return present;
   }
 
+  /// Applies an announcement and reports whether it may be acknowledged.
+  void RecordAnnouncement(const Replica& aReplica,
+                          const PeerConfirmations::Done& aDone)
+  {
+    auto stamp = replicas_.Stamp();
+    bool isAccepted = replicas_.Announce(aReplica, clock_.Now());
+    counters_.Count(isAccepted ? Counter::AnnouncementsTaken
+                               : Counter::AnnouncementsStale);
+    if (!isAccepted) {
+      LogEvent(Severity::Info,
+               "announcement out of date",
+               { { "replica", aReplica.id_ },
+                 { "start_ms", aReplica.startTimeMs_ },
+                 { "sequence", aReplica.sequence_ } });
+    }
+    if (stamp != replicas_.Stamp()) {
+      LogEvent(Severity::Info,
+               "replica announced",
+               { { "replica", aReplica.id_ },
+                 { "service", aReplica.service_ },
+                 { "draining", aReplica.state_ == ReplicaState::Draining },
+                 { "sequence", aReplica.sequence_ } });
+      OnReplicasChanged();
+    }
+    if (aReplica.state_ == ReplicaState::Ready) {
+      aDone(true);
+      return;
+    }
+    AwaitConfirmation(aReplica.id_, aDone);
+  }
+
+  /// Waits until what the replica said last can't be lost with this process.
+  /// It may be its last word, and entries would use it for longer than they
+  /// may.
+  void AwaitConfirmation(const std::string& aId,
+                         const PeerConfirmations::Done& aDone)
+  {
+    TimePoint begunAt = clock_.Now();
+    auto onDone = [this, aId, begunAt, aDone](bool aIsConfirmed) {
+      LogEvent(aIsConfirmed ? Severity::Info : Severity::Warning,
+               aIsConfirmed ? "leave confirmed" : "leave not confirmed",
+               { { "replica", aId },
+                 { "took_ms", WholeMilliseconds(clock_.Now() - begunAt) } });
+      aDone(aIsConfirmed);
+    };
+    confirmations_.Await(
+      replicas_.StampOf(aId), begunAt + kMaxConfirmationTime, onDone);
+  }
+
+  void RecordDeparture(const std::string& aId,
+                       std::uint64_t aSentStartMs,
+                       const PeerConfirmations::Done& aDone)
+  {
+    if (!TryRecordDeparture(aId, aSentStartMs)) {
+      aDone(false);
+      return;
+    }
+    AwaitConfirmation(aId, aDone);
+  }
+
   /// Returns false if the run that leaves can't be known.
-  bool RecordDeparture(const std::string& aId, std::uint64_t aSentStartMs)
+  bool TryRecordDeparture(const std::string& aId, std::uint64_t aSentStartMs)
   {
     TimePoint now = clock_.Now();
     auto run = FindDepartedRun({ aSentStartMs,
@@ -488,9 +565,11 @@
           LogLag(*lag);
         }
         ExpireReplicas(now);
-        members_.Update(
-          member_.Group(GroupName::Configuration).Core().Log().Members(),
-          settings_.entriesAddress_.port_);
+        const Membership& members =
+          member_.Group(GroupName::Configuration).Core().Log().Members();
+        members_.Update(members, settings_.entriesAddress_.port_);
+        confirmations_.SetMembers(members.size());
+        confirmations_.Tick(now);
         auto serving = ServingEntries();
         loads_.KeepOnly(serving);
         workingSet_.Update(serving, loads_.Rates(), now);
@@ -596,6 +675,7 @@
   RaftMember member_;
   ConfigurationCalls configuration_{ loop_, member_ };
   ReplicaTable replicas_;
+  PeerConfirmations confirmations_;
   ReplicaBatches batches_;
   EncodedChanges encodedChanges_;
   /// The last change of replicas that entries may learn of.
@@ -682,32 +762,13 @@
   return state_->OrdersOn(aFiber).Read();
 }
 
-void
+bool
 FleetControl::Announce(Fiber& aFiber, const Replica& aReplica)
 {
-  OnLoop<bool>(state_->loop_, aFiber, [this, aReplica] {
-    auto stamp = state_->replicas_.Stamp();
-    bool isAccepted =
-      state_->replicas_.Announce(aReplica, state_->clock_.Now());
-    state_->counters_.Count(isAccepted ? Counter::AnnouncementsTaken
-                                       : Counter::AnnouncementsStale);
-    if (!isAccepted) {
-      LogEvent(Severity::Info,
-               "announcement out of date",
-               { { "replica", aReplica.id_ },
-                 { "start_ms", aReplica.startTimeMs_ },
-                 { "sequence", aReplica.sequence_ } });
-    }
-    if (stamp != state_->replicas_.Stamp()) {
-      LogEvent(Severity::Info,
-               "replica announced",
-               { { "replica", aReplica.id_ },
-                 { "service", aReplica.service_ },
-                 { "draining", aReplica.state_ == ReplicaState::Draining },
-                 { "sequence", aReplica.sequence_ } });
-      state_->OnReplicasChanged();
-    }
-    return isAccepted;
+  return aFiber.Await<bool>([&](const PeerConfirmations::Done& aDone) {
+    state_->loop_.Post([state = state_.get(), aReplica, aDone] {
+      state->RecordAnnouncement(aReplica, aDone);
+    });
   });
 }
 
@@ -716,8 +777,10 @@
                     const std::string& aId,
                     std::uint64_t aStartTimeMs)
 {
-  return OnLoop<bool>(state_->loop_, aFiber, [this, aId, aStartTimeMs] {
-    return state_->RecordDeparture(aId, aStartTimeMs);
+  return aFiber.Await<bool>([&](const PeerConfirmations::Done& aDone) {
+    state_->loop_.Post([state = state_.get(), aId, aStartTimeMs, aDone] {
+      state->RecordDeparture(aId, aStartTimeMs, aDone);
+    });
   });
 }
 
--- a/src/tanagerstall/process/tanagerstall_fleet_control.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.hpp
@@ -82,11 +82,14 @@
   /// Returns the latest roll-out of each service after a quorum confirmed that
   /// they are current.
   tl::expected<RolloutsByService, GroupError> ReadRollouts(Fiber& aFiber);
-  /// Applies an announcement of a replica. A stale one has no effect.
-  void Announce(Fiber& aFiber, const Replica& aReplica);
+  /// Applies an announcement of a replica. A stale one has no effect. Returns
+  /// whether it may be acknowledged: one of a replica that drains only when a
+  /// majority of the control processes know of it.
+  bool Announce(Fiber& aFiber, const Replica& aReplica);
   /// Records that a replica leaves. `aStartTimeMs` is 0 if it didn't send its
-  /// start time. Returns false, with nothing recorded, if the run that leaves
-  /// can't be known here.
+  /// start time. Returns whether that may be acknowledged: not if the run that
+  /// leaves can't be known here, with nothing recorded, or if no majority of
+  /// the control processes came to know of it in time.
   bool Leave(Fiber& aFiber, const std::string& aId, std::uint64_t aStartTimeMs);
   /// Returns the entries that a caller should use, at most
   /// `maxDirectoryEntries_`; none during the warm-up after the start.
