Resume a stream within its answer only at the version that began it

What callers get: one answer whose first events are from one software version of a service and the rest from another. Cause: an entry that resumes a stream chose any replica of the service, and a running roll-out moved it to the old version on purpose. A stream whose caller has an event stays with the version of its replica now, also during a roll-out; without a replica of it the answer breaks off visibly.

--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -67,6 +67,9 @@
   std::uint32_t sends_ = 0;
   /// The type of the stream that the caller receives, by its head.
   std::string streamType_;
+  /// The software version of the replicas that may go on with the stream, once
+  /// the caller has an event of it. What versions write doesn't fit together.
+  std::optional<std::string> streamVersion_{};
   /// The id of the last event sent to the caller, from which a stream is
   /// resumed at another replica.
   std::string lastEventId_;
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -426,7 +426,8 @@
                           aRequest.prompt_.LastSharedPart(),
                           WorkClassOf(aRequest),
                           aRequest.cost_,
-                          aRequest.excluded_ };
+                          aRequest.excluded_,
+                          aRequest.streamVersion_ };
     auto replica = rollouts_.Choose(choice, side, clock_.Now());
     if (!replica) {
       break;
@@ -446,6 +447,9 @@
            usage_.Count(aRequest.organisation_->name_);
          }
          hasRun = true;
+         if (route.kind_ == RequestKind::Stream) {
+           aRequest.streamVersion_ = replica->version_;
+         }
          aRequest.firstPartAt_ = clock_.Now();
          admission.OnFirstPart();
        },
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.cpp
@@ -367,6 +367,7 @@
     if (aRequest.excluded_.contains(replica.id_) ||
         avoidUntil == TimePoint::max() || !isOffered(replica) ||
         !rateLimits_.MaySend(replica, aNow) ||
+        (aRequest.version_ && *aRequest.version_ != replica.version_) ||
         (aRequest.isAllowed_ && !aRequest.isAllowed_(replica))) {
       continue;
     }
--- a/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
+++ b/src/tanagerstall/request/tanagerstall_replica_chooser.hpp
@@ -29,6 +29,8 @@
   double cost_ = 1.0;
   /// Ids of replicas that must not be chosen.
   std::set<std::string> excluded_;
+  /// If set, only replicas of this software version may be chosen.
+  std::optional<std::string> version_{};
   /// Returns whether a replica may be chosen; all may without it.
   std::function<bool(const Replica&)> isAllowed_{};
   /// Whether no replica is chosen if all that may be have failed lately.
--- a/src/tanagerstall/request/tanagerstall_rollout_router.cpp
+++ b/src/tanagerstall/request/tanagerstall_rollout_router.cpp
@@ -222,6 +222,10 @@
     aSide = RolloutSide::Any;
     return aChooser.Choose(aRequest, aNow);
   }
+  if (aRequest.version_) {
+    // A stream that has begun stays with its version, whatever the side.
+    return aChooser.Choose(aRequest, aNow);
+  }
   const Rollout& rollout = it->second.directive_.rollout_;
   ChoiceRequest request = aRequest;
   if (aSide == RolloutSide::New) {
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -350,6 +350,53 @@
   }
 }
 
+namespace {
+
+/// A stream breaks off after its first event; who may go on with it.
+struct VersionCase
+{
+  const char* name_;
+  std::string other_;
+  bool goesOn_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const VersionCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<VersionCase> kVersionCases{
+  { "the same version", "v1", true },
+  { "another version", "v2", false },
+  { "a replica that names no version", "", false },
+};
+
+} // namespace
+
+// Guards against an answer that is joined from two software versions.
+BOOST_DATA_TEST_CASE(A_stream_goes_on_only_at_the_version_that_began_it,
+                     data::make(kVersionCases))
+{
+  bool hasBegunAtCut = false;
+  // The chooser decides which of the two receives the request first.
+  for (int i = 0; i < 40 && !hasBegunAtCut; ++i) {
+    ScriptedUpstream cut(
+      { kStreamHead + Chunk(kEvent1 + "id: 2\nda"), After::Reset });
+    ScriptedUpstream rest(
+      { kStreamHead + Chunk(kEvent2) + "0\r\n\r\n", After::Keep });
+    Environment environment({ &cut, &rest });
+    environment.SetVersions({ &cut, &rest }, { "v1", sample.other_ });
+    auto answer = environment.Fetch("/resume/x");
+    hasBegunAtCut = cut.Requests() == 1;
+    if (hasBegunAtCut) {
+      BOOST_TEST(answer.has_value() == sample.goesOn_);
+      BOOST_TEST(rest.Requests() == (sample.goesOn_ ? 1 : 0));
+    }
+  }
+  BOOST_TEST(hasBegunAtCut);
+}
+
 BOOST_AUTO_TEST_CASE(An_answer_that_follows_a_late_one_is_matched_by_its_id)
 {
   ScriptedUpstream upstream({ kWhole + kForeign, After::Keep });
--- a/tests/tanagerstall_forwarder_environment.hpp
+++ b/tests/tanagerstall_forwarder_environment.hpp
@@ -273,6 +273,22 @@
 
   ~Environment() { threads_.Stop(); }
 
+  /// Replaces the replicas by ones of these software versions.
+  void SetVersions(const std::vector<const ScriptedUpstream*>& aUpstreams,
+                   const std::vector<std::string>& aVersions)
+  {
+    auto replicas = std::make_shared<ReplicasByService>();
+    for (std::size_t i = 0; i < aUpstreams.size(); ++i) {
+      auto replica = MakeReplica("v" + std::to_string(i), "s", *aUpstreams[i]);
+      replica.version_ = aVersions[i];
+      (*replicas)["s"].push_back(replica);
+    }
+    Call<bool>([&](Forwarder& aForwarder) {
+      aForwarder.SetReplicas(replicas);
+      return true;
+    });
+  }
+
   /// Sends a request as a caller and returns what the caller receives.
   tl::expected<HttpResponse, TransportError> Fetch(
     const std::string& aPath,
