--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -201,6 +201,37 @@
   return directives;
 }
 
+void
+WriteStreams(capnp::List<wire::StreamGroup>::Builder aTo,
+             const StreamGroups& aFrom)
+{
+  for (unsigned i = 0; i < aFrom.size(); ++i) {
+    aTo[i].setService(ToText(aFrom[i].origin_.service_));
+    aTo[i].setVersion(ToText(aFrom[i].origin_.version_));
+    const auto& from = aFrom[i].streams_;
+    auto streams = aTo[i].initStreams(static_cast<unsigned>(from.size()));
+    for (unsigned j = 0; j < from.size(); ++j) {
+      streams.set(j, from[j]);
+    }
+  }
+}
+
+StreamGroups
+ReadStreams(capnp::List<wire::StreamGroup>::Reader aFrom)
+{
+  StreamGroups groups;
+  for (auto from : aFrom) {
+    StreamGroup group{
+      { ToString(from.getService()), ToString(from.getVersion()) }, {}
+    };
+    for (StreamKey stream : from.getStreams()) {
+      group.streams_.push_back(stream);
+    }
+    groups.push_back(std::move(group));
+  }
+  return groups;
+}
+
 void
 WriteAdmission(capnp::List<wire::AdmissionSums>::Builder aTo,
                const AdmissionSumsByService& aFrom)
@@ -288,6 +319,11 @@
     aTo.initAdmission(static_cast<unsigned>(aFrom.admission_.size())),
     aFrom.admission_);
   aTo.setReadsPackedReplicas(aFrom.readsPackedReplicas_);
+  WriteStreams(aTo.initStreamStarts(aFrom.streamStarts_.size()),
+               aFrom.streamStarts_);
+  aTo.setStreamPosition(aFrom.streamPosition_);
+  WriteStreams(aTo.initWantedStreams(aFrom.wantedStreams_.size()),
+               aFrom.wantedStreams_);
   auto usage = aTo.initUsage(aFrom.usage_.size());
   for (unsigned i = 0; i < aFrom.usage_.size(); ++i) {
     WriteUsage(usage[i], aFrom.usage_[i]);
@@ -344,6 +380,9 @@
   report.rolloutRevision_ = aFrom.getRolloutRevision();
   report.admission_ = ReadAdmission(aFrom.getAdmission());
   report.readsPackedReplicas_ = aFrom.getReadsPackedReplicas();
+  report.streamStarts_ = ReadStreams(aFrom.getStreamStarts());
+  report.streamPosition_ = aFrom.getStreamPosition();
+  report.wantedStreams_ = ReadStreams(aFrom.getWantedStreams());
   for (auto usage : aFrom.getUsage()) {
     report.usage_.push_back(ReadUsage(usage));
   }
@@ -424,6 +463,9 @@
   if (aFrom.crashVerdicts_) {
     WriteVerdicts(aTo.initPromptVerdicts(), *aFrom.crashVerdicts_);
   }
+  aTo.setStreamPosition(aFrom.streamPosition_);
+  WriteStreams(aTo.initFoundStreams(aFrom.foundStreams_.size()),
+               aFrom.foundStreams_);
 }
 
 ControlAnswer
@@ -474,6 +516,8 @@
   if (aFrom.hasPromptVerdicts()) {
     answer.crashVerdicts_ = ReadVerdicts(aFrom.getPromptVerdicts());
   }
+  answer.streamPosition_ = aFrom.getStreamPosition();
+  answer.foundStreams_ = ReadStreams(aFrom.getFoundStreams());
   return answer;
 }
 
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -7,6 +7,7 @@
 #include "tanagerstall/request/tanagerstall_cost_limits.hpp"
 #include "tanagerstall/request/tanagerstall_crash_report.hpp"
 #include "tanagerstall/request/tanagerstall_named_rate.hpp"
+#include "tanagerstall/request/tanagerstall_stream_origins.hpp"
 #include "tanagerstall/version/tanagerstall_declaration_transfer.hpp"
 #include "tanagerstall/version/tanagerstall_rollout.hpp"
 
@@ -124,6 +125,13 @@
   AdmissionSumsByService admission_;
   /// Whether the answer may contain compressed changes of replicas.
   bool readsPackedReplicas_ = false;
+  /// The streams that began at the entry and that this control process has not
+  /// confirmed, and the position that confirms them; sent to the leader only.
+  StreamGroups streamStarts_;
+  std::uint64_t streamPosition_ = 0;
+  /// Streams that callers take up again, without their versions; sent to the
+  /// leader only.
+  StreamGroups wantedStreams_;
 };
 
 /// The answer of a control process.
@@ -172,6 +180,10 @@
   std::map<std::string, std::uint32_t> longResponses_;
   /// The sums over all entries; sent by the leader only.
   AdmissionSumsByService admission_;
+  /// The position of the streams in the report, all of which are known now.
+  std::uint64_t streamPosition_ = 0;
+  /// The wanted streams of which it is known what began them.
+  StreamGroups foundStreams_;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -191,6 +191,14 @@
   ranks @2 :List(AdmissionWork);
 }
 
+struct StreamGroup {
+  # Streams that one software version of a service began.
+  service @0 :Text;
+  version @1 :Text;
+  # Unset where it is asked for.
+  streams @2 :List(UInt64);
+}
+
 struct SyncRequest {
   entry @0 :Control.EntryInfo;
   controlRun @1 :UInt64;
@@ -229,6 +237,13 @@
   readsPackedReplicas @21 :Bool;
   requestEvidence @22 :List(ServiceEvidence);
   # Sent to the leader.
+  streamStarts @23 :List(StreamGroup);
+  # Sent to the leader: the streams that began at the entry and that the
+  # receiver has not confirmed.
+  streamPosition @24 :UInt64;
+  # Confirms all streams up to these.
+  wantedStreams @25 :List(StreamGroup);
+  # Sent to the leader: streams that callers take up again at the entry.
 }
 
 struct CostGrant {
@@ -280,6 +295,10 @@
   # instead of replicas, if the request says that the sender reads it.
   appliesRollouts @24 :Bool;
   # Whether the sender applies the commands of roll-outs.
+  streamPosition @25 :UInt64;
+  # The position in the request.
+  foundStreams @26 :List(StreamGroup);
+  # The wanted streams of which the sender knows what began them.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -53,6 +53,7 @@
 CAPNP_DECLARE_SCHEMA(c0edefa625f6cd5c);
 CAPNP_DECLARE_SCHEMA(9fa3c9bd292da564);
 CAPNP_DECLARE_SCHEMA(e81c0c9f889e7b87);
+CAPNP_DECLARE_SCHEMA(ea5610e24d4eb538);
 CAPNP_DECLARE_SCHEMA(a8bf46aabef2c4ea);
 CAPNP_DECLARE_SCHEMA(ac458a8c09f8367d);
 CAPNP_DECLARE_SCHEMA(c45ee92c61620b2a);
@@ -378,6 +379,21 @@
   };
 };
 
+struct StreamGroup {
+  StreamGroup() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ea5610e24d4eb538, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct SyncRequest {
   SyncRequest() = delete;
 
@@ -386,7 +402,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 9, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(a8bf46aabef2c4ea, 10, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -416,7 +432,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 7, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(c45ee92c61620b2a, 8, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2533,6 +2549,108 @@
 };
 #endif  // !CAPNP_LITE
 
+class StreamGroup::Reader {
+public:
+  typedef StreamGroup Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+  inline bool hasStreams() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getStreams() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamGroup::Builder {
+public:
+  typedef StreamGroup Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+  inline bool hasStreams();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getStreams();
+  inline void setStreams( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setStreams(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initStreams(unsigned int size);
+  inline void adoptStreams(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownStreams();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamGroup::Pipeline {
+public:
+  typedef StreamGroup Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SyncRequest::Reader {
 public:
   typedef SyncRequest Reads;
@@ -2605,6 +2723,14 @@
   inline bool hasRequestEvidence() const;
   inline  ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>::Reader getRequestEvidence() const;
 
+  inline bool hasStreamStarts() const;
+  inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader getStreamStarts() const;
+
+  inline  ::uint64_t getStreamPosition() const;
+
+  inline bool hasWantedStreams() const;
+  inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader getWantedStreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2738,6 +2864,23 @@
   inline void adoptRequestEvidence(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ServiceEvidence,  ::capnp::Kind::STRUCT>> disownRequestEvidence();
 
+  inline bool hasStreamStarts();
+  inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder getStreamStarts();
+  inline void setStreamStarts( ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder initStreamStarts(unsigned int size);
+  inline void adoptStreamStarts(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>> disownStreamStarts();
+
+  inline  ::uint64_t getStreamPosition();
+  inline void setStreamPosition( ::uint64_t value);
+
+  inline bool hasWantedStreams();
+  inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder getWantedStreams();
+  inline void setWantedStreams( ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder initWantedStreams(unsigned int size);
+  inline void adoptWantedStreams(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>> disownWantedStreams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2931,6 +3074,11 @@
 
   inline bool getAppliesRollouts() const;
 
+  inline  ::uint64_t getStreamPosition() const;
+
+  inline bool hasFoundStreams() const;
+  inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader getFoundStreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3084,6 +3232,16 @@
   inline bool getAppliesRollouts();
   inline void setAppliesRollouts(bool value);
 
+  inline  ::uint64_t getStreamPosition();
+  inline void setStreamPosition( ::uint64_t value);
+
+  inline bool hasFoundStreams();
+  inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder getFoundStreams();
+  inline void setFoundStreams( ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder initFoundStreams(unsigned int size);
+  inline void adoptFoundStreams(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>> disownFoundStreams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5353,6 +5511,112 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool StreamGroup::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamGroup::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamGroup::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamGroup::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamGroup::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamGroup::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamGroup::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamGroup::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamGroup::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamGroup::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamGroup::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamGroup::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamGroup::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamGroup::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamGroup::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamGroup::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StreamGroup::Reader::hasStreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamGroup::Builder::hasStreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader StreamGroup::Reader::getStreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder StreamGroup::Builder::getStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StreamGroup::Builder::setStreams( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void StreamGroup::Builder::setStreams(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder StreamGroup::Builder::initStreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StreamGroup::Builder::adoptStreams(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> StreamGroup::Builder::disownStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool SyncRequest::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5865,6 +6129,88 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline bool SyncRequest::Reader::hasStreamStarts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasStreamStarts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getStreamStarts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getStreamStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setStreamStarts( ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initStreamStarts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptStreamStarts(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownStreamStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SyncRequest::Reader::getStreamPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getStreamPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setStreamPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncRequest::Reader::hasWantedStreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasWantedStreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getWantedStreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getWantedStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setWantedStreams( ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initWantedStreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptWantedStreams(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownWantedStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 inline bool CostGrant::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6516,6 +6862,54 @@
       ::capnp::bounded<228>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SyncReply::Reader::getStreamPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncReply::Builder::getStreamPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setStreamPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncReply::Reader::hasFoundStreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasFoundStreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getFoundStreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getFoundStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setFoundStreams( ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initFoundStreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptFoundStreams(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownFoundStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -24,6 +24,7 @@
 #include "tanagerstall/request/tanagerstall_cost_leases.hpp"
 #include "tanagerstall/request/tanagerstall_named_rate_table.hpp"
 #include "tanagerstall/request/tanagerstall_request_log.hpp"
+#include "tanagerstall/request/tanagerstall_stream_directory.hpp"
 #include "tanagerstall/request/tanagerstall_usage_counter.hpp"
 
 #include <algorithm>
@@ -48,6 +49,8 @@
 /// Time after the start of a control process during which it may not know all
 /// entries and returns none to callers.
 constexpr Duration kDirectoryWarmUp = std::chrono::milliseconds(300);
+/// The streams of all entries that a leader remembers.
+constexpr std::size_t kMaxStreams = 1UL << 18U;
 /// A replica waits a second for an answer before it turns to the next control
 /// process.
 constexpr Duration kMaxConfirmationTime = std::chrono::milliseconds(700);
@@ -215,6 +218,7 @@
     if (auto plan = hooks_.decodePlan_(fleet_.Current().document_)) {
       plan_ = std::move(*plan);
       planNumber_ = fleet_.Current().number_;
+      streams_.SetPlan(*plan_);
       SetLimits();
     }
     LogEvent(Severity::Info,
@@ -273,6 +277,11 @@
       admission_.Record(aReport.entry_.id_, aReport.admission_, clock_.Now());
     }
     rollouts_.Record(RunOf(aReport.entry_), aReport, clock_.Now());
+    for (const auto& group : aReport.streamStarts_) {
+      for (StreamKey stream : group.streams_) {
+        streams_.Record(stream, group.origin_, clock_.Now());
+      }
+    }
     if (isLeading_ && aReport.crashReport_) {
       detector_.RecordReport(
         RunOf(aReport.entry_), *aReport.crashReport_, clock_.Now());
@@ -438,6 +447,9 @@
     }
     answer.rateRevision_ = namedRates_.Revision();
     rollouts_.AddTo(answer, RunOf(aReport.entry_), aReport);
+    answer.streamPosition_ = aReport.streamPosition_;
+    answer.foundStreams_ =
+      streams_.FindAll(aReport.wantedStreams_, clock_.Now());
     answer.members_ = members_.Addresses();
     answer.readsCompressed_ = true;
     answer.appliesRollouts_ = true;
@@ -582,6 +594,7 @@
           admission_.StartLeading(now);
           entriesServer_.Notify();
         }
+        UpdateStreams(now);
         rollouts_.SetLeading(isLeading_, now);
         namedRates_.Update(now);
         DecideOnCrashes(now);
@@ -593,6 +606,18 @@
       });
   }
 
+  /// Only a leader is sure to hear of a version that is added.
+  void UpdateStreams(TimePoint aNow)
+  {
+    if (view_.ConsumeChange(aNow)) {
+      streams_.SetReplicas(*view_.Present(aNow), aNow);
+      streams_.Tick(aNow);
+    }
+    if (isLeading_) {
+      streams_.ConfirmReplicas(aNow);
+    }
+  }
+
   void Reload(bool aIsRequested)
   {
     nextSettingsReadAt_ = clock_.Now() + kSettingsInterval;
@@ -702,6 +727,8 @@
   /// The replicas that the other control processes report.
   ReplicaView view_;
   EntryLoads loads_;
+  /// What began the streams of all entries.
+  StreamDirectory streams_{ kMaxStreams };
   std::optional<TrafficPlan> plan_;
   /// The number of the declaration that `plan_` was decoded from.
   std::uint64_t planNumber_ = 0;
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -7,6 +7,7 @@
 #include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall/process/tanagerstall_loop_delay.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
+#include "tanagerstall/process/tanagerstall_stream_reports.hpp"
 #include "tanagerstall/version/tanagerstall_declaration_source.hpp"
 
 #include <atomic>
@@ -63,11 +64,11 @@
           } })
     , clients_(std::make_shared<ClientLimits>(
         MemoryBudget::DivideBytes(settings_.clients_.memoryBytes_)))
-    , forwarder_(
-        WithMemory(settings_.forwarder_, clients_->Memory()),
-        clock_,
-        { ReadWallTime,
-          [this] { loop_.Post([this] { client_.RefreshLeader(); }); } })
+    , forwarder_(WithMemory(settings_.forwarder_, clients_->Memory()),
+                 clock_,
+                 { ReadWallTime,
+                   [this] { loop_.Post([this] { client_.RefreshLeader(); }); },
+                   [this] { PostReport(true); } })
     , callers_(
         threads_,
         MakeHttpLimits(settings_.clients_),
@@ -177,6 +178,12 @@
       }
     }
     AddRolloutCounts(report, aControl, aIsLeader);
+    if (aIsLeader) {
+      auto streams = streamReports_.For(aControl, run);
+      report.streamStarts_ = std::move(streams.streams_);
+      report.streamPosition_ = streams.position_;
+      report.wantedStreams_ = traffic_.wantedStreams_;
+    }
     report.newestDeclaration_ = source_.NewestNumber();
     std::uint64_t held = received_.number_;
     report.canRestore_ = { true, needsWhole_ ? 0 : held };
@@ -293,9 +300,24 @@
         [this, rates = *aAnswer.namedRates_] { forwarder_.AdoptRates(rates); });
     }
     ReceiveRollouts(aControl, aAnswer);
+    ReceiveStreams(aControl, aAnswer, now);
     PublishReplicas(now);
   }
 
+  void ReceiveStreams(const std::string& aControl,
+                      const ControlAnswer& aAnswer,
+                      TimePoint aNow)
+  {
+    if (aAnswer.isLeader_) {
+      streamReports_.Confirm(
+        aControl, aAnswer.replicas_.run_, aAnswer.streamPosition_);
+    }
+    threads_.Post([this, aNow, found = aAnswer.foundStreams_] {
+      forwarder_.TakeUps().Directory().ConfirmReplicas(aNow);
+      forwarder_.TakeUps().Adopt(found);
+    });
+  }
+
   /// Adopts the roll-outs of any control process, and the shares of the leader.
   /// An answer without directives confirms the latest ones.
   void ReceiveRollouts(const std::string& aControl,
@@ -394,6 +416,7 @@
              { { "number", aDeclaration.number_ },
                { "routes", plan->routes_.size() } });
     auto shared = std::make_shared<const TrafficPlan>(std::move(*plan));
+    streamTime_ = LongestStreamTime(*shared);
     HttpLimits limits = MakeHttpLimits(settings_.clients_);
     limits.maxHeadBytes_ = shared->limits_.maxHeadBytes_;
     limits.maxBodyBytes_ = shared->limits_.maxBodyBytes_;
@@ -517,8 +540,11 @@
       bool hasLosses =
         report.crashReport_.Lost() > traffic_.crashReport_.Lost();
       bool hasRateNews = report.rateNews_ != traffic_.rateNews_;
+      bool hasStreams = !report.streamStarts_.empty();
+      streamReports_.Append(report.streamStarts_, clock_.Now());
+      streamReports_.ForgetBefore(clock_.Now() - streamTime_);
       traffic_ = report;
-      if (aIsUrgent || hasLosses || hasRateNews || IsBusy()) {
+      if (aIsUrgent || hasLosses || hasRateNews || hasStreams || IsBusy()) {
         client_.RefreshLeader();
       }
     });
@@ -543,6 +569,9 @@
   /// Whether the last change could not be restored.
   bool needsWhole_ = false;
   TrafficReport traffic_;
+  StreamReports streamReports_;
+  /// How long streams may be resumed.
+  Duration streamTime_{ 0 };
   /// The control process that sent the latest verdicts on prompt parts.
   std::string verdictsFrom_;
   std::uint64_t verdictsRevision_ = 0;
--- a/src/tanagerstall/request/tanagerstall_caller_protocol.hpp
+++ b/src/tanagerstall/request/tanagerstall_caller_protocol.hpp
@@ -32,6 +32,9 @@
   std::string tokenCounts_;
   /// The prompt's parts in order, as "ID:TOKENS" separated by commas.
   std::string promptParts_;
+  /// The id of the request that brought the first event of the stream that this
+  /// one resumes.
+  std::string resumedRequest_;
   /// The upstream's signature of its response.
   std::string seal_;
   /// Present if the upstream did not run the request.
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.cpp
@@ -58,6 +58,10 @@
 const ForwardRefusal kTooLate{ 503,
                                "overloaded",
                                "no response expected before the deadline" };
+const ForwardRefusal kUnknownOrigin{ 503,
+                                     "unknown_origin",
+                                     "the stream's version isn't known",
+                                     kDefaultRetryAfter };
 const ForwardRefusal kStopping{ 503,
                                 "stopping",
                                 "the entry stops before the deadline",
--- a/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_refusal.hpp
@@ -35,6 +35,9 @@
 extern const ForwardRefusal kOverloaded;
 /// No response is expected before the request's deadline.
 extern const ForwardRefusal kTooLate;
+/// It is not known which software version began the stream that the request
+/// resumes.
+extern const ForwardRefusal kUnknownOrigin;
 /// The entry stops before the request's deadline; another entry may serve it.
 extern const ForwardRefusal kStopping;
 
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -81,6 +81,7 @@
   , rollouts_(chooser_, std::random_device()())
   , limits_(std::random_device()())
   , admission_(std::random_device()())
+  , takeUps_(clock_, hooks_.requestStreams_)
   , recorder_(chooser_, quarantine_, metrics_, clock_)
   , usage_(settings_.usageWindow_, hooks_.wallClock_)
   , retries_(settings_.retryRatio_, settings_.retrySlack_)
@@ -111,6 +112,7 @@
   if (!plan_ || aPlan->number_ > plan_->number_) {
     plan_ = std::move(aPlan);
     admission_.SetPlan(*plan_);
+    takeUps_.Directory().SetPlan(*plan_);
   }
 }
 
@@ -118,6 +120,7 @@
 Forwarder::SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas)
 {
   admission_.SetReplicas(*aReplicas);
+  takeUps_.Directory().SetReplicas(*aReplicas, clock_.Now());
   rollouts_.SetReplicas(std::move(aReplicas));
 }
 
@@ -311,6 +314,9 @@
     return tl::make_unexpected(Refuse(request, kStopping));
   }
   request.service_ = PickService(*request.route_);
+  if (!takeUps_.Prepare(aExchange, settings_.protocol_, request)) {
+    return tl::make_unexpected(Refuse(request, kUnknownOrigin));
+  }
   if (auto refusal = CheckBackoff(request)) {
     return tl::make_unexpected(*refusal);
   }
@@ -422,12 +428,11 @@
     aRequest.service_, aRequest.prompt_.LastSharedPart(), clock_.Now());
   while (canRetry && !hasEndedRequests_ &&
          !quarantine_.RemainingFor(causes, clock_.Now())) {
-    ChoiceRequest choice{ aRequest.service_,
-                          aRequest.prompt_.LastSharedPart(),
-                          WorkClassOf(aRequest),
-                          aRequest.cost_,
-                          aRequest.excluded_,
-                          aRequest.streamVersion_ };
+    ChoiceRequest choice{
+      aRequest.service_,     aRequest.prompt_.LastSharedPart(),
+      WorkClassOf(aRequest), aRequest.cost_,
+      aRequest.excluded_,    aRequest.streamVersion_
+    };
     auto replica = rollouts_.Choose(choice, side, clock_.Now());
     if (!replica) {
       break;
@@ -447,8 +452,9 @@
            usage_.Count(aRequest.organisation_->name_);
          }
          hasRun = true;
-         if (route.kind_ == RequestKind::Stream) {
+         if (route.kind_ == RequestKind::Stream && !aRequest.streamVersion_) {
            aRequest.streamVersion_ = replica->version_;
+           takeUps_.RecordStart(aRequest, *replica);
          }
          aRequest.firstPartAt_ = clock_.Now();
          admission.OnFirstPart();
@@ -575,6 +581,9 @@
   report.namedRates_ = chooser_.RateLimits().Report(clock_.Now());
   report.rateNews_ = chooser_.RateLimits().News();
   report.rolloutCounts_ = rollouts_.Report();
+  takeUps_.Directory().Tick(clock_.Now());
+  report.streamStarts_ = takeUps_.Directory().TakeNew(clock_.Now());
+  report.wantedStreams_ = takeUps_.Wanted();
   return report;
 }
 
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -17,6 +17,7 @@
 #include "tanagerstall/request/tanagerstall_request_rate.hpp"
 #include "tanagerstall/request/tanagerstall_retry_budgets.hpp"
 #include "tanagerstall/request/tanagerstall_rollout_traffic.hpp"
+#include "tanagerstall/request/tanagerstall_stream_take_ups.hpp"
 #include "tanagerstall/request/tanagerstall_usage_counter.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
@@ -58,6 +59,11 @@
   /// The number of limits that this entry learnt by itself; grows with each.
   std::uint64_t rateNews_ = 0;
   std::vector<RolloutCounts> rolloutCounts_;
+  /// Streams that have begun since the last report, of services that have had
+  /// several software versions lately.
+  StreamGroups streamStarts_;
+  /// Streams that callers take up again.
+  StreamGroups wantedStreams_;
 };
 
 /// Forwards callers' requests to replicas along the routes of the traffic
@@ -70,6 +76,8 @@
     std::function<WallTime()> wallClock_;
     /// Requests the cost that the limits lack from control without delay.
     std::function<void()> requestCost_;
+    /// Has the leader asked without delay for the streams that callers take up.
+    std::function<void()> requestStreams_{ [] {} };
   };
 
   Forwarder(ForwarderSettings aSettings, Clock aClock, Hooks aHooks);
@@ -96,6 +104,8 @@
   {
     admission_.AdoptSums(aSums, aReportedAt);
   }
+  /// What began the streams that callers take up again.
+  StreamTakeUps& TakeUps() { return takeUps_; }
   /// The level of each service to which admission applies.
   std::map<std::string, double> AdmissionLevels()
   {
@@ -162,6 +172,7 @@
   RolloutTraffic rollouts_;
   CostLimits limits_;
   AdmissionControl admission_;
+  StreamTakeUps takeUps_;
   CrashQuarantine quarantine_;
   Metrics metrics_;
   AttemptRecorder recorder_;
--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_stream_take_ups.cpp
@@ -0,0 +1,128 @@
+#include "tanagerstall/request/tanagerstall_stream_take_ups.hpp"
+
+#include "tanagerstall/process/tanagerstall_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tanagerstall {
+
+namespace {
+
+constexpr std::string_view kLastEventId = "Last-Event-Id";
+/// The streams that an entry remembers.
+constexpr std::size_t kMaxStreams = 1UL << 15U;
+/// The longest wait for the leader. The entry at which the stream began reports
+/// it within this time.
+constexpr Duration kMaxWait = std::chrono::milliseconds(400);
+constexpr Duration kAskInterval = std::chrono::milliseconds(60);
+constexpr Duration kPollInterval = std::chrono::milliseconds(15);
+
+bool
+IsServiceOf(const Route& aRoute, const std::string& aService)
+{
+  return std::any_of(
+    aRoute.services_.begin(), aRoute.services_.end(), [&](const auto& aIt) {
+      return aIt.service_ == aService && aIt.weight_ > 0;
+    });
+}
+
+} // namespace
+
+StreamTakeUps::StreamTakeUps(Clock aClock, std::function<void()> aAskLeader)
+  : clock_(std::move(aClock))
+  , askLeader_(std::move(aAskLeader))
+  , directory_(kMaxStreams)
+{
+}
+
+bool
+StreamTakeUps::Prepare(HttpExchange& aExchange,
+                       const CallerProtocol& aProtocol,
+                       ForwardedRequest& aRequest)
+{
+  const HttpRequest& http = aExchange.Request();
+  bool isTakeUp = aRequest.route_->kind_ == RequestKind::Stream &&
+                  aRequest.route_->isResumable_ &&
+                  !http.Header(kLastEventId).empty();
+  if (!isTakeUp) {
+    return true;
+  }
+  std::string_view begunBy = http.Header(aProtocol.resumedRequest_);
+  auto stream =
+    begunBy.empty() ? std::nullopt : std::optional(StreamKeyOf(begunBy));
+  auto origin = Await(aExchange, stream, aRequest.service_);
+  if (!origin || !IsServiceOf(*aRequest.route_, origin->service_)) {
+    return false;
+  }
+  aRequest.service_ = origin->service_;
+  aRequest.streamVersion_ = origin->version_;
+  LogEvent(
+    Severity::Info,
+    "stream taken up",
+    { { "request", aRequest.id_ },
+      { "resumes", begunBy },
+      { "service", origin->service_ },
+      { "version", origin->version_ },
+      { "waited_ms", WholeMilliseconds(clock_.Now() - aRequest.arrivedAt_) } });
+  return true;
+}
+
+std::optional<StreamOrigin>
+StreamTakeUps::Await(HttpExchange& aExchange,
+                     std::optional<StreamKey> aStream,
+                     const std::string& aService)
+{
+  TimePoint begin = clock_.Now();
+  TimePoint askAt = begin;
+  while (true) {
+    TimePoint now = clock_.Now();
+    auto origin = directory_.Find(aStream, aService, now);
+    if (origin || !aStream || now - begin >= kMaxWait ||
+        aExchange.IsCallerDisconnected()) {
+      if (aStream) {
+        wanted_.erase(*aStream);
+      }
+      return origin;
+    }
+    if (now >= askAt) {
+      askAt = now + kAskInterval;
+      wanted_[*aStream] = aService;
+      askLeader_();
+    }
+    aExchange.GetFiber().Sleep(kPollInterval);
+  }
+}
+
+void
+StreamTakeUps::RecordStart(const ForwardedRequest& aRequest,
+                           const Replica& aReplica)
+{
+  if (aRequest.route_->isResumable_) {
+    directory_.Record(StreamKeyOf(aRequest.id_),
+                      { aRequest.service_, aReplica.version_ },
+                      clock_.Now());
+  }
+}
+
+StreamGroups
+StreamTakeUps::Wanted() const
+{
+  StreamGroups wanted;
+  for (const auto& [stream, service] : wanted_) {
+    wanted.push_back({ { service, "" }, { stream } });
+  }
+  return wanted;
+}
+
+void
+StreamTakeUps::Adopt(const StreamGroups& aFound)
+{
+  for (const auto& group : aFound) {
+    for (StreamKey stream : group.streams_) {
+      directory_.Record(stream, group.origin_, clock_.Now());
+    }
+  }
+}
+
+} // namespace tanagerstall
--- /dev/null
+++ b/src/tanagerstall/request/tanagerstall_stream_take_ups.hpp
@@ -0,0 +1,51 @@
+#ifndef TANAGERSTALL_STREAM_TAKE_UPS_HPP_INCLUDED
+#define TANAGERSTALL_STREAM_TAKE_UPS_HPP_INCLUDED
+
+#include "tanagerstall/connection/tanagerstall_http_server.hpp"
+#include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
+#include "tanagerstall/request/tanagerstall_stream_directory.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace tanagerstall {
+
+/// Lets a stream that a caller takes up again go on only at the software
+/// version that began it, which may have been at another entry: the leader is
+/// asked then. Belongs to the thread of the forwarder.
+class StreamTakeUps
+{
+public:
+  /// `aAskLeader` has the leader asked without delay what Wanted() names.
+  StreamTakeUps(Clock aClock, std::function<void()> aAskLeader);
+
+  StreamDirectory& Directory() { return directory_; }
+  /// Sets the service and the version of a request that takes up a stream.
+  /// Waits for the leader if need be. Returns false if what began the stream
+  /// can't be known.
+  bool Prepare(HttpExchange& aExchange,
+               const CallerProtocol& aProtocol,
+               ForwardedRequest& aRequest);
+  /// Records that a replica has begun to answer the request.
+  void RecordStart(const ForwardedRequest& aRequest, const Replica& aReplica);
+  /// The streams of which the leader is asked.
+  StreamGroups Wanted() const;
+  /// Adopts the leader's answer.
+  void Adopt(const StreamGroups& aFound);
+
+private:
+  std::optional<StreamOrigin> Await(HttpExchange& aExchange,
+                                    std::optional<StreamKey> aStream,
+                                    const std::string& aService);
+
+  Clock clock_;
+  std::function<void()> askLeader_;
+  StreamDirectory directory_;
+  /// The services of the streams that requests wait for.
+  std::map<StreamKey, std::string> wanted_;
+};
+
+} // namespace tanagerstall
+
+#endif
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -397,6 +397,87 @@
   BOOST_TEST(hasBegunAtCut);
 }
 
+namespace {
+
+/// A caller takes up a stream that began at another entry.
+struct TakeUpCase
+{
+  const char* name_;
+  /// What the leader knows of the stream; "" for nothing.
+  std::string origin_;
+  std::string service_;
+  std::string resumes_;
+  int status_;
+  int sendsTo1_;
+  int sendsTo2_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const TakeUpCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<TakeUpCase> kTakeUpCases{
+  { "begun at version 1", "v1", "s", "first", 200, 1, 0 },
+  { "begun at version 2", "v2", "s", "first", 200, 0, 1 },
+  { "begun at a version that is gone", "v0", "s", "first", 503, 0, 0 },
+  { "begun at another service", "v1", "t", "first", 503, 0, 0 },
+  { "nobody knows", "", "s", "first", 503, 0, 0 },
+  { "the caller names no request", "v1", "s", "", 503, 0, 0 },
+};
+
+} // namespace
+
+// Guards against a stream that a caller takes up again and that goes on at
+// another software version than the one that began it.
+BOOST_DATA_TEST_CASE(A_take_up_goes_to_the_version_that_began_the_stream,
+                     data::make(kTakeUpCases))
+{
+  ScriptedUpstream one(
+    { kStreamHead + Chunk(kEvent2) + "0\r\n\r\n", After::Keep });
+  ScriptedUpstream two(
+    { kStreamHead + Chunk(kEvent2) + "0\r\n\r\n", After::Keep });
+  Environment environment({ &one, &two });
+  environment.SetVersions({ &one, &two }, { "v1", "v2" });
+  environment.Call<bool>([&](Forwarder& aForwarder) {
+    if (!sample.origin_.empty()) {
+      aForwarder.TakeUps().Adopt(
+        { { { sample.service_, sample.origin_ }, { StreamKeyOf("first") } } });
+    }
+    return true;
+  });
+  std::vector<HttpHeader> headers{ { "Last-Event-Id", "1" } };
+  if (!sample.resumes_.empty()) {
+    headers.push_back({ "Resumes", sample.resumes_ });
+  }
+  auto answer = environment.Fetch("/resume/x", "", "", headers);
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->status_ == sample.status_);
+  BOOST_TEST(one.Requests() == sample.sendsTo1_);
+  BOOST_TEST(two.Requests() == sample.sendsTo2_);
+}
+
+// Guards against an entry that doesn't know the streams that it began itself.
+BOOST_AUTO_TEST_CASE(A_stream_that_began_here_is_taken_up_at_its_version)
+{
+  ScriptedUpstream one(
+    { kStreamHead + Chunk(kEvent2) + "0\r\n\r\n", After::Close });
+  ScriptedUpstream two(
+    { kStreamHead + Chunk(kEvent2) + "0\r\n\r\n", After::Close });
+  Environment environment({ &one, &two });
+  environment.SetVersions({ &one, &two }, { "v1", "v2" });
+  BOOST_REQUIRE(environment.Fetch("/resume/x").has_value());
+  bool isFirst = one.Requests() == 1;
+  for (int i = 0; i < 5; ++i) {
+    auto answer = environment.Fetch(
+      "/resume/x", "", "", { { "Last-Event-Id", "1" }, { "Resumes", "id-1" } });
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->status_ == 200);
+  }
+  BOOST_TEST((isFirst ? one : two).Requests() == 6);
+}
+
 BOOST_AUTO_TEST_CASE(An_answer_that_follows_a_late_one_is_matched_by_its_id)
 {
   ScriptedUpstream upstream({ kWhole + kForeign, After::Keep });
--- a/tests/tanagerstall_forwarder_environment.hpp
+++ b/tests/tanagerstall_forwarder_environment.hpp
@@ -293,7 +293,8 @@
   tl::expected<HttpResponse, TransportError> Fetch(
     const std::string& aPath,
     const std::string& aPromptParts = "",
-    const std::string& aKey = "")
+    const std::string& aKey = "",
+    const std::vector<HttpHeader>& aHeaders = {})
   {
     std::promise<tl::expected<HttpResponse, TransportError>> promise;
     threads_.Spawn([&](Fiber& aFiber) {
@@ -310,6 +311,8 @@
       if (!aKey.empty()) {
         request.headers_.push_back({ "Tanagerstall-Key", aKey });
       }
+      request.headers_.insert(
+        request.headers_.end(), aHeaders.begin(), aHeaders.end());
       promise.set_value(FetchHttp(aFiber, address_, request, 3s));
     });
     return promise.get_future().get();
