Bind a stream to a version by its first event only; trust the leader's versions

A failure that a replica answered also bound the request to its version, so that it was not sent to a sound replica of another one; A_failure_does_not_bind_a_ stream_to_its_version failed before. And answers of any control process counted as news of the versions, also of one that is cut off with the entry; now only the leader's do. The wire of streams has a test.

--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -312,8 +312,13 @@
       streamReports_.Confirm(
         aControl, aAnswer.replicas_.run_, aAnswer.streamPosition_);
     }
-    threads_.Post([this, aNow, found = aAnswer.foundStreams_] {
-      forwarder_.TakeUps().Directory().ConfirmReplicas(aNow);
+    threads_.Post([this,
+                   aNow,
+                   isConfirmed = aAnswer.isLeader_,
+                   found = aAnswer.foundStreams_] {
+      if (isConfirmed) {
+        forwarder_.TakeUps().Directory().ConfirmReplicas(aNow);
+      }
       forwarder_.TakeUps().Adopt(found);
     });
   }
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -230,6 +230,7 @@
 ForwardAttempt::Run(const Replica& aReplica, bool aReturnsFailures)
 {
   replicaId_ = aReplica.id_;
+  replicaVersion_ = aReplica.version_;
   MemoryBudget::Part held(
     resources_.memory_, MemoryBudget::Holder::Upstream, aReplica.id_);
   if (!held.Resize(exchange_.Request().body_.size())) {
@@ -356,6 +357,7 @@
 void
 ForwardAttempt::StartStream(const HttpResponse& aHead)
 {
+  request_.streamVersion_ = replicaVersion_;
   hooks_.onFirstPart_();
   request_.streamType_ = aHead.Header("Content-Type");
   exchange_.StartStream(MakeCallerResponse(aHead));
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
@@ -99,6 +99,7 @@
   Hooks hooks_;
   HttpConnection* connection_ = nullptr;
   std::string replicaId_;
+  std::string replicaVersion_;
   bool isStopped_ = false;
   EventStream events_;
   /// Whether the replica has said that it leaves.
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -452,10 +452,7 @@
            usage_.Count(aRequest.organisation_->name_);
          }
          hasRun = true;
-         if (route.kind_ == RequestKind::Stream && !aRequest.streamVersion_) {
-           aRequest.streamVersion_ = replica->version_;
-           takeUps_.RecordStart(aRequest, *replica);
-         }
+         takeUps_.RecordStart(aRequest);
          aRequest.firstPartAt_ = clock_.Now();
          admission.OnFirstPart();
        },
--- a/src/tanagerstall/request/tanagerstall_stream_directory.cpp
+++ b/src/tanagerstall/request/tanagerstall_stream_directory.cpp
@@ -10,8 +10,8 @@
 /// begins anew.
 constexpr int kTimeoutsOfStream = 2;
 constexpr Duration kMinStreamTime = std::chrono::seconds(10);
-/// Control processes answer entries at least this often.
-constexpr Duration kMaxUnconfirmed = std::chrono::seconds(2);
+/// Longer than the election of a leader.
+constexpr Duration kMaxUnconfirmed = std::chrono::seconds(3);
 
 } // namespace
 
--- a/src/tanagerstall/request/tanagerstall_stream_directory.hpp
+++ b/src/tanagerstall/request/tanagerstall_stream_directory.hpp
@@ -26,7 +26,7 @@
   void SetPlan(const TrafficPlan& aPlan);
   /// Sets the replicas that accept work now.
   void SetReplicas(const ReplicasByService& aPresent, TimePoint aNow);
-  /// Confirms that the replicas are those that the cluster knew at `aTime`.
+  /// Confirms that the replicas are those that the leader knew at `aTime`.
   /// Without that for a while, another version may have been added.
   void ConfirmReplicas(TimePoint aTime) { confirmedAt_ = aTime; }
   void Record(StreamKey aStream, const StreamOrigin& aOrigin, TimePoint aNow);
--- a/src/tanagerstall/request/tanagerstall_stream_take_ups.cpp
+++ b/src/tanagerstall/request/tanagerstall_stream_take_ups.cpp
@@ -95,12 +95,11 @@
 }
 
 void
-StreamTakeUps::RecordStart(const ForwardedRequest& aRequest,
-                           const Replica& aReplica)
+StreamTakeUps::RecordStart(const ForwardedRequest& aRequest)
 {
-  if (aRequest.route_->isResumable_) {
+  if (aRequest.route_->isResumable_ && aRequest.streamVersion_) {
     directory_.Record(StreamKeyOf(aRequest.id_),
-                      { aRequest.service_, aReplica.version_ },
+                      { aRequest.service_, *aRequest.streamVersion_ },
                       clock_.Now());
   }
 }
--- a/src/tanagerstall/request/tanagerstall_stream_take_ups.hpp
+++ b/src/tanagerstall/request/tanagerstall_stream_take_ups.hpp
@@ -27,8 +27,8 @@
   bool Prepare(HttpExchange& aExchange,
                const CallerProtocol& aProtocol,
                ForwardedRequest& aRequest);
-  /// Records that a replica has begun to answer the request.
-  void RecordStart(const ForwardedRequest& aRequest, const Replica& aReplica);
+  /// Records the version of the request's stream, if it has begun.
+  void RecordStart(const ForwardedRequest& aRequest);
   /// The streams of which the leader is asked.
   StreamGroups Wanted() const;
   /// Adopts the leader's answer.
--- a/tests/fleet_client_tests.cpp
+++ b/tests/fleet_client_tests.cpp
@@ -126,6 +126,34 @@
   BOOST_TEST(read.rolloutRevision_ == report.rolloutRevision_);
 }
 
+// Guards against streams that are lost on the wire, so that the leader doesn't
+// know what began them.
+BOOST_AUTO_TEST_CASE(Reports_and_answers_carry_streams)
+{
+  StreamGroups started{ { { "s", "v1" }, { 1, 0xfedcba9876543210 } },
+                        { { "s", "" }, {} } };
+  StreamGroups wanted{ { { "t", "" }, { 3 } } };
+  EntryReport report;
+  report.streamStarts_ = started;
+  report.streamPosition_ = 5;
+  report.wantedStreams_ = wanted;
+  capnp::MallocMessageBuilder request;
+  auto sent = request.initRoot<wire::SyncRequest>();
+  WriteReport(sent, report);
+  auto read = ReadReport(sent.asReader());
+  BOOST_TEST((read.streamStarts_ == started));
+  BOOST_TEST(read.streamPosition_ == 5U);
+  BOOST_TEST((read.wantedStreams_ == wanted));
+  ControlAnswer answer;
+  answer.streamPosition_ = 5;
+  answer.foundStreams_ = started;
+  capnp::MallocMessageBuilder reply;
+  auto answered = reply.initRoot<wire::SyncReply>();
+  WriteAnswer(answered, answer);
+  BOOST_TEST((ReadAnswer(answered.asReader()).foundStreams_ == started));
+  BOOST_TEST(ReadAnswer(answered.asReader()).streamPosition_ == 5U);
+}
+
 // Guards against directives that entries understand differently, and against a
 // missing list that is taken for an empty one.
 BOOST_AUTO_TEST_CASE(An_answer_carries_the_directives_on_rollouts)
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -458,6 +458,27 @@
   BOOST_TEST(two.Requests() == sample.sendsTo2_);
 }
 
+// Guards against a stream that is kept at the version of a replica that only
+// failed, of which its caller has no event.
+BOOST_AUTO_TEST_CASE(A_failure_does_not_bind_a_stream_to_its_version)
+{
+  std::string failure = std::string("HTTP/1.1 500 Failed\r\n") + kSeal +
+                        "Content-Length: 0\r\n\r\n";
+  bool hasFailedFirst = false;
+  for (int i = 0; i < 40 && !hasFailedFirst; ++i) {
+    ScriptedUpstream failing({ failure, After::Close });
+    ScriptedUpstream sound(
+      { kStreamHead + Chunk(kEvent2) + "0\r\n\r\n", After::Keep });
+    Environment environment({ &failing, &sound });
+    environment.SetVersions({ &failing, &sound }, { "v1", "v2" });
+    auto answer = environment.Fetch("/resume/x");
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->status_ == 200);
+    hasFailedFirst = failing.Requests() == 1;
+  }
+  BOOST_TEST(hasFailedFirst);
+}
+
 // Guards against an entry that doesn't know the streams that it began itself.
 BOOST_AUTO_TEST_CASE(A_stream_that_began_here_is_taken_up_at_its_version)
 {
