--- a/src/tanagerstall/request/tanagerstall_stream_origins.cpp
+++ b/src/tanagerstall/request/tanagerstall_stream_origins.cpp
@@ -73,15 +73,18 @@
   if (aServices.empty()) {
     return groups;
   }
-  std::map<StreamOrigin, std::vector<StreamKey>> byOrigin;
+  std::map<std::pair<std::string, std::string>, std::vector<StreamKey>>
+    byOrigin;
   for (auto& recorded : recorded_) {
     if (!recorded.isTaken_ && aServices.contains(recorded.origin_->service_)) {
       recorded.isTaken_ = true;
-      byOrigin[*recorded.origin_].push_back(recorded.stream_);
+      const StreamOrigin& origin = *recorded.origin_;
+      byOrigin[{ origin.service_, origin.version_ }].push_back(
+        recorded.stream_);
     }
   }
   for (auto& [origin, streams] : byOrigin) {
-    groups.push_back({ origin, std::move(streams) });
+    groups.push_back({ { origin.first, origin.second }, std::move(streams) });
   }
   return groups;
 }
--- a/src/tanagerstall/request/tanagerstall_stream_origins.hpp
+++ b/src/tanagerstall/request/tanagerstall_stream_origins.hpp
@@ -3,7 +3,6 @@
 
 #include "tanagerstall/process/tanagerstall_clock.hpp"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -30,7 +29,7 @@
   /// The version of the replica's software; "" if it names none.
   std::string version_;
 
-  auto operator<=>(const StreamOrigin&) const = default;
+  bool operator==(const StreamOrigin&) const = default;
 };
 
 /// Streams with the same origin.
