Confirm a report of streams only to the run that it was made for

A leader that restarted confirmed a report that left out what its earlier run had got, so that it never got those streams and refused their take-ups.

--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -21,6 +21,7 @@
 #include "tanagerstall/process/tanagerstall_rollout_api.hpp"
 #include "tanagerstall/process/tanagerstall_rollout_leader.hpp"
 #include "tanagerstall/process/tanagerstall_shutdown_signal.hpp"
+#include "tanagerstall/process/tanagerstall_stream_reports.hpp"
 #include "tanagerstall/request/tanagerstall_cost_leases.hpp"
 #include "tanagerstall/request/tanagerstall_named_rate_table.hpp"
 #include "tanagerstall/request/tanagerstall_request_log.hpp"
@@ -447,7 +448,8 @@
     }
     answer.rateRevision_ = namedRates_.Revision();
     rollouts_.AddTo(answer, RunOf(aReport.entry_), aReport);
-    answer.streamPosition_ = aReport.streamPosition_;
+    answer.streamPosition_ =
+      ConfirmedPosition(aReport.controlRun_, runId_, aReport.streamPosition_);
     answer.foundStreams_ =
       streams_.FindAll(aReport.wantedStreams_, clock_.Now());
     answer.members_ = members_.Addresses();
--- a/src/tanagerstall/process/tanagerstall_stream_reports.cpp
+++ b/src/tanagerstall/process/tanagerstall_stream_reports.cpp
@@ -46,4 +46,12 @@
   }
 }
 
+std::uint64_t
+ConfirmedPosition(std::uint64_t aReportedTo,
+                  std::uint64_t aRun,
+                  std::uint64_t aPosition)
+{
+  return aReportedTo == aRun ? aPosition : 0;
+}
+
 } // namespace tanagerstall
--- a/src/tanagerstall/process/tanagerstall_stream_reports.hpp
+++ b/src/tanagerstall/process/tanagerstall_stream_reports.hpp
@@ -45,6 +45,14 @@
   std::uint64_t confirmed_ = 0;
 };
 
+/// Returns the position that a run of a control process confirms for a report
+/// that was made for the run `aReportedTo`. What was made for another run
+/// leaves out the streams that only that one has.
+std::uint64_t
+ConfirmedPosition(std::uint64_t aReportedTo,
+                  std::uint64_t aRun,
+                  std::uint64_t aPosition);
+
 } // namespace tanagerstall
 
 #endif
--- a/tests/stream_origin_tests.cpp
+++ b/tests/stream_origin_tests.cpp
@@ -219,3 +219,19 @@
   reports.ForgetBefore(kStart + 2s);
   BOOST_TEST(reports.For("c", 1).streams_.empty());
 }
+
+// Guards against a control process that restarts and confirms streams that only
+// its earlier run has got.
+BOOST_AUTO_TEST_CASE(A_restarted_leader_gets_all_streams)
+{
+  StreamReports reports;
+  reports.Append({ { { "s", "1" }, { 1 } } }, kStart);
+  reports.Confirm(
+    "a", 1, ConfirmedPosition(1, 1, reports.For("a", 1).position_));
+  reports.Append({ { { "s", "1" }, { 2 } } }, kStart);
+  auto partial = reports.For("a", 1);
+  BOOST_TEST(partial.streams_.size() == 1U);
+  // The report arrives at the next run.
+  reports.Confirm("a", 2, ConfirmedPosition(1, 2, partial.position_));
+  BOOST_TEST(reports.For("a", 2).streams_.size() == 2U);
+}
