--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -129,7 +129,7 @@
   /// confirmed, and the position that confirms them; sent to the leader only.
   StreamGroups streamStarts_;
   std::uint64_t streamPosition_ = 0;
-  /// Streams that callers take up again, without their versions; sent to the
+  /// Streams that callers resume, without their versions; sent to the
   /// leader only.
   StreamGroups wantedStreams_;
 };
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -243,7 +243,7 @@
   streamPosition @24 :UInt64;
   # Confirms all streams up to these.
   wantedStreams @25 :List(StreamGroup);
-  # Sent to the leader: streams that callers take up again at the entry.
+  # Sent to the leader: streams that callers resume at the entry.
 }
 
 struct CostGrant {
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -317,9 +317,9 @@
                    isConfirmed = aAnswer.isLeader_,
                    found = aAnswer.foundStreams_] {
       if (isConfirmed) {
-        forwarder_.TakeUps().Directory().ConfirmReplicas(aNow);
+        forwarder_.Resumption().Directory().ConfirmReplicas(aNow);
       }
-      forwarder_.TakeUps().Adopt(found);
+      forwarder_.Resumption().Adopt(found);
     });
   }
 
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -81,7 +81,7 @@
   , rollouts_(chooser_, std::random_device()())
   , limits_(std::random_device()())
   , admission_(std::random_device()())
-  , takeUps_(clock_, hooks_.requestStreams_)
+  , resumption_(clock_, hooks_.requestStreams_)
   , recorder_(chooser_, quarantine_, metrics_, clock_)
   , usage_(settings_.usageWindow_, hooks_.wallClock_)
   , retries_(settings_.retryRatio_, settings_.retrySlack_)
@@ -112,7 +112,7 @@
   if (!plan_ || aPlan->number_ > plan_->number_) {
     plan_ = std::move(aPlan);
     admission_.SetPlan(*plan_);
-    takeUps_.Directory().SetPlan(*plan_);
+    resumption_.Directory().SetPlan(*plan_);
   }
 }
 
@@ -120,7 +120,7 @@
 Forwarder::SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas)
 {
   admission_.SetReplicas(*aReplicas);
-  takeUps_.Directory().SetReplicas(*aReplicas, clock_.Now());
+  resumption_.Directory().SetReplicas(*aReplicas, clock_.Now());
   rollouts_.SetReplicas(std::move(aReplicas));
 }
 
@@ -314,7 +314,7 @@
     return tl::make_unexpected(Refuse(request, kStopping));
   }
   request.service_ = PickService(*request.route_);
-  if (!takeUps_.Prepare(aExchange, settings_.protocol_, request)) {
+  if (!resumption_.Prepare(aExchange, settings_.protocol_, request)) {
     return tl::make_unexpected(Refuse(request, kUnknownOrigin));
   }
   if (auto refusal = CheckBackoff(request)) {
@@ -452,7 +452,7 @@
            usage_.Count(aRequest.organisation_->name_);
          }
          hasRun = true;
-         takeUps_.RecordStart(aRequest);
+         resumption_.RecordStart(aRequest);
          aRequest.firstPartAt_ = clock_.Now();
          admission.OnFirstPart();
        },
@@ -578,9 +578,9 @@
   report.namedRates_ = chooser_.RateLimits().Report(clock_.Now());
   report.rateNews_ = chooser_.RateLimits().News();
   report.rolloutCounts_ = rollouts_.Report();
-  takeUps_.Directory().Tick(clock_.Now());
-  report.streamStarts_ = takeUps_.Directory().TakeNew(clock_.Now());
-  report.wantedStreams_ = takeUps_.Wanted();
+  resumption_.Directory().Tick(clock_.Now());
+  report.streamStarts_ = resumption_.Directory().TakeNew(clock_.Now());
+  report.wantedStreams_ = resumption_.Wanted();
   return report;
 }
 
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -17,7 +17,7 @@
 #include "tanagerstall/request/tanagerstall_request_rate.hpp"
 #include "tanagerstall/request/tanagerstall_retry_budgets.hpp"
 #include "tanagerstall/request/tanagerstall_rollout_traffic.hpp"
-#include "tanagerstall/request/tanagerstall_stream_take_ups.hpp"
+#include "tanagerstall/request/tanagerstall_stream_resumption.hpp"
 #include "tanagerstall/request/tanagerstall_usage_counter.hpp"
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
@@ -62,7 +62,7 @@
   /// Streams that have begun since the last report, of services that have had
   /// several software versions lately.
   StreamGroups streamStarts_;
-  /// Streams that callers take up again.
+  /// Streams that callers resume.
   StreamGroups wantedStreams_;
 };
 
@@ -76,7 +76,7 @@
     std::function<WallTime()> wallClock_;
     /// Requests the cost that the limits lack from control without delay.
     std::function<void()> requestCost_;
-    /// Has the leader asked without delay for the streams that callers take up.
+    /// Has the leader asked without delay for the streams that callers resume.
     std::function<void()> requestStreams_{ [] {} };
   };
 
@@ -104,8 +104,8 @@
   {
     admission_.AdoptSums(aSums, aReportedAt);
   }
-  /// What began the streams that callers take up again.
-  StreamTakeUps& TakeUps() { return takeUps_; }
+  /// What began the streams that callers resume.
+  StreamResumption& Resumption() { return resumption_; }
   /// The level of each service to which admission applies.
   std::map<std::string, double> AdmissionLevels()
   {
@@ -172,7 +172,7 @@
   RolloutTraffic rollouts_;
   CostLimits limits_;
   AdmissionControl admission_;
-  StreamTakeUps takeUps_;
+  StreamResumption resumption_;
   CrashQuarantine quarantine_;
   Metrics metrics_;
   AttemptRecorder recorder_;
--- a/src/tanagerstall/request/tanagerstall_stream_directory.cpp
+++ b/src/tanagerstall/request/tanagerstall_stream_directory.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// A caller that takes a stream up again sends a new request, whose timeout
+/// A caller that resumes a stream sends a new request, whose timeout
 /// begins anew.
 constexpr int kTimeoutsOfStream = 2;
 constexpr Duration kMinStreamTime = std::chrono::seconds(10);
--- a/src/tanagerstall/request/tanagerstall_stream_take_ups.cpp
+++ b/src/tanagerstall/request/tanagerstall_stream_resumption.cpp
@@ -1,4 +1,4 @@
-#include "tanagerstall/request/tanagerstall_stream_take_ups.hpp"
+#include "tanagerstall/request/tanagerstall_stream_resumption.hpp"
 
 #include "tanagerstall/process/tanagerstall_log.hpp"
 
@@ -29,7 +29,8 @@
 
 } // namespace
 
-StreamTakeUps::StreamTakeUps(Clock aClock, std::function<void()> aAskLeader)
+StreamResumption::StreamResumption(Clock aClock,
+                                   std::function<void()> aAskLeader)
   : clock_(std::move(aClock))
   , askLeader_(std::move(aAskLeader))
   , directory_(kMaxStreams)
@@ -37,15 +38,15 @@
 }
 
 bool
-StreamTakeUps::Prepare(HttpExchange& aExchange,
-                       const CallerProtocol& aProtocol,
-                       ForwardedRequest& aRequest)
+StreamResumption::Prepare(HttpExchange& aExchange,
+                          const CallerProtocol& aProtocol,
+                          ForwardedRequest& aRequest)
 {
   const HttpRequest& http = aExchange.Request();
-  bool isTakeUp = aRequest.route_->kind_ == RequestKind::Stream &&
-                  aRequest.route_->isResumable_ &&
-                  !http.Header(kLastEventId).empty();
-  if (!isTakeUp) {
+  bool isResumption = aRequest.route_->kind_ == RequestKind::Stream &&
+                      aRequest.route_->isResumable_ &&
+                      !http.Header(kLastEventId).empty();
+  if (!isResumption) {
     return true;
   }
   std::string_view begunBy = http.Header(aProtocol.resumedRequest_);
@@ -59,7 +60,7 @@
   aRequest.streamVersion_ = origin->version_;
   LogEvent(
     Severity::Info,
-    "stream taken up",
+    "stream resumed",
     { { "request", aRequest.id_ },
       { "resumes", begunBy },
       { "service", origin->service_ },
@@ -69,9 +70,9 @@
 }
 
 std::optional<StreamOrigin>
-StreamTakeUps::Await(HttpExchange& aExchange,
-                     std::optional<StreamKey> aStream,
-                     const std::string& aService)
+StreamResumption::Await(HttpExchange& aExchange,
+                        std::optional<StreamKey> aStream,
+                        const std::string& aService)
 {
   TimePoint begin = clock_.Now();
   TimePoint askAt = begin;
@@ -95,7 +96,7 @@
 }
 
 void
-StreamTakeUps::RecordStart(const ForwardedRequest& aRequest)
+StreamResumption::RecordStart(const ForwardedRequest& aRequest)
 {
   if (aRequest.route_->isResumable_ && aRequest.streamVersion_) {
     directory_.Record(StreamKeyOf(aRequest.id_),
@@ -105,7 +106,7 @@
 }
 
 StreamGroups
-StreamTakeUps::Wanted() const
+StreamResumption::Wanted() const
 {
   StreamGroups wanted;
   for (const auto& [stream, service] : wanted_) {
@@ -115,7 +116,7 @@
 }
 
 void
-StreamTakeUps::Adopt(const StreamGroups& aFound)
+StreamResumption::Adopt(const StreamGroups& aFound)
 {
   for (const auto& group : aFound) {
     for (StreamKey stream : group.streams_) {
--- a/src/tanagerstall/request/tanagerstall_stream_take_ups.hpp
+++ b/src/tanagerstall/request/tanagerstall_stream_resumption.hpp
@@ -1,5 +1,5 @@
-#ifndef TANAGERSTALL_STREAM_TAKE_UPS_HPP_INCLUDED
-#define TANAGERSTALL_STREAM_TAKE_UPS_HPP_INCLUDED
+#ifndef TANAGERSTALL_STREAM_RESUMPTION_HPP_INCLUDED
+#define TANAGERSTALL_STREAM_RESUMPTION_HPP_INCLUDED
 
 #include "tanagerstall/connection/tanagerstall_http_server.hpp"
 #include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
@@ -11,17 +11,17 @@
 
 namespace tanagerstall {
 
-/// Lets a stream that a caller takes up again go on only at the software
+/// Lets a stream that a caller resumes go on only at the software
 /// version that began it, which may have been at another entry: the leader is
 /// asked then. Belongs to the thread of the forwarder.
-class StreamTakeUps
+class StreamResumption
 {
 public:
   /// `aAskLeader` has the leader asked without delay what Wanted() names.
-  StreamTakeUps(Clock aClock, std::function<void()> aAskLeader);
+  StreamResumption(Clock aClock, std::function<void()> aAskLeader);
 
   StreamDirectory& Directory() { return directory_; }
-  /// Sets the service and the version of a request that takes up a stream.
+  /// Sets the service and the version of a request that resumes a stream.
   /// Waits for the leader if need be. Returns false if what began the stream
   /// can't be known.
   bool Prepare(HttpExchange& aExchange,
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -399,8 +399,8 @@
 
 namespace {
 
-/// A caller takes up a stream that began at another entry.
-struct TakeUpCase
+/// A caller resumes a stream that began at another entry.
+struct ResumptionCase
 {
   const char* name_;
   /// What the leader knows of the stream; "" for nothing.
@@ -413,12 +413,12 @@
 };
 
 std::ostream&
-operator<<(std::ostream& aOut, const TakeUpCase& aCase)
+operator<<(std::ostream& aOut, const ResumptionCase& aCase)
 {
   return aOut << aCase.name_;
 }
 
-const std::vector<TakeUpCase> kTakeUpCases{
+const std::vector<ResumptionCase> kResumptionCases{
   { "begun at version 1", "v1", "s", "first", 200, 1, 0 },
   { "begun at version 2", "v2", "s", "first", 200, 0, 1 },
   { "begun at a version that is gone", "v0", "s", "first", 503, 0, 0 },
@@ -429,10 +429,10 @@
 
 } // namespace
 
-// Guards against a stream that a caller takes up again and that goes on at
+// Guards against a stream that a caller resumes and that goes on at
 // another software version than the one that began it.
-BOOST_DATA_TEST_CASE(A_take_up_goes_to_the_version_that_began_the_stream,
-                     data::make(kTakeUpCases))
+BOOST_DATA_TEST_CASE(A_resumed_stream_goes_to_the_version_that_began_it,
+                     data::make(kResumptionCases))
 {
   ScriptedUpstream one(
     { kStreamHead + Chunk(kEvent2) + "0\r\n\r\n", After::Keep });
@@ -442,7 +442,7 @@
   environment.SetVersions({ &one, &two }, { "v1", "v2" });
   environment.Call<bool>([&](Forwarder& aForwarder) {
     if (!sample.origin_.empty()) {
-      aForwarder.TakeUps().Adopt(
+      aForwarder.Resumption().Adopt(
         { { { sample.service_, sample.origin_ }, { StreamKeyOf("first") } } });
     }
     return true;
@@ -480,7 +480,7 @@
 }
 
 // Guards against an entry that doesn't know the streams that it began itself.
-BOOST_AUTO_TEST_CASE(A_stream_that_began_here_is_taken_up_at_its_version)
+BOOST_AUTO_TEST_CASE(A_stream_that_began_here_is_resumed_at_its_version)
 {
   ScriptedUpstream one(
     { kStreamHead + Chunk(kEvent2) + "0\r\n\r\n", After::Close });
--- a/tests/stream_origin_tests.cpp
+++ b/tests/stream_origin_tests.cpp
@@ -1,4 +1,4 @@
-// Streams that callers take up again while several software versions of a
+// Streams that callers resume while several software versions of a
 // service accept work: what an entry, the leader and their reports know of the
 // version that began them. Without a network.
 #define BOOST_TEST_MODULE stream_origin
@@ -47,7 +47,7 @@
   std::vector<Seen> seen_;
   /// When and at which version the stream was recorded, if it was.
   std::optional<std::pair<Duration, std::string>> recorded_;
-  /// When the replicas were confirmed last, and when it is taken up.
+  /// When the replicas were confirmed last, and when it is resumed.
   Duration confirmedAt_;
   Duration at_;
   std::optional<std::string> expected_;
