--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -378,13 +378,13 @@
 BOOST_DATA_TEST_CASE(A_stream_goes_on_only_at_the_version_that_began_it,
                      data::make(kVersionCases))
 {
+  const std::string begun = kStreamHead + Chunk(kEvent1 + "id: 2\nda");
+  const std::string continued = kStreamHead + Chunk(kEvent2) + "0\r\n\r\n";
   bool hasBegunAtCut = false;
   // The chooser decides which of the two receives the request first.
   for (int i = 0; i < 40 && !hasBegunAtCut; ++i) {
-    ScriptedUpstream cut(
-      { kStreamHead + Chunk(kEvent1 + "id: 2\nda"), After::Reset });
-    ScriptedUpstream rest(
-      { kStreamHead + Chunk(kEvent2) + "0\r\n\r\n", After::Keep });
+    ScriptedUpstream cut({ begun, After::Reset });
+    ScriptedUpstream rest({ continued, After::Keep });
     Environment environment({ &cut, &rest });
     environment.SetVersions({ &cut, &rest }, { "v1", sample.other_ });
     auto answer = environment.Fetch("/resume/x");
@@ -462,13 +462,13 @@
 // failed, of which its caller has no event.
 BOOST_AUTO_TEST_CASE(A_failure_does_not_bind_a_stream_to_its_version)
 {
-  std::string failure = std::string("HTTP/1.1 500 Failed\r\n") + kSeal +
-                        "Content-Length: 0\r\n\r\n";
+  const std::string failure = std::string("HTTP/1.1 500 Failed\r\n") + kSeal +
+                              "Content-Length: 0\r\n\r\n";
+  const std::string stream = kStreamHead + Chunk(kEvent2) + "0\r\n\r\n";
   bool hasFailedFirst = false;
   for (int i = 0; i < 40 && !hasFailedFirst; ++i) {
     ScriptedUpstream failing({ failure, After::Close });
-    ScriptedUpstream sound(
-      { kStreamHead + Chunk(kEvent2) + "0\r\n\r\n", After::Keep });
+    ScriptedUpstream sound({ stream, After::Keep });
     Environment environment({ &failing, &sound });
     environment.SetVersions({ &failing, &sound }, { "v1", "v2" });
     auto answer = environment.Fetch("/resume/x");
