--- a/tests/processes/lost_leave_test.sh
+++ b/tests/processes/lost_leave_test.sh
@@ -8,7 +8,7 @@
 source tools/scripts/lib.sh
 trap 'kill_all; rm -rf "$run"' EXIT
 source tests/processes/platform_lib.sh
-# Longer than any announcement of the round, so that none overtakes it.
+# Higher than that of any announcement, so that none supersedes the last message.
 last_sequence=1000000
 drain_seconds=3
 other_sequence=0
@@ -36,11 +36,11 @@
 }
 is_acknowledged() { [ "$("$1" "$2" "$3")" = 200 ]; }
 
-# check WORD START: the incarnation that began at START announces itself, and
-# says the word to the first control process. No other process hears of it
+# check MESSAGE START: the incarnation that began at START announces itself, and
+# sends its last message to the first control process. No other process gets it
 # before the first one is killed.
 check() {
-  local word=$1 start=$2 process count
+  local message=$1 start=$2 process count
   announce_forever "$start" &
   local announcer=$!
   pids+=($announcer)
@@ -55,7 +55,7 @@
   done
   announce_other "${controls[0]}"
   local answer
-  answer=$("$word" "${controls[0]}" "$start")
+  answer=$("$message" "${controls[0]}" "$start")
   local acknowledged_at=$SECONDS
   kill -KILL "$(pid_of control-1)"
   for process in control-2 control-3 entry-1 entry-2; do
@@ -63,7 +63,7 @@
   done
   if [ "$answer" != 200 ]; then
     # Without an acknowledgement the replica calls the next control process.
-    wait_until is_acknowledged "$word" "${controls[1]}" "$start"
+    wait_until is_acknowledged "$message" "${controls[1]}" "$start"
     acknowledged_at=$SECONDS
   fi
   while [ $((SECONDS - acknowledged_at)) -le $drain_seconds ]; do
@@ -74,7 +74,7 @@
     send $i probe >/dev/null
   done
   [ "$(ran probe)" -eq "$count" ] || {
-    echo "FAILED: $word: requests reached the replica after the answer $answer"
+    echo "FAILED: $message: requests reached the replica after the answer $answer"
     exit 1
   }
   start_platform control-1 controld
