--- a/review/harness-2/stand.hpp
+++ b/review/harness-2/stand.hpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <cerrno>
 #include <chrono>
+#include <condition_variable>
 #include <csignal>
 #include <cstdarg>
 #include <cstdio>
@@ -424,6 +425,43 @@
          "\r\n\r\n" + aBody;
 }
 
+/// Runs functions on one thread that never ends. A process that is started is
+/// killed when the thread that started it ends, so all are started here.
+class Spawner
+{
+public:
+  static void Run(const std::function<void()>& aStart)
+  {
+    static Spawner* spawner = new Spawner;
+    std::unique_lock lock(spawner->mutex_);
+    spawner->changed_.wait(lock, [&] { return !spawner->start_; });
+    spawner->start_ = aStart;
+    spawner->isDone_ = false;
+    spawner->changed_.notify_all();
+    spawner->changed_.wait(lock, [&] { return spawner->isDone_; });
+  }
+
+private:
+  Spawner()
+  {
+    std::thread([this] {
+      std::unique_lock lock(mutex_);
+      while (true) {
+        changed_.wait(lock, [this] { return start_ && !isDone_; });
+        start_();
+        start_ = nullptr;
+        isDone_ = true;
+        changed_.notify_all();
+      }
+    }).detach();
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::function<void()> start_;
+  bool isDone_ = true;
+};
+
 /// A program of the deploy file as a process of its own.
 class Process
 {
@@ -442,6 +480,12 @@
   std::string LogFile() const { return folder_ + "/" + name_ + ".log"; }
 
   void Start()
+  {
+    static std::mutex one;
+    std::scoped_lock lock(one);
+    Spawner::Run([this] { Fork(); });
+  }
+  void Fork()
   {
     std::string settings = "TANAGERSTALL_CONFIG=" + SettingsFile();
     RECORD("start %s", name_.c_str());
@@ -760,6 +804,8 @@
     return runs_;
   }
   std::atomic<long> workMs_{ 5 };
+  /// The part of the requests that fail with a status of 500.
+  std::atomic<double> failing_{ 0.0 };
 
 private:
   std::string Handle(const Message& aRequest)
@@ -804,14 +850,28 @@
            run.tenant_.c_str(),
            run.tokens_);
     Sleep(workMs_);
+    if (failing_ > 0.0 && Draw() < failing_) {
+      RECORD("%s fails %s", id_.c_str(), id.c_str());
+      return Answer("500 Internal Server Error",
+                    { { "Tanagerstall-Request-Id", id },
+                      { "Tanagerstall-Response-Seal", id_ + "." + id } },
+                    "failed");
+    }
     return Answer("200 OK",
                   { { "Tanagerstall-Request-Id", id },
                     { "Tanagerstall-Response-Seal", id_ + "." + id } },
                   "the answer to " + id);
   }
 
+  double Draw()
+  {
+    std::scoped_lock lock(mutex_);
+    return std::uniform_real_distribution<double>()(random_);
+  }
+
   std::string id_;
   std::string service_;
+  std::mt19937 random_{ 7 };
   std::int64_t born_;
   std::uint64_t sequence_ = 0;
   std::size_t first_ = 0;
