--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,33 +1,62 @@
-// A replica leaves, and a control machine acknowledges that. Then all processes
-// of the system are killed at the same moment and are back within a second. A
-// heartbeat that the replica sent before it left arrives late. The replica must
-// get no request later than drainMs after the acknowledgement.
+// A change adds a route whose host has capital letters. Requests that name the
+// host just as the configuration does are sent after configApplyMs.
 #include "stand.hpp"
 
 using namespace stand;
 
 namespace {
 
-constexpr long kDrainMs = 3000;
-constexpr long kContactWindowMs = 4000;
-/// How late the heartbeat arrives.
-constexpr long kLateMs = 3000;
-/// How long the replica serves after it left, and exits then.
-constexpr long kServesMs = 12000;
-constexpr long kDownMs = 900;
+constexpr long kApplyMs = 3000;
+constexpr int kRequests = 100;
 
 std::string
-Configuration()
+Route(const std::string& aName, const std::string& aHost)
 {
-  return R"({"version":1,"routes":[{"name":"r1","host":"shop.example",)"
-         R"("pathPrefix":"/a/","kind":"safe","timeoutMs":2000,)"
+  return R"({"name":")" + aName + R"(","host":")" + aHost +
+         R"(","pathPrefix":"/a/","kind":"safe","timeoutMs":2000,)"
          R"("targetLatencyMs":500,"priority":1,"service":"s1","attempts":2,)"
-         R"("anonymous":true}],"services":[{"name":"s1","healthPath":"/health",)"
+         R"("anonymous":true})";
+}
+
+std::string
+Configuration(int aVersion, const std::string& aRoutes)
+{
+  return R"({"version":)" + std::to_string(aVersion) + R"(,"routes":[)" +
+         aRoutes +
+         R"(],"services":[{"name":"s1","healthPath":"/health",)"
          R"("maxConnections":100}],"limits":{"maxHeaderBytes":16384,)"
          R"("maxBodyBytes":4194304,"headerTimeoutMs":3000,)"
          R"("idleTimeoutMs":15000}})";
 }
 
+std::map<int, int>
+Send(const Deployment& aDeployment, const std::string& aHost)
+{
+  std::map<int, int> statuses;
+  for (int i = 0; i < kRequests; ++i) {
+    std::string id = NewId();
+    auto answer = Call(aDeployment.Front(11 + i % 2),
+                       "GET",
+                       "/a/x",
+                       { { "Tanagerstall-Request-Id", id },
+                         { "Tanagerstall-Time-Remaining", "2000" } },
+                       "",
+                       2500,
+                       aHost);
+    RECORD("client: %s host %s -> %d %s",
+           id.c_str(),
+           aHost.c_str(),
+           answer.Status(),
+           answer.body_.c_str());
+    ++statuses[answer.Status()];
+  }
+  for (auto [status, count] : statuses) {
+    Show("host " + aHost + ": status " + std::to_string(status) + ": " +
+         std::to_string(count));
+  }
+  return statuses;
+}
+
 } // namespace
 
 int
@@ -50,128 +79,31 @@
   for (auto& process : processes) {
     process->Start();
   }
-  Replica stays("i-stays", "s1", deployment.Other(21));
-  Replica leaves("i-leaves", "s1", deployment.Other(22));
-  stays.BeatAt(addresses, 1200);
-  leaves.BeatAt(addresses, 1200);
-  if (!PutConfiguration(addresses, Configuration(), 15000) ||
+  Replica replica("i-21", "s1", deployment.Other(21));
+  replica.BeatAt(addresses, 1200);
+  std::string first = Route("r1", "shop.example");
+  if (!PutConfiguration(addresses, Configuration(1, first), 15000) ||
       !AwaitReady(deployment, 11, 10000) ||
       !AwaitReady(deployment, 12, 10000)) {
     End(CannotRun, "the deployment doesn't serve");
   }
-  // After a first start as after any other: contactWindowMs and more.
-  Sleep(8000);
-
-  std::atomic<bool> isOver{ false };
-  std::mutex mutex;
-  std::map<std::string, long> sentAt;
-  std::map<std::string, int> sentTo;
-  std::map<int, int> statuses;
-  std::vector<std::thread> clients;
-  for (int front : { 11, 12 }) {
-    clients.emplace_back([&, front] {
-      while (!isOver) {
-        std::string id = NewId();
-        {
-          std::scoped_lock lock(mutex);
-          sentAt[id] = Now();
-          sentTo[id] = front;
-        }
-        auto answer = Call(deployment.Front(front),
-                           "GET",
-                           "/a/x",
-                           { { "Tanagerstall-Request-Id", id },
-                             { "Tanagerstall-Time-Remaining", "2000" } },
-                           "",
-                           2500,
-                           "shop.example");
-        RECORD("client: %s to front-%d -> %d", id.c_str(), front, answer.Status());
-        {
-          std::scoped_lock lock(mutex);
-          ++statuses[answer.Status()];
-        }
-        Sleep(50);
-      }
-    });
-  }
-  Sleep(3000);
-
-  // The heartbeat that will be late is sent now; its call arrives later.
-  leaves.Silence();
-  Sleep(1300);
-  std::string late = leaves.Beat("ready");
-  long beatAt = Now();
-  Sleep(100);
-  long acknowledgedAt = 0;
-  for (const auto& to : addresses) {
-    auto answer = Call(
-      to, "DELETE", leaves.Path(), Replica::Json(), leaves.Leave(), 1000);
-    RECORD("i-leaves: DELETE at %s -> %d", to.Text().c_str(), answer.Status());
-    if (answer.Status() == 200) {
-      acknowledgedAt = Now();
-      break;
-    }
-  }
-  if (acknowledgedAt == 0) {
-    End(CannotRun, "no machine acknowledged that the replica leaves");
-  }
-  Show("i-leaves left; acknowledged at " + std::to_string(acknowledgedAt));
-  Sleep(300);
-  long startedAt = 0;
-  if (HasTrouble()) {
-    Show("all processes of the system are killed");
-    for (auto& process : processes) {
-      process->Signal(SIGKILL);
-    }
-    for (auto& process : processes) {
-      process->Kill();
-    }
-    Sleep(kDownMs);
-    for (auto& process : processes) {
-      process->Start();
-    }
-    startedAt = Now();
-    Show("they are started again");
+  Sleep(6000);
+  std::string host = HasTrouble() ? "Booth.Example" : "booth.example";
+  std::string second = first + "," + Route("r2", host);
+  if (!PutConfiguration(addresses, Configuration(2, second), 10000)) {
+    End(CannotRun, "the change was not acknowledged");
   }
-  Sleep(beatAt + kLateMs - Now());
-  for (const auto& to : addresses) {
-    auto answer =
-      Call(to, "PUT", leaves.Path(), Replica::Json(), late, 1000);
-    RECORD("i-leaves: the late heartbeat, sent at %ld, at %s -> %d",
-           beatAt,
-           to.Text().c_str(),
-           answer.Status());
-    if (answer.Status() / 100 == 2) {
-      break;
-    }
-  }
-  Show("the late heartbeat has arrived");
-  Sleep(acknowledgedAt + kServesMs - Now());
-  isOver = true;
-  for (auto& client : clients) {
-    client.join();
-  }
-
-  int late3s = 0;
-  int lateInTouch = 0;
-  long last = 0;
-  long inTouchAt = startedAt == 0 ? 0 : startedAt + kContactWindowMs;
-  for (const auto& run : leaves.Runs()) {
-    if (run.at_ <= acknowledgedAt + kDrainMs) {
-      continue;
-    }
-    ++late3s;
-    last = run.at_;
-    lateInTouch += sentAt[run.id_] > inTouchAt ? 1 : 0;
-  }
-  for (auto [status, count] : statuses) {
-    Show("status " + std::to_string(status) + ": " + std::to_string(count));
+  Show("acknowledged: version 2 adds a route of the host " + host);
+  Sleep(kApplyMs + 1500);
+  auto old = Send(deployment, "shop.example");
+  auto added = Send(deployment, host);
+  if (old[200] != kRequests) {
+    End(CannotRun, "the first route isn't served");
   }
-  Show("i-leaves ran " + std::to_string(late3s) + " requests later than " +
-       std::to_string(kDrainMs) + " ms after the acknowledgement, the last at " +
-       std::to_string(last) + "; " + std::to_string(lateInTouch) +
-       " of them were sent by clients after " + std::to_string(inTouchAt) +
-       ", when all machines were in touch");
-  End(lateInTouch > 0 ? Broken : Held,
-      lateInTouch > 0 ? "DRAIN broken" : "DRAIN held");
+  int refused = added[404];
+  // DENIED allows 5 and one in 500; CONFIG allows none.
+  End(refused > 5 ? Broken : Held,
+      (refused > 5 ? "CONFIG and DENIED broken: " : "CONFIG held: ") +
+        std::to_string(refused) + " of " + std::to_string(kRequests) +
+        " requests got 404 though their route is there");
 }
