--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -97,7 +97,7 @@
   // catchUpS (4 s) and contactWindowMs (4 s) are over long before.
   Sleep(20000);
   if (!PutConfiguration(addresses(), Configuration(2), 10000)) {
-    End(Broken, "no acknowledgement after the replacement");
+    End(CannotRun, "no acknowledgement after the replacement");
   }
   Show("version 2 is acknowledged");
   if (isWiped) {
