--- a/src/tanagerstall/process/raft/tanagerstall_member_folder.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_member_folder.hpp
@@ -35,9 +35,7 @@
   std::vector<Address> contacts_;
   /// Timeouts and size limits of the replicated log.
   RaftSettings raft_;
-  /// The number of voters that the leader maintains; 0 leaves membership to an
-  /// operator.
-  std::size_t wantedVoters_ = 0;
+  VoterTarget voters_;
 };
 
 /// A member's open data folder and its identity.
--- a/src/tanagerstall/process/raft/tanagerstall_membership_reconciler.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_membership_reconciler.cpp
@@ -9,6 +9,9 @@
 /// After this time without a response a voter is replaced by a caught-up
 /// learner.
 constexpr Duration kVoterTimeout = std::chrono::seconds(4);
+/// After this time without a response a voter is removed if the group can spare
+/// it. Short, as its successor may have started long before.
+constexpr Duration kSpareVoterTimeout = std::chrono::seconds(1);
 /// After this time without a response a learner is removed.
 constexpr Duration kLearnerTimeout = std::chrono::seconds(30);
 
@@ -77,6 +80,33 @@
   });
 }
 
+/// Whether a learner could take the place of a voter at once.
+bool
+HasReadyLearner(const Membership& aMembers,
+                const std::vector<MemberProgress>& aProgress,
+                LogIndex aCommit)
+{
+  return std::any_of(aMembers.begin(), aMembers.end(), [&](const Member& aIt) {
+    return !aIt.isVoter_ && IsCaughtUp(aProgress, aIt.key_, aCommit);
+  });
+}
+
+/// Whether the group loses nothing with an unresponsive voter. One of an even
+/// number only raises the quorum, and a learner that has caught up takes the
+/// place of one of an odd number. Otherwise it is kept until it is replaced: a
+/// member that was cut off may be back when others are lost.
+bool
+CanSpareVoter(const Membership& aMembers,
+              const std::vector<MemberProgress>& aProgress,
+              LogIndex aCommit,
+              const VoterTarget& aTarget)
+{
+  std::size_t voters = CountVoters(aMembers);
+  return voters > aTarget.minimum_ &&
+         (voters % 2 == 0 || voters > aTarget.wanted_ ||
+          HasReadyLearner(aMembers, aProgress, aCommit));
+}
+
 MembershipStep
 RemoveMember(const Membership& aMembers,
              const Member& aMember,
@@ -101,7 +131,7 @@
 MembershipReconciler::Next(const Membership& aMembers,
                            const std::vector<MemberProgress>& aProgress,
                            LogIndex aCommit,
-                           std::size_t aWantedVoters,
+                           const VoterTarget& aTarget,
                            TimePoint aNow)
 {
   for (const auto& member : aMembers) {
@@ -112,19 +142,23 @@
     }
   }
   std::size_t voters = CountVoters(aMembers);
+  bool canSpareVoter = CanSpareVoter(aMembers, aProgress, aCommit, aTarget);
   bool isVoterLost = false;
   for (const auto& member : aMembers) {
-    bool isLost = UnresponsiveTime(member.key_, aNow) > kVoterTimeout;
+    Duration unresponsiveFor = UnresponsiveTime(member.key_, aNow);
     bool isSuperseded = IsSuperseded(member, aMembers, aProgress);
-    isVoterLost = isVoterLost || (member.isVoter_ && isLost);
-    if (!isSuperseded &&
-        !(isLost && member.isVoter_ && voters > aWantedVoters)) {
+    isVoterLost =
+      isVoterLost || (member.isVoter_ && unresponsiveFor > kVoterTimeout);
+    bool isSpared =
+      member.isVoter_ && canSpareVoter && unresponsiveFor > kSpareVoterTimeout;
+    if (!isSuperseded && !isSpared) {
       continue;
     }
     auto step =
       RemoveMember(aMembers,
                    member,
-                   isSuperseded ? "its disk was replaced" : "it was replaced");
+                   isSuperseded ? "its disk was replaced"
+                                : "it doesn't respond and the others suffice");
     if (HasQuorum(step.members_, aProgress, aCommit)) {
       return step;
     }
@@ -137,7 +171,7 @@
       return RemoveMember(aMembers, member, "the learner stopped responding");
     }
     bool isWanted =
-      voters < aWantedVoters || (isVoterLost && voters == aWantedVoters);
+      voters < aTarget.wanted_ || (isVoterLost && voters == aTarget.wanted_);
     if (isWanted && IsCaughtUp(aProgress, member.key_, aCommit)) {
       MembershipStep step{ aMembers,
                            "the learner is promoted to a voter",
--- a/src/tanagerstall/process/raft/tanagerstall_membership_reconciler.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_membership_reconciler.hpp
@@ -17,8 +17,10 @@
 
 /// Reconciles a group's voters with their target number without an operator:
 /// promotes caught-up learners while voters are missing or unresponsive, and
-/// removes members that have been replaced. Runs at the group's leader and
-/// performs no input or output.
+/// removes members that have been replaced. An even number of voters doesn't
+/// keep one that is unresponsive, so that the quorum is as small as it can be.
+/// A removed member that comes back joins again as a learner. Runs at the
+/// group's leader and performs no input or output.
 class MembershipReconciler
 {
 public:
@@ -29,7 +31,7 @@
     const Membership& aMembers,
     const std::vector<MemberProgress>& aProgress,
     LogIndex aCommit,
-    std::size_t aWantedVoters,
+    const VoterTarget& aTarget,
     TimePoint aNow);
 
 private:
--- a/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_member.cpp
@@ -19,7 +19,7 @@
 constexpr Duration kReconcileInterval = std::chrono::milliseconds(300);
 /// After this time without a leader a member sends requests to join, as it may
 /// have been removed.
-constexpr Duration kLeaderlessTimeout = std::chrono::seconds(3);
+constexpr Duration kLeaderlessTimeout = std::chrono::seconds(1);
 /// How long a call is retried until a leader accepts it.
 constexpr Duration kLeaderSearchTimeout = std::chrono::milliseconds(2500);
 
@@ -158,7 +158,7 @@
   void ReconcileMembers(std::size_t aGroup)
   {
     TimePoint now = clock_.Now();
-    if (settings_.wantedVoters_ == 0 || now < nextReconcileAt_.at(aGroup)) {
+    if (settings_.voters_.wanted_ == 0 || now < nextReconcileAt_.at(aGroup)) {
       return;
     }
     nextReconcileAt_.at(aGroup) = now + kReconcileInterval;
@@ -170,7 +170,7 @@
     auto step = reconcilers_.at(aGroup).Next(group.Core().Log().Members(),
                                              group.Core().Progress(now),
                                              group.Core().CommitIndex(),
-                                             settings_.wantedVoters_,
+                                             settings_.voters_,
                                              now);
     if (!step) {
       return;
@@ -368,7 +368,7 @@
         break;
     }
     RepairGoal goal = DecodeGoal(aBytes);
-    if (settings_.wantedVoters_ > 0) {
+    if (settings_.voters_.wanted_ > 0) {
       // The reconciler decides which members vote.
       goal = RestrictToLearner(goal, group.Core().Log().Members());
     }
--- a/src/tanagerstall/process/raft/tanagerstall_raft_types.hpp
+++ b/src/tanagerstall/process/raft/tanagerstall_raft_types.hpp
@@ -35,6 +35,17 @@
 
 using Membership = std::vector<Member>;
 
+/// The number of voters that a group's leader maintains.
+struct VoterTarget
+{
+  /// The fewest voters that bear the tolerated losses; unresponsive ones are
+  /// removed down to this number.
+  std::size_t minimum_ = 0;
+  /// Learners are promoted up to this number; 0 leaves membership to an
+  /// operator.
+  std::size_t wanted_ = 0;
+};
+
 enum class EntryKind : std::uint8_t
 {
   /// The first entry of a new leader, which commits those of earlier terms.
--- a/tests/membership_reconciler_tests.cpp
+++ b/tests/membership_reconciler_tests.cpp
@@ -16,7 +16,7 @@
 
 const TimePoint kStart{ 1h };
 constexpr LogIndex kCommit = 10;
-constexpr std::size_t kWanted = 3;
+constexpr VoterTarget kTarget{ 3, 3 };
 
 /// A member and its progress as seen by the leader.
 struct MemberView
@@ -132,9 +132,9 @@
     progress.push_back({ member, view.match_, view.isResponsive_ });
   }
   MembershipReconciler reconciler;
-  reconciler.Next(members, progress, kCommit, kWanted, kStart);
+  reconciler.Next(members, progress, kCommit, kTarget, kStart);
   auto step = reconciler.Next(
-    members, progress, kCommit, kWanted, kStart + sample.duration_);
+    members, progress, kCommit, kTarget, kStart + sample.duration_);
   BOOST_TEST(step.has_value() == !sample.voters_.empty());
   std::vector<MemberKey> voters;
   for (const auto& member : step ? step->members_ : Membership()) {
