--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -37,9 +37,20 @@
       state @6 :RolloutState;
       endedAtMs @7 :Int64;
     }
+    # Members of earlier builds pass over it.
+    leaves :group {
+      replicas @8 :List(ReplicaFact);
+      recordedAtMs @9 :Int64;
+      # Unix time by the clock of the control process that proposes it.
+    }
   }
 }
 
+struct RecordedLeave {
+  replica @0 :ReplicaFact;
+  recordedAtMs @1 :Int64;
+}
+
 struct FleetSnapshot {
   number @0 :UInt64;
   document @1 :Data;
@@ -47,6 +58,7 @@
   rollouts @3 :List(Rollout);
   # The latest of each service.
   lastRolloutId @4 :UInt64;
+  leaves @5 :List(RecordedLeave);
 }
 
 struct ReplicaFact {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -31,6 +31,8 @@
 CAPNP_DECLARE_SCHEMA(90629e0ab67df7cc);
 CAPNP_DECLARE_SCHEMA(aecdefe119a00dd3);
 CAPNP_DECLARE_SCHEMA(b70cd53a263c8568);
+CAPNP_DECLARE_SCHEMA(aa747463d71727e4);
+CAPNP_DECLARE_SCHEMA(8a59491b3667bc36);
 CAPNP_DECLARE_SCHEMA(e46d487850c4f971);
 CAPNP_DECLARE_SCHEMA(99ff16a110e51354);
 CAPNP_DECLARE_SCHEMA(81ee73827d40ac8a);
@@ -110,9 +112,11 @@
     USAGE,
     START_ROLLOUT,
     END_ROLLOUT,
+    LEAVES,
   };
   struct Declare;
   struct EndRollout;
+  struct Leaves;
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(90629e0ab67df7cc, 3, 1)
@@ -152,6 +156,36 @@
   };
 };
 
+struct FleetCommand::Leaves {
+  Leaves() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aa747463d71727e4, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RecordedLeave {
+  RecordedLeave() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8a59491b3667bc36, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetSnapshot {
   FleetSnapshot() = delete;
 
@@ -160,7 +194,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e46d487850c4f971, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e46d487850c4f971, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -694,6 +728,9 @@
   inline bool isEndRollout() const;
   inline typename EndRollout::Reader getEndRollout() const;
 
+  inline bool isLeaves() const;
+  inline typename Leaves::Reader getLeaves() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -747,6 +784,10 @@
   inline typename EndRollout::Builder getEndRollout();
   inline typename EndRollout::Builder initEndRollout();
 
+  inline bool isLeaves();
+  inline typename Leaves::Builder getLeaves();
+  inline typename Leaves::Builder initLeaves();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -950,6 +991,179 @@
 };
 #endif  // !CAPNP_LITE
 
+class FleetCommand::Leaves::Reader {
+public:
+  typedef Leaves Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReplicas() const;
+  inline  ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Reader getReplicas() const;
+
+  inline  ::int64_t getRecordedAtMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FleetCommand::Leaves::Builder {
+public:
+  typedef Leaves Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReplicas();
+  inline  ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Builder getReplicas();
+  inline void setReplicas( ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Builder initReplicas(unsigned int size);
+  inline void adoptReplicas(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>> disownReplicas();
+
+  inline  ::int64_t getRecordedAtMs();
+  inline void setRecordedAtMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FleetCommand::Leaves::Pipeline {
+public:
+  typedef Leaves Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RecordedLeave::Reader {
+public:
+  typedef RecordedLeave Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReplica() const;
+  inline  ::tanagerstall::wire::ReplicaFact::Reader getReplica() const;
+
+  inline  ::int64_t getRecordedAtMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RecordedLeave::Builder {
+public:
+  typedef RecordedLeave Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReplica();
+  inline  ::tanagerstall::wire::ReplicaFact::Builder getReplica();
+  inline void setReplica( ::tanagerstall::wire::ReplicaFact::Reader value);
+  inline  ::tanagerstall::wire::ReplicaFact::Builder initReplica();
+  inline void adoptReplica(::capnp::Orphan< ::tanagerstall::wire::ReplicaFact>&& value);
+  inline ::capnp::Orphan< ::tanagerstall::wire::ReplicaFact> disownReplica();
+
+  inline  ::int64_t getRecordedAtMs();
+  inline void setRecordedAtMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RecordedLeave::Pipeline {
+public:
+  typedef RecordedLeave Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::tanagerstall::wire::ReplicaFact::Pipeline getReplica();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetSnapshot::Reader {
 public:
   typedef FleetSnapshot Reads;
@@ -980,6 +1194,9 @@
 
   inline  ::uint64_t getLastRolloutId() const;
 
+  inline bool hasLeaves() const;
+  inline  ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>::Reader getLeaves() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1035,6 +1252,13 @@
   inline  ::uint64_t getLastRolloutId();
   inline void setLastRolloutId( ::uint64_t value);
 
+  inline bool hasLeaves();
+  inline  ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>::Builder getLeaves();
+  inline void setLeaves( ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>::Builder initLeaves(unsigned int size);
+  inline void adoptLeaves(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>> disownLeaves();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3749,6 +3973,29 @@
   _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   return typename FleetCommand::EndRollout::Builder(_builder);
 }
+inline bool FleetCommand::Reader::isLeaves() const {
+  return which() == FleetCommand::LEAVES;
+}
+inline bool FleetCommand::Builder::isLeaves() {
+  return which() == FleetCommand::LEAVES;
+}
+inline typename FleetCommand::Leaves::Reader FleetCommand::Reader::getLeaves() const {
+  KJ_IREQUIRE((which() == FleetCommand::LEAVES),
+              "Must check which() before get()ing a union member.");
+  return typename FleetCommand::Leaves::Reader(_reader);
+}
+inline typename FleetCommand::Leaves::Builder FleetCommand::Builder::getLeaves() {
+  KJ_IREQUIRE((which() == FleetCommand::LEAVES),
+              "Must check which() before get()ing a union member.");
+  return typename FleetCommand::Leaves::Builder(_builder);
+}
+inline typename FleetCommand::Leaves::Builder FleetCommand::Builder::initLeaves() {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::LEAVES);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename FleetCommand::Leaves::Builder(_builder);
+}
 inline  ::uint64_t FleetCommand::Declare::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3853,6 +4100,107 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetCommand::Leaves::Reader::hasReplicas() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetCommand::Leaves::Builder::hasReplicas() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Reader FleetCommand::Leaves::Reader::getReplicas() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Builder FleetCommand::Leaves::Builder::getReplicas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetCommand::Leaves::Builder::setReplicas( ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>::Builder FleetCommand::Leaves::Builder::initReplicas(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FleetCommand::Leaves::Builder::adoptReplicas(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>> FleetCommand::Leaves::Builder::disownReplicas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::ReplicaFact,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t FleetCommand::Leaves::Reader::getRecordedAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FleetCommand::Leaves::Builder::getRecordedAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FleetCommand::Leaves::Builder::setRecordedAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RecordedLeave::Reader::hasReplica() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordedLeave::Builder::hasReplica() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tanagerstall::wire::ReplicaFact::Reader RecordedLeave::Reader::getReplica() const {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::ReplicaFact>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tanagerstall::wire::ReplicaFact::Builder RecordedLeave::Builder::getReplica() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::ReplicaFact>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::tanagerstall::wire::ReplicaFact::Pipeline RecordedLeave::Pipeline::getReplica() {
+  return  ::tanagerstall::wire::ReplicaFact::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RecordedLeave::Builder::setReplica( ::tanagerstall::wire::ReplicaFact::Reader value) {
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::ReplicaFact>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tanagerstall::wire::ReplicaFact::Builder RecordedLeave::Builder::initReplica() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::ReplicaFact>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RecordedLeave::Builder::adoptReplica(
+    ::capnp::Orphan< ::tanagerstall::wire::ReplicaFact>&& value) {
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::ReplicaFact>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tanagerstall::wire::ReplicaFact> RecordedLeave::Builder::disownReplica() {
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::ReplicaFact>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t RecordedLeave::Reader::getRecordedAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RecordedLeave::Builder::getRecordedAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RecordedLeave::Builder::setRecordedAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FleetSnapshot::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3983,6 +4331,40 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetSnapshot::Reader::hasLeaves() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetSnapshot::Builder::hasLeaves() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>::Reader FleetSnapshot::Reader::getLeaves() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::getLeaves() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void FleetSnapshot::Builder::setLeaves( ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::initLeaves(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void FleetSnapshot::Builder::adoptLeaves(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>> FleetSnapshot::Builder::disownLeaves() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool ReplicaFact::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tanagerstall/internal/tanagerstall_fleet_wire.hpp
+++ b/src/tanagerstall/internal/tanagerstall_fleet_wire.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerstall/internal/fleet.capnp.h"
 #include "tanagerstall/internal/tanagerstall_wire.hpp"
+#include "tanagerstall/process/presence/tanagerstall_replica.hpp"
 #include "tanagerstall/version/tanagerstall_fleet_state.hpp"
 #include "tanagerstall/version/tanagerstall_rollout.hpp"
 
@@ -95,6 +96,57 @@
            WallTime(std::chrono::milliseconds(aFrom.getEndedAtMs())) };
 }
 
+/// What processes of earlier versions read of a replica that was ready when it
+/// expired.
+constexpr std::uint8_t kExpiredWhileReady = 3;
+
+inline std::uint8_t
+StandingOf(const Replica& aReplica)
+{
+  return aReplica.hasExpired_ && aReplica.state_ == ReplicaState::Ready
+           ? kExpiredWhileReady
+           : static_cast<std::uint8_t>(aReplica.state_);
+}
+
+inline void
+WriteReplica(wire::ReplicaFact::Builder aTo, const Replica& aFrom)
+{
+  aTo.setId(ToText(aFrom.id_));
+  aTo.setService(ToText(aFrom.service_));
+  aTo.setAddress(ToText(aFrom.address_));
+  aTo.setFailureDomain(ToText(aFrom.failureDomain_));
+  aTo.setBornMs(aFrom.startTimeMs_);
+  aTo.setSequence(aFrom.sequence_);
+  aTo.setSlots(aFrom.slots_);
+  aTo.setStanding(StandingOf(aFrom));
+  aTo.setExpired(aFrom.hasExpired_);
+  aTo.setReclaimable(aFrom.isReclaimable_);
+  aTo.setColdMs(static_cast<std::uint32_t>(aFrom.warmUpTime_.count()));
+  aTo.setVersion(ToText(aFrom.version_));
+}
+
+/// Throws kj::Exception if the state is unknown.
+inline Replica
+ReadReplica(wire::ReplicaFact::Reader aFrom)
+{
+  std::uint8_t standing = aFrom.getStanding();
+  KJ_REQUIRE(standing <= kExpiredWhileReady, "unknown replica state");
+  bool isExpiredWhileReady = standing == kExpiredWhileReady;
+  return { ToString(aFrom.getId()),
+           ToString(aFrom.getService()),
+           ToString(aFrom.getAddress()),
+           ToString(aFrom.getFailureDomain()),
+           aFrom.getBornMs(),
+           aFrom.getSequence(),
+           aFrom.getSlots(),
+           isExpiredWhileReady ? ReplicaState::Ready
+                               : static_cast<ReplicaState>(standing),
+           isExpiredWhileReady || aFrom.getExpired(),
+           aFrom.getReclaimable(),
+           std::chrono::milliseconds(aFrom.getColdMs()),
+           ToString(aFrom.getVersion()) };
+}
+
 } // namespace tanagerstall
 
 #endif
--- a/src/tanagerstall/process/presence/tanagerstall_peer_confirmations.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_peer_confirmations.cpp
@@ -15,31 +15,31 @@
 PeerConfirmations::Record(const std::string& aPeer, std::uint64_t aStamp)
 {
   confirmed_[aPeer] = aStamp;
-  EndConfirmed();
+  Update();
 }
 
 void
-PeerConfirmations::Await(std::uint64_t aStamp, TimePoint aUntil, Done aDone)
+PeerConfirmations::Await(std::uint64_t aStamp,
+                         IsRecorded aIsRecorded,
+                         TimePoint aUntil,
+                         Done aDone)
 {
-  if (HasMajority(aStamp)) {
-    aDone(true);
-    return;
-  }
-  waits_.push_back({ aStamp, aUntil, std::move(aDone) });
+  waits_.push_back(
+    { aStamp, std::move(aIsRecorded), aUntil, std::move(aDone) });
+  Update();
+}
+
+void
+PeerConfirmations::Update()
+{
+  EndWaits([this](const Wait& aWait) { return IsConfirmed(aWait); }, true);
 }
 
 void
 PeerConfirmations::Tick(TimePoint aNow)
 {
-  for (auto it = waits_.begin(); it != waits_.end();) {
-    if (aNow < it->until_) {
-      ++it;
-      continue;
-    }
-    Done done = std::move(it->done_);
-    it = waits_.erase(it);
-    done(false);
-  }
+  Update();
+  EndWaits([aNow](const Wait& aWait) { return aNow >= aWait.until_; }, false);
 }
 
 bool
@@ -52,17 +52,24 @@
   return members_ > 0 && others + 1 > members_ / 2;
 }
 
+bool
+PeerConfirmations::IsConfirmed(const Wait& aWait) const
+{
+  return HasMajority(aWait.stamp_) && aWait.isRecorded_();
+}
+
 void
-PeerConfirmations::EndConfirmed()
+PeerConfirmations::EndWaits(const std::function<bool(const Wait&)>& aIsOver,
+                            bool aResult)
 {
   for (auto it = waits_.begin(); it != waits_.end();) {
-    if (!HasMajority(it->stamp_)) {
+    if (!aIsOver(*it)) {
       ++it;
       continue;
     }
     Done done = std::move(it->done_);
     it = waits_.erase(it);
-    done(true);
+    done(aResult);
   }
 }
 
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.cpp
@@ -59,6 +59,17 @@
   aKnown.stamp_ = ++stamp_;
 }
 
+void
+ReplicaTable::Replace(KnownReplica& aKnown, const Replica& aReplica)
+{
+  bool wasDraining = aKnown.replica_.state_ == ReplicaState::Draining &&
+                     aKnown.replica_.startTimeMs_ == aReplica.startTimeMs_;
+  if (!wasDraining) {
+    aKnown.drainSequence_ = aReplica.sequence_;
+  }
+  aKnown.replica_ = aReplica;
+}
+
 bool
 ReplicaTable::Announce(const Replica& aReplica, TimePoint aNow)
 {
@@ -72,7 +83,7 @@
   KnownReplica& known = replicas_[aReplica.id_];
   bool isRenewal =
     known.stamp_ != 0 && IsEqualForEntries(known.replica_, aReplica);
-  known.replica_ = aReplica;
+  Replace(known, aReplica);
   known.receivedAt_ = aNow;
   if (!isRenewal) {
     known.stamp_ = ++stamp_;
@@ -105,6 +116,19 @@
   return it->second.replica_.startTimeMs_;
 }
 
+std::optional<Replica>
+ReplicaTable::LeaveOf(const std::string& aId) const
+{
+  auto it = replicas_.find(aId);
+  if (it == replicas_.end() ||
+      it->second.replica_.state_ == ReplicaState::Ready) {
+    return std::nullopt;
+  }
+  Replica leave = it->second.replica_;
+  leave.sequence_ = it->second.drainSequence_;
+  return leave;
+}
+
 std::uint64_t
 ReplicaTable::StampOf(const std::string& aId) const
 {
@@ -123,7 +147,7 @@
     return;
   }
   KnownReplica& known = replicas_[aReplica.id_];
-  known.replica_ = aReplica;
+  Replace(known, aReplica);
   // The replica has announced itself elsewhere, not here.
   known.replica_.hasExpired_ = true;
   known.receivedAt_ = aNow;
--- a/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_table.hpp
@@ -41,6 +41,9 @@
   /// The start time of the newest run of a replica, if it is heard here or said
   /// here that it leaves.
   std::optional<std::uint64_t> NewestRun(const std::string& aId) const;
+  /// What a replica said first when it began to drain or departed, if it does
+  /// or has: later announcements of the same drain add nothing.
+  std::optional<Replica> LeaveOf(const std::string& aId) const;
   /// The stamp of the last change of a replica; 0 if it is not known.
   std::uint64_t StampOf(const std::string& aId) const;
   /// The stamp of the last change.
@@ -57,6 +60,8 @@
   struct KnownReplica
   {
     Replica replica_;
+    /// The sequence number of the announcement with which it began to drain.
+    std::uint64_t drainSequence_ = 0;
     TimePoint receivedAt_;
     std::uint64_t stamp_ = 0;
   };
@@ -65,6 +70,8 @@
   /// earlier holder of the address, if any, as departed.
   bool ClaimAddress(const Replica& aReplica, TimePoint aNow);
   void MarkDeparted(KnownReplica& aKnown, TimePoint aNow);
+  /// Replaces what the replica said last.
+  static void Replace(KnownReplica& aKnown, const Replica& aReplica);
 
   Duration timeToLive_;
   std::uint64_t stamp_ = 0;
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -8,6 +8,7 @@
 #include "tanagerstall/process/metrics/tanagerstall_metrics_page.hpp"
 #include "tanagerstall/process/presence/tanagerstall_departure.hpp"
 #include "tanagerstall/process/presence/tanagerstall_entry_working_set.hpp"
+#include "tanagerstall/process/presence/tanagerstall_leave_recorder.hpp"
 #include "tanagerstall/process/presence/tanagerstall_peer_confirmations.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_batches.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
@@ -210,9 +211,41 @@
       OnDeclaration();
     }
     rollouts_.SetRollouts(fleet_.Rollouts());
+    AdoptLeaves();
     entriesServer_.Notify();
   }
 
+  /// Passes on what the log holds of replicas that leave. After a restart of
+  /// all control processes nothing else does.
+  void AdoptLeaves()
+  {
+    auto stamp = replicas_.Stamp();
+    for (const auto& [id, record] : fleet_.Leaves().All()) {
+      replicas_.AdoptReport(record.first, clock_.Now());
+    }
+    if (stamp != replicas_.Stamp()) {
+      OnReplicasChanged();
+    }
+    confirmations_.Update();
+  }
+
+  void ProposeLeaves(const std::vector<Replica>& aReplicas,
+                     const LeaveRecorder::Done& aDone)
+  {
+    member_.Propose(
+      GroupName::Configuration,
+      FleetState::EncodeLeaves(aReplicas, ReadWallTime()),
+      [this, count = aReplicas.size(), aDone](const GroupResult& aResult) {
+        if (!aResult) {
+          LogEvent(
+            Severity::Warning,
+            "leaves not recorded",
+            { { "replicas", count }, { "error", aResult.error().detail_ } });
+        }
+        aDone(clock_.Now());
+      });
+  }
+
   void OnDeclaration()
   {
     history_.Add(fleet_.Current());
@@ -511,13 +544,20 @@
     AwaitConfirmation(aReplica.id_, aDone);
   }
 
-  /// Waits until what the replica said last can't be lost with this process.
-  /// It may be its last word, and entries would use it for longer than they
-  /// may.
+  /// Waits until what the replica said last can't be lost with this process nor
+  /// with all of them. It may be its last word, and entries would use it for
+  /// longer than they may.
   void AwaitConfirmation(const std::string& aId,
                          const PeerConfirmations::Done& aDone)
   {
     TimePoint begunAt = clock_.Now();
+    auto leave = replicas_.LeaveOf(aId);
+    auto isRecorded = [this, leave] {
+      return !leave || fleet_.Leaves().Holds(*leave);
+    };
+    if (!isRecorded()) {
+      leaveRecorder_.Record(*leave, begunAt);
+    }
     auto onDone = [this, aId, begunAt, aDone](bool aIsConfirmed) {
       LogEvent(aIsConfirmed ? Severity::Info : Severity::Warning,
                aIsConfirmed ? "leave confirmed" : "leave not confirmed",
@@ -525,8 +565,10 @@
                  { "took_ms", WholeMilliseconds(clock_.Now() - begunAt) } });
       aDone(aIsConfirmed);
     };
-    confirmations_.Await(
-      replicas_.StampOf(aId), begunAt + kMaxConfirmationTime, onDone);
+    confirmations_.Await(replicas_.StampOf(aId),
+                         isRecorded,
+                         begunAt + kMaxConfirmationTime,
+                         onDone);
   }
 
   void RecordDeparture(const std::string& aId,
@@ -584,6 +626,7 @@
         members_.Update(members, settings_.entriesAddress_.port_);
         confirmations_.SetMembers(members.size());
         confirmations_.Tick(now);
+        leaveRecorder_.Tick(now);
         auto serving = ServingEntries();
         loads_.KeepOnly(serving);
         workingSet_.Update(serving, loads_.Rates(), now);
@@ -703,6 +746,10 @@
   ConfigurationCalls configuration_{ loop_, member_ };
   ReplicaTable replicas_;
   PeerConfirmations confirmations_;
+  LeaveRecorder leaveRecorder_{ [this](const auto& aReplicas,
+                                       const LeaveRecorder::Done& aDone) {
+    ProposeLeaves(aReplicas, aDone);
+  } };
   ReplicaBatches batches_;
   EncodedChanges encodedChanges_;
   /// The last change of replicas that entries may learn of.
--- a/src/tanagerstall/version/tanagerstall_fleet_state.cpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.cpp
@@ -76,6 +76,35 @@
   return rollouts;
 }
 
+WallTime
+WallTimeOf(std::int64_t aMilliseconds)
+{
+  return WallTime(std::chrono::milliseconds(aMilliseconds));
+}
+
+void
+WriteLeaves(wire::FleetSnapshot::Builder aTo, const ReplicaLeaves& aFrom)
+{
+  auto leaves = aTo.initLeaves(aFrom.All().size());
+  unsigned i = 0;
+  for (const auto& [id, record] : aFrom.All()) {
+    WriteReplica(leaves[i].initReplica(), record.first);
+    leaves[i].setRecordedAtMs(record.second.time_since_epoch().count());
+    ++i;
+  }
+}
+
+ReplicaLeaves
+ReadLeaves(wire::FleetSnapshot::Reader aFrom)
+{
+  ReplicaLeaves leaves;
+  for (auto from : aFrom.getLeaves()) {
+    leaves.Record(ReadReplica(from.getReplica()),
+                  WallTimeOf(from.getRecordedAtMs()));
+  }
+  return leaves;
+}
+
 } // namespace
 
 FleetState::FleetState(ChangeHook aOnChange)
@@ -155,6 +184,20 @@
   return Flatten(message);
 }
 
+Bytes
+FleetState::EncodeLeaves(const std::vector<Replica>& aReplicas,
+                         WallTime aRecordedAt)
+{
+  capnp::MallocMessageBuilder message;
+  auto command = message.initRoot<wire::FleetCommand>().initLeaves();
+  auto replicas = command.initReplicas(aReplicas.size());
+  for (unsigned i = 0; i < aReplicas.size(); ++i) {
+    WriteReplica(replicas[i], aReplicas[i]);
+  }
+  command.setRecordedAtMs(aRecordedAt.time_since_epoch().count());
+  return Flatten(message);
+}
+
 Bytes
 FleetState::EncodeQuery(FleetQuery aQuery)
 {
@@ -218,9 +261,17 @@
     }
     case wire::FleetCommand::END_ROLLOUT: {
       auto end = command.getEndRollout();
-      ApplyEnd(end.getId(),
-               ReadState(end.getState()),
-               WallTime(std::chrono::milliseconds(end.getEndedAtMs())));
+      ApplyEnd(
+        end.getId(), ReadState(end.getState()), WallTimeOf(end.getEndedAtMs()));
+      return {};
+    }
+    case wire::FleetCommand::LEAVES: {
+      auto leaves = command.getLeaves();
+      std::vector<Replica> replicas;
+      for (auto replica : leaves.getReplicas()) {
+        replicas.push_back(ReadReplica(replica));
+      }
+      ApplyLeaves(replicas, WallTimeOf(leaves.getRecordedAtMs()));
       return {};
     }
   }
@@ -284,6 +335,16 @@
   NotifyChange();
 }
 
+void
+FleetState::ApplyLeaves(const std::vector<Replica>& aReplicas,
+                        WallTime aRecordedAt)
+{
+  for (const auto& replica : aReplicas) {
+    leaves_.Record(replica, aRecordedAt);
+  }
+  NotifyChange();
+}
+
 void
 FleetState::NotifyChange() const
 {
@@ -333,6 +394,7 @@
   snapshot.setDocument(ToData(ViewOf(current_.document_)));
   WriteRollouts(snapshot, rollouts_);
   snapshot.setLastRolloutId(lastRolloutId_);
+  WriteLeaves(snapshot, leaves_);
   auto usage = snapshot.initUsage(usage_.size());
   unsigned i = 0;
   for (const auto& [window, counts] : usage_) {
@@ -349,6 +411,7 @@
   current_ = { snapshot.getNumber(), TextOf(ToBytes(snapshot.getDocument())) };
   rollouts_ = ReadRollouts(snapshot);
   lastRolloutId_ = snapshot.getLastRolloutId();
+  leaves_ = ReadLeaves(snapshot);
   usage_.clear();
   for (auto window : snapshot.getUsage()) {
     auto usage = ReadUsage(window);
--- a/src/tanagerstall/version/tanagerstall_fleet_state.hpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.hpp
@@ -1,6 +1,7 @@
 #ifndef TANAGERSTALL_FLEET_STATE_HPP_INCLUDED
 #define TANAGERSTALL_FLEET_STATE_HPP_INCLUDED
 
+#include "tanagerstall/process/presence/tanagerstall_replica_leaves.hpp"
 #include "tanagerstall/process/raft/tanagerstall_state_machine.hpp"
 #include "tanagerstall/version/tanagerstall_document_encoding.hpp"
 #include "tanagerstall/version/tanagerstall_rollout.hpp"
@@ -44,15 +45,15 @@
 };
 
 /// The fleet's replicated state: the declaration with the highest number, the
-/// latest roll-out of each service, and the agreed usage of recent windows,
-/// which may still have to be reported.
+/// latest roll-out of each service, the replicas that left recently, and the
+/// agreed usage of recent windows, which may still have to be reported.
 class FleetState
 {
 public:
   using ChangeHook = std::function<void()>;
 
   /// `aOnChange` is called when a newer declaration is applied, when a roll-out
-  /// starts or ends, and after a snapshot is installed.
+  /// starts or ends, when replicas leave, and after a snapshot is installed.
   explicit FleetState(ChangeHook aOnChange = nullptr);
 
   /// Returns the state machine of this state for a Raft group.
@@ -62,6 +63,7 @@
   const RolloutsByService& Rollouts() const { return rollouts_; }
   /// Returns the latest roll-out of a service, or nullptr if it has none.
   const Rollout* FindRollout(const std::string& aService) const;
+  const ReplicaLeaves& Leaves() const { return leaves_; }
   /// Returns the agreed counts of a window, or nullopt if there are none.
   std::optional<CountsByName> AgreedUsage(std::int64_t aWindow) const;
 
@@ -76,6 +78,9 @@
   static Bytes EncodeEndRollout(std::uint64_t aId,
                                 RolloutState aState,
                                 WallTime aEndedAt);
+  /// Records replicas that drain or have departed.
+  static Bytes EncodeLeaves(const std::vector<Replica>& aReplicas,
+                            WallTime aRecordedAt);
   static Bytes EncodeQuery(FleetQuery aQuery);
   /// Decodes the declaration in the result of a query.
   static Declaration DecodeDeclaration(BytesView aBytes);
@@ -96,6 +101,7 @@
   Bytes ApplyUsage(const UsageWindow& aUsage);
   RolloutReply ApplyStart(const RolloutOrder& aOrder);
   void ApplyEnd(std::uint64_t aId, RolloutState aState, WallTime aEndedAt);
+  void ApplyLeaves(const std::vector<Replica>& aReplicas, WallTime aRecordedAt);
   void NotifyChange() const;
   Bytes AnswerQuery(BytesView aQuery) const;
   Bytes TakeSnapshot() const;
@@ -105,6 +111,7 @@
   Declaration current_;
   RolloutsByService rollouts_;
   std::uint64_t lastRolloutId_ = 0;
+  ReplicaLeaves leaves_;
   std::map<std::int64_t, CountsByName> usage_;
 };
 
--- a/tests/peer_confirmations_tests.cpp
+++ b/tests/peer_confirmations_tests.cpp
@@ -84,9 +84,11 @@
     confirmations.Record(peer, stamp);
   }
   std::vector<bool> results;
-  confirmations.Await(kStamp, kUntil, [&](bool aIsConfirmed) {
-    results.push_back(aIsConfirmed);
-  });
+  confirmations.Await(
+    kStamp,
+    [] { return true; },
+    kUntil,
+    [&](bool aIsConfirmed) { results.push_back(aIsConfirmed); });
   for (const auto& [peer, stamp] : sample.after_) {
     confirmations.Record(peer, stamp);
   }
@@ -105,11 +107,13 @@
   confirmations.SetMembers(3);
   std::vector<int> ended;
   for (int i : { 1, 2, 3 }) {
-    confirmations.Await(static_cast<std::uint64_t>(i),
-                        kUntil + i * 1ms,
-                        [&ended, i](bool aIsConfirmed) {
-                          ended.push_back(aIsConfirmed ? i : -i);
-                        });
+    confirmations.Await(
+      static_cast<std::uint64_t>(i),
+      [] { return true; },
+      kUntil + i * 1ms,
+      [&ended, i](bool aIsConfirmed) {
+        ended.push_back(aIsConfirmed ? i : -i);
+      });
   }
   confirmations.Record("b", 1);
   confirmations.Tick(kUntil + 2ms);
@@ -118,3 +122,65 @@
   BOOST_TEST(ended == (std::vector<int>{ 1, -2, 3 }),
              boost::test_tools::per_element());
 }
+
+namespace {
+
+struct RecordCase
+{
+  const char* name_;
+  /// Whether each comes before the time is over, and which is first.
+  bool hasMajority_;
+  bool isRecorded_;
+  bool isRecordedFirst_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const RecordCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<RecordCase> kRecordCases{
+  { "neither", false, false, false },
+  { "a majority has it in memory only", true, false, false },
+  { "recorded, but a majority hasn't got it", false, true, false },
+  { "a majority, then recorded", true, true, false },
+  { "recorded, then a majority", true, true, true },
+};
+
+} // namespace
+
+// Guards against the acknowledgement of a replica that leaves while a kill of
+// all control processes would still forget it.
+BOOST_DATA_TEST_CASE(A_change_is_confirmed_once_it_is_recorded_too,
+                     data::make(kRecordCases))
+{
+  PeerConfirmations confirmations;
+  confirmations.SetMembers(3);
+  bool isRecorded = false;
+  std::vector<bool> results;
+  confirmations.Await(
+    kStamp,
+    [&] { return isRecorded; },
+    kUntil,
+    [&](bool aIsConfirmed) { results.push_back(aIsConfirmed); });
+  auto record = [&] {
+    isRecorded = sample.isRecorded_;
+    confirmations.Update();
+  };
+  if (sample.isRecordedFirst_) {
+    record();
+  }
+  if (sample.hasMajority_) {
+    confirmations.Record("b", kStamp);
+  }
+  if (!sample.isRecordedFirst_) {
+    BOOST_TEST(results.empty());
+    record();
+  }
+  bool isConfirmed = sample.hasMajority_ && sample.isRecorded_;
+  BOOST_TEST(results.size() == (isConfirmed ? 1U : 0U));
+  confirmations.Tick(kUntil);
+  BOOST_TEST(results == std::vector<bool>{ isConfirmed },
+             boost::test_tools::per_element());
+}
--- a/tests/replica_order_tests.cpp
+++ b/tests/replica_order_tests.cpp
@@ -1,8 +1,9 @@
 // Plays every order of what a replica says and what becomes of it: its
 // announcements, drains and departures, late copies, restarts of the replica
-// and of control processes, and times without a heartbeat.
+// and of control processes, one or all, and times without a heartbeat.
 #define BOOST_TEST_MODULE replica_order
 #include "tanagerstall/process/presence/tanagerstall_departure.hpp"
+#include "tanagerstall/process/presence/tanagerstall_replica_leaves.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_view.hpp"
 
@@ -29,6 +30,8 @@
   /// The first announcement of the run arrives once more.
   LateCopy,
   RestartControl,
+  /// All control processes and one of the entries restart at one moment.
+  RestartAll,
   RestartReplica,
   /// Nothing is heard of the replica until its records expire.
   Silence
@@ -44,6 +47,7 @@
 AllSteps()
 {
   std::vector<Step> steps{ { StepKind::RestartReplica },
+                           { StepKind::RestartAll },
                            { StepKind::Silence } };
   for (std::size_t control = 0; control < kControls; ++control) {
     for (auto kind : { StepKind::Announce,
@@ -112,7 +116,13 @@
         }
         break;
       case StepKind::RestartControl:
-        control = { ReplicaTable(kTimeToLive), {}, control.process_ + 1, now_ };
+        Restart(control);
+        break;
+      case StepKind::RestartAll:
+        entries_.front() = ReplicaView();
+        for (auto& each : controls_) {
+          Restart(each);
+        }
         break;
       case StepKind::RestartReplica:
         ++run_;
@@ -126,6 +136,24 @@
     return false;
   }
 
+  /// The log on the disk remains.
+  void Restart(Control& aControl)
+  {
+    aControl = { ReplicaTable(kTimeToLive), {}, aControl.process_ + 1, now_ };
+    for (const auto& [id, record] : log_.All()) {
+      aControl.table_.AdoptReport(record.first, now_);
+    }
+  }
+
+  /// Records what the replica said in the log, before it is acknowledged.
+  void Acknowledge(const Control& aControl)
+  {
+    if (auto leave = aControl.table_.LeaveOf("r")) {
+      log_.Record(*leave, WallTime());
+    }
+    ended_.insert(run_);
+  }
+
   /// A run that drains or has left doesn't become ready again.
   bool Announce(Control& aControl, ReplicaState aState)
   {
@@ -141,7 +169,7 @@
     replica.state_ = aState;
     aControl.table_.Announce(replica, now_);
     if (aState == ReplicaState::Draining) {
-      ended_.insert(run_);
+      Acknowledge(aControl);
     } else if (!first_) {
       first_ = replica;
     }
@@ -161,7 +189,7 @@
                                  kTimeToLive });
     if (run) {
       aControl.table_.Leave("r", *run, now_);
-      ended_.insert(run_);
+      Acknowledge(aControl);
     }
   }
 
@@ -198,6 +226,7 @@
   TimePoint now_{ 1h };
   std::array<Control, kControls> controls_;
   std::array<ReplicaView, kEntries> entries_;
+  ReplicaLeaves log_;
   std::uint64_t run_ = 1;
   std::uint64_t sequence_ = 0;
   std::optional<Replica> first_;
@@ -224,7 +253,8 @@
 } // namespace
 
 // Guards against work for a replica after an acknowledged drain or departure,
-// and against a sound one that is kept out of use.
+// also where all control processes forget it, and against a sound one that is
+// kept out of use.
 BOOST_AUTO_TEST_CASE(Every_order_of_four_steps_keeps_the_last_word)
 {
   constexpr std::size_t kLength = 4;
