--- a/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
@@ -1,8 +1,9 @@
 #include "tanagerstall/request/tanagerstall_forwarded_request.hpp"
 
+#include "tanagerstall/version/tanagerstall_host_name.hpp"
+
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 #include <utility>
 
@@ -108,12 +109,7 @@
 std::string
 HostOf(const HttpRequest& aRequest)
 {
-  std::string_view host = aRequest.Header("Host");
-  std::string lower(host.substr(0, host.rfind(':')));
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](char aLetter) {
-    return static_cast<char>(std::tolower(static_cast<unsigned char>(aLetter)));
-  });
-  return lower;
+  return NormalizeHost(aRequest.Header("Host"));
 }
 
 bool
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -104,7 +104,7 @@
 std::optional<Milliseconds>
 ReadTimeRemaining(const HttpRequest& aRequest, const CallerProtocol& aProtocol);
 
-/// Returns the request's host in lower case and without a port.
+/// Returns the normalized host of the request.
 std::string
 HostOf(const HttpRequest& aRequest);
 
--- a/src/tanagerstall/version/tanagerstall_traffic_plan.cpp
+++ b/src/tanagerstall/version/tanagerstall_traffic_plan.cpp
@@ -1,6 +1,7 @@
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
 #include "tanagerstall/process/tanagerstall_bytes.hpp"
+#include "tanagerstall/version/tanagerstall_host_name.hpp"
 
 #include <algorithm>
 
@@ -54,7 +55,7 @@
     if (auto checked = CheckRoute(routes_[i]); !checked) {
       return checked;
     }
-    byHost_[routes_[i].host_].push_back(i);
+    byHost_[NormalizeHost(routes_[i].host_)].push_back(i);
   }
   for (auto& [host, routes] : byHost_) {
     std::stable_sort(
--- a/src/tanagerstall/version/tanagerstall_traffic_plan.hpp
+++ b/src/tanagerstall/version/tanagerstall_traffic_plan.hpp
@@ -39,6 +39,7 @@
 struct Route
 {
   std::string name_;
+  /// As the operator wrote it.
   std::string host_;
   /// Begins and ends with a slash.
   std::string pathPrefix_;
@@ -148,8 +149,8 @@
   /// Validates the plan and builds the indexes that the lookups below use.
   tl::expected<void, PlanError> ValidateAndIndex();
 
-  /// Returns the route of a host with the longest prefix that matches the path,
-  /// or nullptr.
+  /// Returns the route of a normalized host with the longest prefix that
+  /// matches the path, or nullptr.
   const Route* FindRoute(std::string_view aHost, std::string_view aPath) const;
   /// Returns the organisation that owns a key, or nullptr. Nobody owns the
   /// empty key, which stands for a request without one.
@@ -160,7 +161,7 @@
   tl::expected<void, PlanError> IndexRoutes();
   tl::expected<void, PlanError> IndexKeys();
 
-  /// Indexes of routes by host, sorted by decreasing prefix length.
+  /// Indexes of routes by normalized host, sorted by decreasing prefix length.
   std::map<std::string, std::vector<std::size_t>, std::less<>> byHost_;
   /// Indexes of organisations by the hash of a key.
   std::unordered_map<std::string, std::size_t> byKeyHash_;
