--- a/src/tanagerstall/connection/tanagerstall_http_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.cpp
@@ -262,6 +262,12 @@
       return std::optional(std::string(state_->chunk_.data(), length));
     }
   }
+  // A reset is reported once: if the send got it, the read sees an orderly end.
+  if (parser.need_eof() && state_->isSending_) {
+    return tl::make_unexpected(
+      TransportError{ TransportFault::ConnectionLost,
+                      "the connection ended before the request was sent" });
+  }
   return std::optional<std::string>();
 }
 
--- a/src/tanagerstall/connection/tanagerstall_http_client.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.hpp
@@ -58,7 +58,8 @@
   void StartSend(const HttpRequest& aRequest, Duration aTimeout);
   /// Waits for the status and headers of the response; its body is empty.
   Result<HttpResponse> ReadHead(Duration aTimeout);
-  /// Waits for the next part of the body; nullopt at its end.
+  /// Waits for the next part of the body; nullopt at its end. A body that ends
+  /// with the connection has no end while the request is still being sent.
   Result<std::optional<std::string>> ReadBody(Duration aTimeout);
   /// Reads a whole response. Fails with TransportFault::TooLarge if the body
   /// exceeds `aMaxBytes`.
--- /dev/null
+++ b/tests/answer_framing_tests.cpp
@@ -0,0 +1,94 @@
+// What an entry takes for a whole answer: how the head of a response and the
+// end of its body are read.
+#define BOOST_TEST_MODULE answer_framing
+#include "tanagerstall_forwarder_environment.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+using namespace tanagerstall;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+/// The largest body that callers may send by default. It doesn't fit into the
+/// buffers of a socket whose peer reads nothing.
+constexpr std::size_t kUploadBytes = 4UL << 20U;
+
+const std::string kUnframed = Head("200 OK") + "\r\n";
+
+struct AnswerCase
+{
+  const char* name_;
+  const char* path_;
+  Script script_;
+  /// The caller's status, or kBroken, if both upstreams answer like that.
+  int status_;
+  /// The number of requests that both upstreams received in total.
+  int sends_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const AnswerCase& aCase)
+{
+  return aOut << aCase.path_ << " " << aCase.name_;
+}
+
+/// The upstreams read the head of a long upload only.
+const std::vector<AnswerCase> kDuringUpload{
+  { "unframed and reset",
+    "/safe/x",
+    { kUnframed + "hello", After::Reset },
+    502,
+    2 },
+  { "unframed and reset",
+    "/once/x",
+    { kUnframed + "hello", After::Reset },
+    502,
+    1 },
+  { "unframed and reset before an event",
+    "/stream/x",
+    { kUnframed, After::Reset },
+    502,
+    1 },
+  { "unframed and reset after an event",
+    "/stream/x",
+    { kUnframed + kEvent1, After::Reset },
+    kBroken,
+    1 },
+  { "unframed and reset after an event",
+    "/resume/x",
+    { kUnframed + kEvent1, After::Reset },
+    kBroken,
+    2 },
+  { "unframed failure and reset",
+    "/once/x",
+    { Head("500 Internal Server Error") + "\r\nhello", After::Reset },
+    502,
+    1 },
+  { "half and reset", "/once/x", { kHalf, After::Reset }, 502, 1 },
+  { "whole and reset", "/once/x", { kWhole, After::Reset }, 200, 1 },
+  { "refused and reset", "/once/x", { kNotRun, After::Reset }, 503, 2 },
+};
+
+void
+CheckAnswer(const AnswerCase& aCase, const std::string& aBody)
+{
+  ScriptedUpstream one(aCase.script_);
+  ScriptedUpstream other(aCase.script_);
+  Environment environment({ &one, &other });
+  auto answer = environment.Fetch(aCase.path_, "", "", {}, aBody);
+  BOOST_TEST((answer ? answer->status_ : kBroken) == aCase.status_);
+  BOOST_TEST(one.Requests() + other.Requests() == aCase.sends_);
+}
+
+} // namespace
+
+// Guards against a reset that the send of the request gets, so that the part of
+// an answer that was read before it counts as the whole.
+BOOST_DATA_TEST_CASE(A_reset_during_an_upload_ends_no_answer,
+                     data::make(kDuringUpload))
+{
+  CheckAnswer(sample, std::string(kUploadBytes, 'x'));
+}
--- a/tests/tanagerstall_forwarder_environment.hpp
+++ b/tests/tanagerstall_forwarder_environment.hpp
@@ -294,16 +294,17 @@
     const std::string& aPath,
     const std::string& aPromptParts = "",
     const std::string& aKey = "",
-    const std::vector<HttpHeader>& aHeaders = {})
+    const std::vector<HttpHeader>& aHeaders = {},
+    const std::string& aBody = "")
   {
     std::promise<tl::expected<HttpResponse, TransportError>> promise;
     threads_.Spawn([&](Fiber& aFiber) {
-      HttpRequest request{ "GET",
+      HttpRequest request{ aBody.empty() ? "GET" : "POST",
                            aPath,
                            { { "Host", "h" },
                              { "Tanagerstall-Request-Id", "id-1" },
                              { "Tanagerstall-Time-Remaining", "1200" } },
-                           "" };
+                           aBody };
       if (!aPromptParts.empty()) {
         request.headers_.push_back(
           { "Tanagerstall-Prompt-Prefix", aPromptParts });
