--- a/src/tanagerstall/connection/tanagerstall_http_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.cpp
@@ -29,6 +29,7 @@
 /// chunk's extensions or the trailers, which the parser takes at once.
 constexpr std::size_t kMaxReadAheadBytes = 2UL * kMaxHeadBytes;
 constexpr std::uint64_t kFetchMaxBytes = 64ULL * 1024 * 1024;
+constexpr unsigned kSwitchingProtocols = 101;
 
 /// How long sent data may stay unacknowledged before the system discards it and
 /// closes the connection, in milliseconds.
@@ -44,6 +45,41 @@
   aSocket.set_option(asio::socket_base::linger(aIsDiscarded, 0), ignored);
 }
 
+TransportError
+Malformed(const char* aDetail)
+{
+  return { TransportFault::Malformed, aDetail };
+}
+
+/// Returns whether the body is coded in no way, or in chunks. Other codings
+/// aren't decoded, and their name ends with this connection.
+bool
+HasKnownCoding(const http::fields& aFields)
+{
+  auto [begin, end] = aFields.equal_range(http::field::transfer_encoding);
+  return begin == end ||
+         (std::next(begin) == end && beast::iequals(begin->value(), "chunked"));
+}
+
+/// Checks what the parser accepts though no response may contain it (RFC 9110,
+/// section 15; RFC 9112, section 6.1). A status outside of the valid classes
+/// would be taken for an interim response or be relayed to the caller.
+std::optional<TransportError>
+CheckHead(const Parser::value_type& aMessage)
+{
+  unsigned status = aMessage.result_int();
+  if (status < 100 || status > 599) {
+    return Malformed("the status is not valid");
+  }
+  if (status == kSwitchingProtocols) {
+    return Malformed("a change of protocol was not asked for");
+  }
+  if (!HasKnownCoding(aMessage)) {
+    return Malformed("the transfer coding is not known");
+  }
+  return std::nullopt;
+}
+
 TransportError
 ToTransportError(const beast::error_code& aError, bool aWasCancelled)
 {
@@ -222,6 +258,9 @@
     return tl::make_unexpected(ToTransportError(error, state_->wasCancelled_));
   }
   const auto& message = state_->parser_->get();
+  if (auto fault = CheckHead(message)) {
+    return tl::make_unexpected(*fault);
+  }
   HttpResponse response;
   response.status_ = static_cast<int>(message.result_int());
   for (const auto& field : message) {
--- a/tests/answer_framing_tests.cpp
+++ b/tests/answer_framing_tests.cpp
@@ -92,3 +92,69 @@
 {
   CheckAnswer(sample, std::string(kUploadBytes, 'x'));
 }
+
+namespace {
+
+AnswerCase
+WithStatus(const char* aStatus)
+{
+  return { aStatus,
+           "/safe/x",
+           { Head(aStatus) + "Content-Length: 2\r\n\r\nno", After::Keep },
+           502,
+           2 };
+}
+
+AnswerCase
+WithField(const char* aName, const std::string& aField)
+{
+  return { aName,
+           "/safe/x",
+           { WithHeader(kWhole, aField + "\r\n"), After::Keep },
+           502,
+           2 };
+}
+
+AnswerCase
+WithCoding(const char* aCoding)
+{
+  return { aCoding,
+           "/safe/x",
+           { Head("200 OK") + "Transfer-Encoding: " + aCoding +
+               "\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+             After::Close },
+           502,
+           2 };
+}
+
+/// The upstreams keep the connection open where the entry has to notice by
+/// itself.
+const std::vector<AnswerCase> kInvalidHeads{
+  WithStatus("000 Trouble"),
+  WithStatus("099 Trouble"),
+  WithStatus("600 Trouble"),
+  WithStatus("999 Trouble"),
+  WithStatus("101 Switching Protocols"),
+  WithStatus("-20 Trouble"),
+  WithField("a blank in a name", "Bad Name: x"),
+  WithField("a control byte in a name", "Bad\x01Name: x"),
+  WithField("a blank before the colon", "Name : x"),
+  WithField("no name", ": x"),
+  WithField("no colon", "Name"),
+  WithField("a control byte in a value", std::string("Name: a\0b", 9)),
+  WithField("two lengths", "Content-Length: 4"),
+  WithCoding("gzip"),
+  WithCoding("gzip, chunked"),
+  WithCoding("chunked, chunked"),
+  WithCoding("chunked\r\nTransfer-Encoding: gzip"),
+};
+
+} // namespace
+
+// Guards against a head that is no answer but is relayed as one, or is waited
+// on until the deadline.
+BOOST_DATA_TEST_CASE(An_invalid_head_is_refused_at_once,
+                     data::make(kInvalidHeads))
+{
+  CheckAnswer(sample, "");
+}
