--- a/src/tanagerstall/connection/tanagerstall_http_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.cpp
@@ -29,6 +29,9 @@
 /// chunk's extensions or the trailers, which the parser takes at once.
 constexpr std::size_t kMaxReadAheadBytes = 2UL * kMaxHeadBytes;
 constexpr std::uint64_t kFetchMaxBytes = 64ULL * 1024 * 1024;
+
+/// The interim responses that may precede a response.
+constexpr int kMaxInterimResponses = 3;
 constexpr unsigned kSwitchingProtocols = 101;
 
 /// How long sent data may stay unacknowledged before the system discards it and
@@ -246,12 +249,18 @@
 
 auto
 HttpConnection::ReadHead(Duration aTimeout) -> Result<HttpResponse>
+{
+  state_->stream_.expires_after(aTimeout);
+  return ReadNextHead();
+}
+
+auto
+HttpConnection::ReadNextHead() -> Result<HttpResponse>
 {
   state_->parser_.emplace();
   state_->parser_->header_limit(kMaxHeadBytes);
   state_->parser_->body_limit(boost::none);
   beast::error_code error;
-  state_->stream_.expires_after(aTimeout);
   http::async_read_header(
     state_->stream_, state_->buffer_, *state_->parser_, state_->Yield()[error]);
   if (error) {
@@ -270,6 +279,19 @@
   return response;
 }
 
+auto
+HttpConnection::ReadFinalHead(Duration aTimeout) -> Result<HttpResponse>
+{
+  state_->stream_.expires_after(aTimeout);
+  for (int i = 0; i <= kMaxInterimResponses; ++i) {
+    auto head = ReadNextHead();
+    if (!head || !head->IsInterim()) {
+      return head;
+    }
+  }
+  return tl::make_unexpected(Malformed("too many interim responses"));
+}
+
 auto
 HttpConnection::ReadBody(Duration aTimeout)
   -> Result<std::optional<std::string>>
@@ -318,7 +340,7 @@
   if (aTimeout.scope_ == ReadTimeout::Scope::EachRead) {
     eachRead = aTimeout.limit_;
   }
-  auto response = ReadHead(aTimeout.limit_);
+  auto response = ReadFinalHead(aTimeout.limit_);
   while (response) {
     auto part = ReadBodyPart(eachRead);
     if (!part) {
--- a/src/tanagerstall/connection/tanagerstall_http_client.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_client.hpp
@@ -56,8 +56,11 @@
   /// Starts to send a request and returns without waiting, because a peer may
   /// respond before it has read the whole request.
   void StartSend(const HttpRequest& aRequest, Duration aTimeout);
-  /// Waits for the status and headers of the response; its body is empty.
+  /// Waits for the status and headers of a response, which may be an interim
+  /// one; its body is empty.
   Result<HttpResponse> ReadHead(Duration aTimeout);
+  /// Waits for the head of the final response and skips interim ones.
+  Result<HttpResponse> ReadFinalHead(Duration aTimeout);
   /// Waits for the next part of the body; nullopt at its end. A body that ends
   /// with the connection has no end while the request is still being sent.
   Result<std::optional<std::string>> ReadBody(Duration aTimeout);
@@ -83,6 +86,8 @@
 private:
   struct State;
 
+  /// The timeout that runs stays.
+  Result<HttpResponse> ReadNextHead();
   /// `aEachRead` limits each read; without it the timeout that runs stays.
   Result<std::optional<std::string>> ReadBodyPart(
     std::optional<Duration> aEachRead);
--- a/src/tanagerstall/connection/tanagerstall_http_message.hpp
+++ b/src/tanagerstall/connection/tanagerstall_http_message.hpp
@@ -51,6 +51,8 @@
   {
     return FindHeader(headers_, aName);
   }
+  /// Whether another response to the same request follows.
+  bool IsInterim() const { return status_ < 200; }
 };
 
 /// Returns the path of a request's target, without its query.
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -210,7 +210,7 @@
       return head;
     }
     ReplicaNotice notice = ReadNotice(*head);
-    bool isInterim = head->status_ < 200;
+    bool isInterim = head->IsInterim();
     if (!isInterim && IsForThisRequest(*head, aIsReused)) {
       hooks_.onOwnNotice_(notice, sentAt_);
       return head;
--- a/src/tanagerstall/request/tanagerstall_idempotent_dispatch.cpp
+++ b/src/tanagerstall/request/tanagerstall_idempotent_dispatch.cpp
@@ -198,7 +198,7 @@
       return EndLostAttempt(sent.error());
     }
     Duration headTimeout = dispatcher_.ProgressTimeout(aDispatch);
-    auto head = aUpstream.ReadHead(LimitToDeadline(headTimeout));
+    auto head = aUpstream.ReadFinalHead(LimitToDeadline(headTimeout));
     if (!head) {
       return EndLostAttempt(head.error());
     }
--- a/tests/answer_framing_tests.cpp
+++ b/tests/answer_framing_tests.cpp
@@ -158,3 +158,51 @@
 {
   CheckAnswer(sample, "");
 }
+
+namespace {
+
+struct InterimCase
+{
+  const char* name_;
+  int count_;
+  bool isAnswered_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const InterimCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<InterimCase> kInterim{
+  { "none", 0, true },
+  { "one", 1, true },
+  { "three", 3, true },
+  { "four", 4, false },
+};
+
+} // namespace
+
+// Guards against an interim response that is taken for the answer.
+BOOST_DATA_TEST_CASE(A_client_waits_for_the_final_response,
+                     data::make(kInterim))
+{
+  std::string bytes;
+  for (int i = 0; i < sample.count_; ++i) {
+    bytes += "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+  }
+  ScriptedUpstream upstream({ bytes + kWhole, After::Close });
+  TrafficThreads threads(1);
+  std::promise<tl::expected<HttpResponse, TransportError>> promise;
+  threads.Spawn([&](Fiber& aFiber) {
+    promise.set_value(FetchHttp(
+      aFiber, *ParseAddress(upstream.Address()), { "GET", "/", {}, "" }, 3s));
+  });
+  auto answer = promise.get_future().get();
+  threads.Stop();
+  BOOST_TEST(answer.has_value() == sample.isAnswered_);
+  if (answer) {
+    BOOST_TEST(answer->status_ == 200);
+    BOOST_TEST(answer->body_ == "hello");
+  }
+}
