--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -158,6 +158,9 @@
   for (unsigned i = 0; i < aFrom.size(); ++i) {
     aTo[i].setService(ToText(aFrom[i].origin_.service_));
     aTo[i].setVersion(ToText(aFrom[i].origin_.version_));
+    aTo[i].setWaitedMs(
+      static_cast<std::uint32_t>(WholeMilliseconds(aFrom[i].waited_)));
+    aTo[i].setInferred(aFrom[i].isInferred_);
     const auto& from = aFrom[i].streams_;
     auto streams = aTo[i].initStreams(static_cast<unsigned>(from.size()));
     for (unsigned j = 0; j < from.size(); ++j) {
@@ -171,9 +174,11 @@
 {
   StreamGroups groups;
   for (auto from : aFrom) {
-    StreamGroup group{
-      { ToString(from.getService()), ToString(from.getVersion()) }, {}
-    };
+    StreamGroup group{ { ToString(from.getService()),
+                         ToString(from.getVersion()) },
+                       {},
+                       std::chrono::milliseconds(from.getWaitedMs()),
+                       from.getInferred() };
     for (StreamKey stream : from.getStreams()) {
       group.streams_.push_back(stream);
     }
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -43,9 +43,19 @@
       recordedAtMs @9 :Int64;
       # Unix time by the clock of the control process that proposes it.
     }
+    versionStart @10 :VersionStart;
+    # Members of earlier builds pass over it.
   }
 }
 
+struct VersionStart {
+  # A software version of a service begins to accept work.
+  service @0 :Text;
+  version @1 :Text;
+  startedAtMs @2 :Int64;
+  # Unix time by the clock of the control process that proposes it.
+}
+
 struct RecordedLeave {
   replica @0 :ReplicaFact;
   recordedAtMs @1 :Int64;
@@ -59,6 +69,7 @@
   # The latest of each service.
   lastRolloutId @4 :UInt64;
   leaves @5 :List(RecordedLeave);
+  versionStarts @6 :List(VersionStart);
 }
 
 struct ReplicaFact {
@@ -209,6 +220,10 @@
   version @1 :Text;
   # Unset where it is asked for.
   streams @2 :List(UInt64);
+  waitedMs @3 :UInt32;
+  # Where it is asked for: how long ago the streams were resumed.
+  inferred @4 :Bool;
+  # Whether no other version could have begun them.
 }
 
 struct SyncRequest {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -32,6 +32,7 @@
 CAPNP_DECLARE_SCHEMA(aecdefe119a00dd3);
 CAPNP_DECLARE_SCHEMA(b70cd53a263c8568);
 CAPNP_DECLARE_SCHEMA(aa747463d71727e4);
+CAPNP_DECLARE_SCHEMA(85d2b0ac101e2506);
 CAPNP_DECLARE_SCHEMA(8a59491b3667bc36);
 CAPNP_DECLARE_SCHEMA(e46d487850c4f971);
 CAPNP_DECLARE_SCHEMA(99ff16a110e51354);
@@ -113,6 +114,7 @@
     START_ROLLOUT,
     END_ROLLOUT,
     LEAVES,
+    VERSION_START,
   };
   struct Declare;
   struct EndRollout;
@@ -171,6 +173,21 @@
   };
 };
 
+struct VersionStart {
+  VersionStart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(85d2b0ac101e2506, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RecordedLeave {
   RecordedLeave() = delete;
 
@@ -194,7 +211,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e46d487850c4f971, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e46d487850c4f971, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -421,7 +438,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea5610e24d4eb538, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ea5610e24d4eb538, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -731,6 +748,10 @@
   inline bool isLeaves() const;
   inline typename Leaves::Reader getLeaves() const;
 
+  inline bool isVersionStart() const;
+  inline bool hasVersionStart() const;
+  inline  ::tanagerstall::wire::VersionStart::Reader getVersionStart() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -788,6 +809,14 @@
   inline typename Leaves::Builder getLeaves();
   inline typename Leaves::Builder initLeaves();
 
+  inline bool isVersionStart();
+  inline bool hasVersionStart();
+  inline  ::tanagerstall::wire::VersionStart::Builder getVersionStart();
+  inline void setVersionStart( ::tanagerstall::wire::VersionStart::Reader value);
+  inline  ::tanagerstall::wire::VersionStart::Builder initVersionStart();
+  inline void adoptVersionStart(::capnp::Orphan< ::tanagerstall::wire::VersionStart>&& value);
+  inline ::capnp::Orphan< ::tanagerstall::wire::VersionStart> disownVersionStart();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1077,6 +1106,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class VersionStart::Reader {
+public:
+  typedef VersionStart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+  inline  ::int64_t getStartedAtMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class VersionStart::Builder {
+public:
+  typedef VersionStart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+  inline  ::int64_t getStartedAtMs();
+  inline void setStartedAtMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class VersionStart::Pipeline {
+public:
+  typedef VersionStart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RecordedLeave::Reader {
 public:
   typedef RecordedLeave Reads;
@@ -1197,6 +1322,9 @@
   inline bool hasLeaves() const;
   inline  ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>::Reader getLeaves() const;
 
+  inline bool hasVersionStarts() const;
+  inline  ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>::Reader getVersionStarts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1259,6 +1387,13 @@
   inline void adoptLeaves(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::RecordedLeave,  ::capnp::Kind::STRUCT>> disownLeaves();
 
+  inline bool hasVersionStarts();
+  inline  ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>::Builder getVersionStarts();
+  inline void setVersionStarts( ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>::Builder initVersionStarts(unsigned int size);
+  inline void adoptVersionStarts(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>> disownVersionStarts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2799,6 +2934,10 @@
   inline bool hasStreams() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getStreams() const;
 
+  inline  ::uint32_t getWaitedMs() const;
+
+  inline bool getInferred() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2849,6 +2988,12 @@
   inline void adoptStreams(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownStreams();
 
+  inline  ::uint32_t getWaitedMs();
+  inline void setWaitedMs( ::uint32_t value);
+
+  inline bool getInferred();
+  inline void setInferred(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3996,6 +4141,60 @@
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename FleetCommand::Leaves::Builder(_builder);
 }
+inline bool FleetCommand::Reader::isVersionStart() const {
+  return which() == FleetCommand::VERSION_START;
+}
+inline bool FleetCommand::Builder::isVersionStart() {
+  return which() == FleetCommand::VERSION_START;
+}
+inline bool FleetCommand::Reader::hasVersionStart() const {
+  if (which() != FleetCommand::VERSION_START) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetCommand::Builder::hasVersionStart() {
+  if (which() != FleetCommand::VERSION_START) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tanagerstall::wire::VersionStart::Reader FleetCommand::Reader::getVersionStart() const {
+  KJ_IREQUIRE((which() == FleetCommand::VERSION_START),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::VersionStart>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tanagerstall::wire::VersionStart::Builder FleetCommand::Builder::getVersionStart() {
+  KJ_IREQUIRE((which() == FleetCommand::VERSION_START),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::VersionStart>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetCommand::Builder::setVersionStart( ::tanagerstall::wire::VersionStart::Reader value) {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::VERSION_START);
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::VersionStart>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tanagerstall::wire::VersionStart::Builder FleetCommand::Builder::initVersionStart() {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::VERSION_START);
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::VersionStart>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetCommand::Builder::adoptVersionStart(
+    ::capnp::Orphan< ::tanagerstall::wire::VersionStart>&& value) {
+  _builder.setDataField<FleetCommand::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::VERSION_START);
+  ::capnp::_::PointerHelpers< ::tanagerstall::wire::VersionStart>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tanagerstall::wire::VersionStart> FleetCommand::Builder::disownVersionStart() {
+  KJ_IREQUIRE((which() == FleetCommand::VERSION_START),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tanagerstall::wire::VersionStart>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t FleetCommand::Declare::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4148,6 +4347,88 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool VersionStart::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VersionStart::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VersionStart::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VersionStart::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VersionStart::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VersionStart::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void VersionStart::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VersionStart::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool VersionStart::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool VersionStart::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VersionStart::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VersionStart::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void VersionStart::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VersionStart::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void VersionStart::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VersionStart::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t VersionStart::Reader::getStartedAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t VersionStart::Builder::getStartedAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void VersionStart::Builder::setStartedAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RecordedLeave::Reader::hasReplica() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4365,6 +4646,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool FleetSnapshot::Reader::hasVersionStarts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetSnapshot::Builder::hasVersionStarts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>::Reader FleetSnapshot::Reader::getVersionStarts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::getVersionStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void FleetSnapshot::Builder::setVersionStarts( ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::initVersionStarts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void FleetSnapshot::Builder::adoptVersionStarts(
+    ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>> FleetSnapshot::Builder::disownVersionStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool ReplicaFact::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5999,6 +6314,34 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t StreamGroup::Reader::getWaitedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamGroup::Builder::getWaitedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamGroup::Builder::setWaitedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamGroup::Reader::getInferred() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool StreamGroup::Builder::getInferred() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void StreamGroup::Builder::setInferred(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SyncRequest::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/tanagerstall/process/presence/tanagerstall_version_history.cpp
+++ b/src/tanagerstall/process/presence/tanagerstall_version_history.cpp
@@ -20,6 +20,42 @@
   }
 }
 
+void
+VersionHistory::RecordStart(const std::string& aService,
+                            const std::string& aVersion,
+                            TimePoint aNow)
+{
+  TimePoint& until = services_[aService][aVersion];
+  until = std::max(until, aNow);
+}
+
+bool
+VersionHistory::IsPresent(const std::string& aService,
+                          const std::string& aVersion) const
+{
+  auto service = services_.find(aService);
+  if (service == services_.end()) {
+    return false;
+  }
+  auto version = service->second.find(aVersion);
+  return version != service->second.end() &&
+         version->second == TimePoint::max();
+}
+
+bool
+VersionHistory::HasOtherSince(const std::string& aService,
+                              const std::string& aVersion,
+                              TimePoint aSince) const
+{
+  auto service = services_.find(aService);
+  return service != services_.end() &&
+         std::any_of(service->second.begin(),
+                     service->second.end(),
+                     [&](const auto& aIt) {
+                       return aIt.first != aVersion && aIt.second > aSince;
+                     });
+}
+
 std::optional<std::string>
 VersionHistory::OnlySince(const std::string& aService, TimePoint aSince) const
 {
--- a/src/tanagerstall/process/presence/tanagerstall_version_history.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_version_history.hpp
@@ -17,6 +17,19 @@
 public:
   /// Records the replicas that accept work now.
   void Observe(const ReplicasByService& aPresent, TimePoint aNow);
+  /// Records that a version may have accepted work until now, though none of
+  /// its replicas has been seen yet.
+  void RecordStart(const std::string& aService,
+                   const std::string& aVersion,
+                   TimePoint aNow);
+  /// Whether the version accepts work by what was observed last.
+  bool IsPresent(const std::string& aService,
+                 const std::string& aVersion) const;
+  /// Whether another version of the service has accepted work since `aSince`,
+  /// by what was observed.
+  bool HasOtherSince(const std::string& aService,
+                     const std::string& aVersion,
+                     TimePoint aSince) const;
   /// Returns the only version of the service that has accepted work since
   /// `aSince`. Returns nullopt if there were several or none, or if this
   /// process has observed them for a shorter time.
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -12,6 +12,7 @@
 #include "tanagerstall/process/presence/tanagerstall_peer_confirmations.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_batches.hpp"
 #include "tanagerstall/process/presence/tanagerstall_replica_table.hpp"
+#include "tanagerstall/process/presence/tanagerstall_version_gate.hpp"
 #include "tanagerstall/process/tanagerstall_admission_levels.hpp"
 #include "tanagerstall/process/tanagerstall_configuration_calls.hpp"
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
@@ -212,6 +213,7 @@
     }
     rollouts_.SetRollouts(fleet_.Rollouts());
     AdoptLeaves();
+    AdoptVersionStarts();
     entriesServer_.Notify();
   }
 
@@ -229,6 +231,56 @@
     confirmations_.Update();
   }
 
+  /// Streams may begin at these versions before any of their replicas is heard
+  /// of here.
+  void AdoptVersionStarts()
+  {
+    for (const auto& [version, startedAt] : fleet_.StartedVersions()) {
+      auto known = versionStarts_.find(version);
+      if (known == versionStarts_.end() || known->second != startedAt) {
+        streams_.RecordStart(version.first, version.second, clock_.Now());
+      }
+    }
+    versionStarts_ = fleet_.StartedVersions();
+  }
+
+  void ProposeVersionStart(const std::string& aService,
+                           const std::string& aVersion,
+                           const VersionGate::Done& aDone)
+  {
+    member_.Propose(
+      GroupName::Configuration,
+      FleetState::EncodeVersionStart(aService, aVersion, ReadWallTime()),
+      [aService, aVersion, aDone](const GroupResult& aResult) {
+        // A leader of an earlier build passes over the command, which is in the
+        // log all the same.
+        bool isRecorded =
+          aResult || aResult.error().fault_ == GroupFault::Malformed;
+        LogEvent(isRecorded ? Severity::Info : Severity::Warning,
+                 isRecorded ? "version started" : "version not started",
+                 { { "service", aService },
+                   { "version", aVersion },
+                   { "error", aResult ? "" : aResult.error().detail_ } });
+        aDone(isRecorded);
+      });
+  }
+
+  /// Has the leadership confirmed for entries that ask which versions there
+  /// are.
+  void ConfirmVersions()
+  {
+    if (!isLeading_ || std::exchange(isConfirmingVersions_, true)) {
+      return;
+    }
+    leaderTasks_.ConfirmLease([this](bool aHasLease) {
+      isConfirmingVersions_ = false;
+      if (aHasLease) {
+        streams_.ConfirmVersions(leaderTasks_.ConfirmedAt());
+        entriesServer_.Notify();
+      }
+    });
+  }
+
   void ProposeLeaves(const std::vector<Replica>& aReplicas,
                      const LeaveRecorder::Done& aDone)
   {
@@ -311,11 +363,10 @@
       admission_.Record(aReport.entry_.id_, aReport.admission_, clock_.Now());
     }
     rollouts_.Record(RunOf(aReport.entry_), aReport, clock_.Now());
-    for (const auto& group : aReport.streamStarts_) {
-      for (StreamKey stream : group.streams_) {
-        streams_.Record(stream, group.origin_, clock_.Now());
-      }
+    if (!aReport.wantedStreams_.empty()) {
+      ConfirmVersions();
     }
+    streams_.Adopt(aReport.streamStarts_, clock_.Now());
     if (isLeading_ && aReport.crashReport_) {
       detector_.RecordReport(
         RunOf(aReport.entry_), *aReport.crashReport_, clock_.Now());
@@ -513,7 +564,30 @@
     return present;
   }
 
-  /// Applies an announcement and reports whether it may be acknowledged.
+  /// Whether a leader can know that the replica's version accepts work. Where
+  /// no leader has been heard since the start, as after a restart of all
+  /// control processes, none infers anything, and known versions don't wait for
+  /// one.
+  bool IsVersionKnown(const Replica& aReplica) const
+  {
+    return streams_.HasVersion(aReplica.service_, aReplica.version_) ||
+           (!hasHeardLeader_ && fleet_.StartedVersions().contains(
+                                  { aReplica.service_, aReplica.version_ }));
+  }
+
+  /// Applies an announcement, at once or when its version has started, and
+  /// reports whether it may be acknowledged.
+  void ReceiveAnnouncement(const Replica& aReplica,
+                           const PeerConfirmations::Done& aDone)
+  {
+    if (aReplica.state_ == ReplicaState::Ready && !IsVersionKnown(aReplica)) {
+      versionGate_.Hold(aReplica);
+      aDone(true);
+      return;
+    }
+    RecordAnnouncement(aReplica, aDone);
+  }
+
   void RecordAnnouncement(const Replica& aReplica,
                           const PeerConfirmations::Done& aDone)
   {
@@ -630,6 +704,8 @@
         auto serving = ServingEntries();
         loads_.KeepOnly(serving);
         workingSet_.Update(serving, loads_.Rates(), now);
+        hasHeardLeader_ |=
+          member_.Group(GroupName::Configuration).Core().Leader() != 0;
         leaderTasks_.Observe(now);
         bool wasLeading =
           std::exchange(isLeading_, leaderTasks_.IsSteadyLeader(now));
@@ -651,16 +727,12 @@
       });
   }
 
-  /// Only a leader is sure to hear of a version that is added.
   void UpdateStreams(TimePoint aNow)
   {
     if (view_.ConsumeChange(aNow)) {
       streams_.SetReplicas(*view_.Present(aNow), aNow);
       streams_.Tick(aNow);
     }
-    if (isLeading_) {
-      streams_.ConfirmReplicas(aNow);
-    }
   }
 
   void Reload(bool aIsRequested)
@@ -778,6 +850,18 @@
   EntryLoads loads_;
   /// What began the streams of all entries.
   StreamDirectory streams_{ kMaxStreams };
+  /// The starts of versions that `streams_` knows.
+  VersionStarts versionStarts_;
+  bool isConfirmingVersions_ = false;
+  bool hasHeardLeader_ = false;
+  VersionGate versionGate_{ [this](const std::string& aService,
+                                   const std::string& aVersion,
+                                   const VersionGate::Done& aDone) {
+                             ProposeVersionStart(aService, aVersion, aDone);
+                           },
+                            [this](const Replica& aReplica) {
+                              RecordAnnouncement(aReplica, [](bool) {});
+                            } };
   std::optional<TrafficPlan> plan_;
   /// The number of the declaration that `plan_` was decoded from.
   std::uint64_t planNumber_ = 0;
@@ -843,7 +927,7 @@
 {
   return aFiber.Await<bool>([&](const PeerConfirmations::Done& aDone) {
     state_->loop_.Post([state = state_.get(), aReplica, aDone] {
-      state->RecordAnnouncement(aReplica, aDone);
+      state->ReceiveAnnouncement(aReplica, aDone);
     });
   });
 }
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -300,27 +300,21 @@
         [this, rates = *aAnswer.namedRates_] { forwarder_.AdoptRates(rates); });
     }
     ReceiveRollouts(aControl, aAnswer);
-    ReceiveStreams(aControl, aAnswer, now);
+    ReceiveStreams(aControl, aAnswer);
     PublishReplicas(now);
   }
 
-  void ReceiveStreams(const std::string& aControl,
-                      const ControlAnswer& aAnswer,
-                      TimePoint aNow)
+  void ReceiveStreams(const std::string& aControl, const ControlAnswer& aAnswer)
   {
     if (aAnswer.isLeader_) {
       streamReports_.Confirm(
         aControl, aAnswer.replicas_.run_, aAnswer.streamPosition_);
     }
-    threads_.Post([this,
-                   aNow,
-                   isConfirmed = aAnswer.isLeader_,
-                   found = aAnswer.foundStreams_] {
-      if (isConfirmed) {
-        forwarder_.Resumption().Directory().ConfirmReplicas(aNow);
-      }
-      forwarder_.Resumption().Adopt(found);
-    });
+    if (!aAnswer.foundStreams_.empty()) {
+      threads_.Post([this, found = aAnswer.foundStreams_] {
+        forwarder_.Resumption().Adopt(found);
+      });
+    }
   }
 
   /// Adopts the roll-outs of any control process, and the shares of the leader.
--- a/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
+++ b/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
@@ -2,6 +2,7 @@
 
 #include "tanagerstall/connection/tanagerstall_on_loop.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
+#include "tanagerstall/version/tanagerstall_fleet_state.hpp"
 
 #include <algorithm>
 
@@ -94,7 +95,9 @@
     token_ = isLeader && token == term ? term : 0;
     aDone(token_ != 0);
   };
-  member_.Query(GroupName::Configuration, {}, confirm);
+  member_.Query(GroupName::Configuration,
+                FleetState::EncodeQuery(FleetQuery::Rollouts),
+                confirm);
 }
 
 bool
--- a/src/tanagerstall/process/tanagerstall_leader_tasks.hpp
+++ b/src/tanagerstall/process/tanagerstall_leader_tasks.hpp
@@ -55,12 +55,17 @@
   /// Whether this member holds the leader lease. Runs on the control thread.
   bool HasLease(TimePoint aNow) const;
 
+  /// Has a quorum confirm the leadership; ends with whether this member holds
+  /// the leader lease. Runs on the control thread.
+  void ConfirmLease(const std::function<void(bool)>& aDone);
+  /// When the last confirmation by a quorum was requested.
+  TimePoint ConfirmedAt() const { return confirmedAt_; }
+
   /// Runs the leader tasks in an endless loop on a traffic thread's fiber.
   void Run(Fiber& aFiber);
 
 private:
   const Raft& Core() const;
-  void ConfirmLease(const std::function<void(bool)>& aDone);
   /// Whether the last confirmation by a quorum is still valid.
   bool CanAct() const;
   /// What that confirmation permits a call.
@@ -79,7 +84,6 @@
   RaftMember& member_;
   LeaderLease lease_;
   std::atomic<Term> token_{ 0 };
-  /// When the last confirmation by a quorum was requested.
   std::atomic<TimePoint> confirmedAt_{ TimePoint() };
   /// Accessed by the fiber of Run() only, like `placement_`.
   std::int64_t lastReportedWindow_ = 0;
--- a/src/tanagerstall/request/tanagerstall_stream_directory.cpp
+++ b/src/tanagerstall/request/tanagerstall_stream_directory.cpp
@@ -10,8 +10,6 @@
 /// begins anew.
 constexpr int kTimeoutsOfStream = 2;
 constexpr Duration kMinStreamTime = std::chrono::seconds(10);
-/// Longer than the election of a leader.
-constexpr Duration kMaxUnconfirmed = std::chrono::seconds(3);
 
 } // namespace
 
@@ -53,23 +51,56 @@
   origins_.Record(aStream, aOrigin, aNow);
 }
 
+void
+StreamDirectory::RecordStart(const std::string& aService,
+                             const std::string& aVersion,
+                             TimePoint aNow)
+{
+  versions_.RecordStart(aService, aVersion, aNow);
+}
+
+bool
+StreamDirectory::HasVersion(const std::string& aService,
+                            const std::string& aVersion) const
+{
+  return versions_.IsPresent(aService, aVersion);
+}
+
 std::optional<StreamOrigin>
-StreamDirectory::Find(std::optional<StreamKey> aStream,
-                      const std::string& aService,
-                      TimePoint aNow) const
+StreamDirectory::Find(StreamKey aStream) const
 {
-  if (aStream) {
-    if (auto origin = origins_.Find(*aStream)) {
-      return origin;
-    }
-  }
-  if (!confirmedAt_ || aNow - *confirmedAt_ > kMaxUnconfirmed) {
+  return origins_.Find(aStream);
+}
+
+std::optional<StreamOrigin>
+StreamDirectory::Infer(const std::string& aService,
+                       TimePoint aResumedAt,
+                       TimePoint aNow) const
+{
+  // A stream may have begun at any version until it was resumed.
+  if (!confirmedAt_ || *confirmedAt_ < aResumedAt) {
     return std::nullopt;
   }
   auto only = versions_.OnlySince(aService, aNow - memory_);
   return only ? std::optional(StreamOrigin{ aService, *only }) : std::nullopt;
 }
 
+void
+StreamDirectory::Adopt(const StreamGroups& aFound, TimePoint aNow)
+{
+  for (const auto& group : aFound) {
+    const StreamOrigin& origin = group.origin_;
+    if (group.isInferred_ && versions_.HasOtherSince(origin.service_,
+                                                     origin.version_,
+                                                     aNow - memory_)) {
+      continue;
+    }
+    for (StreamKey stream : group.streams_) {
+      origins_.Record(stream, origin, aNow);
+    }
+  }
+}
+
 StreamGroups
 StreamDirectory::TakeNew(TimePoint aNow)
 {
@@ -81,9 +112,14 @@
 {
   StreamGroups found;
   for (const auto& group : aWanted) {
+    // Later than the resumption by the time that the question took.
+    TimePoint resumedAt = aNow - group.waited_;
+    auto only = Infer(group.origin_.service_, resumedAt, aNow);
     for (StreamKey stream : group.streams_) {
-      if (auto origin = Find(stream, group.origin_.service_, aNow)) {
+      if (auto origin = Find(stream)) {
         found.push_back({ *origin, { stream } });
+      } else if (only) {
+        found.push_back({ *only, { stream }, Duration::zero(), true });
       }
     }
   }
--- a/src/tanagerstall/request/tanagerstall_stream_origins.hpp
+++ b/src/tanagerstall/request/tanagerstall_stream_origins.hpp
@@ -37,6 +37,11 @@
 {
   StreamOrigin origin_;
   std::vector<StreamKey> streams_;
+  /// In a question: how long ago the streams were resumed.
+  Duration waited_{ 0 };
+  /// In an answer: whether nobody remembers the streams, but no other version
+  /// could have begun them.
+  bool isInferred_ = false;
 
   bool operator==(const StreamGroup&) const = default;
 };
--- a/src/tanagerstall/request/tanagerstall_stream_resumption.cpp
+++ b/src/tanagerstall/request/tanagerstall_stream_resumption.cpp
@@ -50,8 +50,8 @@
     return true;
   }
   std::string_view begunBy = http.Header(aProtocol.resumedRequest_);
-  auto stream =
-    begunBy.empty() ? std::nullopt : std::optional(StreamKeyOf(begunBy));
+  // A request that names no other one is certain only where one version is.
+  StreamKey stream = StreamKeyOf(begunBy.empty() ? aRequest.id_ : begunBy);
   auto origin = Await(aExchange, stream, aRequest.service_);
   if (!origin || !IsServiceOf(*aRequest.route_, origin->service_)) {
     return false;
@@ -71,24 +71,21 @@
 
 std::optional<StreamOrigin>
 StreamResumption::Await(HttpExchange& aExchange,
-                        std::optional<StreamKey> aStream,
+                        StreamKey aStream,
                         const std::string& aService)
 {
   TimePoint begin = clock_.Now();
   TimePoint askAt = begin;
   while (true) {
     TimePoint now = clock_.Now();
-    auto origin = directory_.Find(aStream, aService, now);
-    if (origin || !aStream || now - begin >= kMaxWait ||
-        aExchange.IsCallerDisconnected()) {
-      if (aStream) {
-        wanted_.erase(*aStream);
-      }
+    auto origin = directory_.Find(aStream);
+    if (origin || now - begin >= kMaxWait || aExchange.IsCallerDisconnected()) {
+      wanted_.erase(aStream);
       return origin;
     }
     if (now >= askAt) {
       askAt = now + kAskInterval;
-      wanted_[*aStream] = aService;
+      wanted_[aStream] = { aService, begin };
       askLeader_();
     }
     aExchange.GetFiber().Sleep(kPollInterval);
@@ -108,9 +105,11 @@
 StreamGroups
 StreamResumption::Wanted() const
 {
+  TimePoint now = clock_.Now();
   StreamGroups wanted;
-  for (const auto& [stream, service] : wanted_) {
-    wanted.push_back({ { service, "" }, { stream } });
+  for (const auto& [stream, resumed] : wanted_) {
+    wanted.push_back(
+      { { resumed.service_, "" }, { stream }, now - resumed.at_ });
   }
   return wanted;
 }
@@ -118,11 +117,7 @@
 void
 StreamResumption::Adopt(const StreamGroups& aFound)
 {
-  for (const auto& group : aFound) {
-    for (StreamKey stream : group.streams_) {
-      directory_.Record(stream, group.origin_, clock_.Now());
-    }
-  }
+  directory_.Adopt(aFound, clock_.Now());
 }
 
 } // namespace tanagerstall
--- a/src/tanagerstall/request/tanagerstall_stream_resumption.hpp
+++ b/src/tanagerstall/request/tanagerstall_stream_resumption.hpp
@@ -12,8 +12,9 @@
 namespace tanagerstall {
 
 /// Lets a stream that a caller resumes go on only at the software
-/// version that began it, which may have been at another entry: the leader is
-/// asked then. Belongs to the thread of the forwarder.
+/// version that began it. What didn't begin at this entry the leader is asked
+/// for, since this entry may be out of date without knowing it. Belongs to the
+/// thread of the forwarder.
 class StreamResumption
 {
 public:
@@ -35,15 +36,22 @@
   void Adopt(const StreamGroups& aFound);
 
 private:
+  /// A stream that a request resumes.
+  struct Resumed
+  {
+    std::string service_;
+    TimePoint at_;
+  };
+
   std::optional<StreamOrigin> Await(HttpExchange& aExchange,
-                                    std::optional<StreamKey> aStream,
+                                    StreamKey aStream,
                                     const std::string& aService);
 
   Clock clock_;
   std::function<void()> askLeader_;
   StreamDirectory directory_;
-  /// The services of the streams that requests wait for.
-  std::map<StreamKey, std::string> wanted_;
+  /// The streams that requests wait for.
+  std::map<StreamKey, Resumed> wanted_;
 };
 
 } // namespace tanagerstall
--- a/src/tanagerstall/version/tanagerstall_fleet_state.cpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.cpp
@@ -12,6 +12,9 @@
 /// Windows retained so that a usage report can be repeated with equal counts.
 constexpr std::size_t kKeptWindows = 64;
 
+/// The versions of a service whose starts are retained.
+constexpr std::size_t kKeptVersions = 16;
+
 /// How far apart two equal orders may have been received and count as one. An
 /// order is acknowledged again for 10 s after it was accepted, and an operator
 /// resends it for at most 6 s before that. The receipt times are compared, so
@@ -105,6 +108,30 @@
   return leaves;
 }
 
+void
+WriteVersionStarts(wire::FleetSnapshot::Builder aTo, const VersionStarts& aFrom)
+{
+  auto starts = aTo.initVersionStarts(aFrom.size());
+  unsigned i = 0;
+  for (const auto& [key, startedAt] : aFrom) {
+    starts[i].setService(ToText(key.first));
+    starts[i].setVersion(ToText(key.second));
+    starts[i].setStartedAtMs(startedAt.time_since_epoch().count());
+    ++i;
+  }
+}
+
+VersionStarts
+ReadVersionStarts(wire::FleetSnapshot::Reader aFrom)
+{
+  VersionStarts starts;
+  for (auto from : aFrom.getVersionStarts()) {
+    starts[{ ToString(from.getService()), ToString(from.getVersion()) }] =
+      WallTimeOf(from.getStartedAtMs());
+  }
+  return starts;
+}
+
 } // namespace
 
 FleetState::FleetState(ChangeHook aOnChange)
@@ -198,6 +225,19 @@
   return Flatten(message);
 }
 
+Bytes
+FleetState::EncodeVersionStart(const std::string& aService,
+                               const std::string& aVersion,
+                               WallTime aStartedAt)
+{
+  capnp::MallocMessageBuilder message;
+  auto start = message.initRoot<wire::FleetCommand>().initVersionStart();
+  start.setService(ToText(aService));
+  start.setVersion(ToText(aVersion));
+  start.setStartedAtMs(aStartedAt.time_since_epoch().count());
+  return Flatten(message);
+}
+
 Bytes
 FleetState::EncodeQuery(FleetQuery aQuery)
 {
@@ -274,6 +314,13 @@
       ApplyLeaves(replicas, WallTimeOf(leaves.getRecordedAtMs()));
       return {};
     }
+    case wire::FleetCommand::VERSION_START: {
+      auto start = command.getVersionStart();
+      ApplyVersionStart(ToString(start.getService()),
+                        ToString(start.getVersion()),
+                        WallTimeOf(start.getStartedAtMs()));
+      return {};
+    }
   }
   KJ_FAIL_REQUIRE("unknown command", static_cast<int>(command.which()));
 }
@@ -345,6 +392,25 @@
   NotifyChange();
 }
 
+void
+FleetState::ApplyVersionStart(const std::string& aService,
+                              const std::string& aVersion,
+                              WallTime aStartedAt)
+{
+  versionStarts_[{ aService, aVersion }] = aStartedAt;
+  auto begin = versionStarts_.lower_bound({ aService, "" });
+  auto end = std::find_if(begin, versionStarts_.end(), [&](const auto& aIt) {
+    return aIt.first.first != aService;
+  });
+  if (static_cast<std::size_t>(std::distance(begin, end)) > kKeptVersions) {
+    versionStarts_.erase(
+      std::min_element(begin, end, [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second < aRight.second;
+      }));
+  }
+  NotifyChange();
+}
+
 void
 FleetState::NotifyChange() const
 {
@@ -395,6 +461,7 @@
   WriteRollouts(snapshot, rollouts_);
   snapshot.setLastRolloutId(lastRolloutId_);
   WriteLeaves(snapshot, leaves_);
+  WriteVersionStarts(snapshot, versionStarts_);
   auto usage = snapshot.initUsage(usage_.size());
   unsigned i = 0;
   for (const auto& [window, counts] : usage_) {
@@ -412,6 +479,7 @@
   rollouts_ = ReadRollouts(snapshot);
   lastRolloutId_ = snapshot.getLastRolloutId();
   leaves_ = ReadLeaves(snapshot);
+  versionStarts_ = ReadVersionStarts(snapshot);
   usage_.clear();
   for (auto window : snapshot.getUsage()) {
     auto usage = ReadUsage(window);
--- a/src/tanagerstall/version/tanagerstall_fleet_state.hpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.hpp
@@ -32,6 +32,9 @@
   std::string document_;
 };
 
+/// When versions last began to accept work, by service and version.
+using VersionStarts = std::map<std::pair<std::string, std::string>, WallTime>;
+
 /// The latest roll-out of each service, by service.
 using RolloutsByService = std::map<std::string, Rollout>;
 
@@ -45,15 +48,17 @@
 };
 
 /// The fleet's replicated state: the declaration with the highest number, the
-/// latest roll-out of each service, the replicas that left recently, and the
-/// agreed usage of recent windows, which may still have to be reported.
+/// latest roll-out of each service, the replicas that left and the versions
+/// that began to accept work recently, and the agreed usage of recent windows,
+/// which may still have to be reported.
 class FleetState
 {
 public:
   using ChangeHook = std::function<void()>;
 
   /// `aOnChange` is called when a newer declaration is applied, when a roll-out
-  /// starts or ends, when replicas leave, and after a snapshot is installed.
+  /// starts or ends, when replicas leave, when a version begins to accept work,
+  /// and after a snapshot is installed.
   explicit FleetState(ChangeHook aOnChange = nullptr);
 
   /// Returns the state machine of this state for a Raft group.
@@ -64,6 +69,7 @@
   /// Returns the latest roll-out of a service, or nullptr if it has none.
   const Rollout* FindRollout(const std::string& aService) const;
   const ReplicaLeaves& Leaves() const { return leaves_; }
+  const VersionStarts& StartedVersions() const { return versionStarts_; }
   /// Returns the agreed counts of a window, or nullopt if there are none.
   std::optional<CountsByName> AgreedUsage(std::int64_t aWindow) const;
 
@@ -81,6 +87,11 @@
   /// Records replicas that drain or have departed.
   static Bytes EncodeLeaves(const std::vector<Replica>& aReplicas,
                             WallTime aRecordedAt);
+  /// Records that a version begins to accept work, for the first time or after
+  /// a while without.
+  static Bytes EncodeVersionStart(const std::string& aService,
+                                  const std::string& aVersion,
+                                  WallTime aStartedAt);
   static Bytes EncodeQuery(FleetQuery aQuery);
   /// Decodes the declaration in the result of a query.
   static Declaration DecodeDeclaration(BytesView aBytes);
@@ -102,6 +113,9 @@
   RolloutReply ApplyStart(const RolloutOrder& aOrder);
   void ApplyEnd(std::uint64_t aId, RolloutState aState, WallTime aEndedAt);
   void ApplyLeaves(const std::vector<Replica>& aReplicas, WallTime aRecordedAt);
+  void ApplyVersionStart(const std::string& aService,
+                         const std::string& aVersion,
+                         WallTime aStartedAt);
   void NotifyChange() const;
   Bytes AnswerQuery(BytesView aQuery) const;
   Bytes TakeSnapshot() const;
@@ -112,6 +126,7 @@
   RolloutsByService rollouts_;
   std::uint64_t lastRolloutId_ = 0;
   ReplicaLeaves leaves_;
+  VersionStarts versionStarts_;
   std::map<std::int64_t, CountsByName> usage_;
 };
 
--- a/tests/fleet_client_tests.cpp
+++ b/tests/fleet_client_tests.cpp
@@ -132,7 +132,8 @@
 {
   StreamGroups started{ { { "s", "v1" }, { 1, 0xfedcba9876543210 } },
                         { { "s", "" }, {} } };
-  StreamGroups wanted{ { { "t", "" }, { 3 } } };
+  StreamGroups wanted{ { { "t", "" }, { 3 }, 250ms } };
+  StreamGroups found{ started[0], { { "t", "v1" }, { 3 }, 0ms, true } };
   EntryReport report;
   report.streamStarts_ = started;
   report.streamPosition_ = 5;
@@ -146,11 +147,11 @@
   BOOST_TEST((read.wantedStreams_ == wanted));
   ControlAnswer answer;
   answer.streamPosition_ = 5;
-  answer.foundStreams_ = started;
+  answer.foundStreams_ = found;
   capnp::MallocMessageBuilder reply;
   auto answered = reply.initRoot<wire::SyncReply>();
   WriteAnswer(answered, answer);
-  BOOST_TEST((ReadAnswer(answered.asReader()).foundStreams_ == started));
+  BOOST_TEST((ReadAnswer(answered.asReader()).foundStreams_ == found));
   BOOST_TEST(ReadAnswer(answered.asReader()).streamPosition_ == 5U);
 }
 
--- a/tests/stream_origin_tests.cpp
+++ b/tests/stream_origin_tests.cpp
@@ -3,8 +3,10 @@
 // version that began them. Without a network.
 #define BOOST_TEST_MODULE stream_origin
 
+#include "tanagerstall/process/presence/tanagerstall_version_gate.hpp"
 #include "tanagerstall/process/tanagerstall_stream_reports.hpp"
 #include "tanagerstall/request/tanagerstall_stream_directory.hpp"
+#include "tanagerstall/version/tanagerstall_fleet_state.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -47,10 +49,12 @@
   std::vector<Seen> seen_;
   /// When and at which version the stream was recorded, if it was.
   std::optional<std::pair<Duration, std::string>> recorded_;
-  /// When the replicas were confirmed last, and when it is resumed.
+  /// When the leadership was confirmed last, and when the stream is resumed.
   Duration confirmedAt_;
   Duration at_;
   std::optional<std::string> expected_;
+  /// When the log says that a version starts that isn't seen here, if it does.
+  std::optional<std::pair<Duration, std::string>> started_{};
 };
 
 std::ostream&
@@ -63,6 +67,35 @@
 const std::vector<FindCase> kFindCases{
   { "one version all the time", { { 0s, { "1", "1" } } }, {}, 20s, 20s, "1" },
   { "this process has just started", { { 0s, { "1" } } }, {}, 9s, 9s, {} },
+  // Another version may have begun the stream in between.
+  { "confirmed shortly before the stream was resumed",
+    { { 0s, { "1" } } },
+    {},
+    19900ms,
+    20s,
+    {} },
+  { "never confirmed", { { 0s, { "1" } } }, {}, 0s, 20s, {} },
+  { "another version starts and none of its replicas was seen",
+    { { 0s, { "1" } } },
+    {},
+    20s,
+    20s,
+    {},
+    { { 19s, "2" } } },
+  { "another version started long ago",
+    { { 0s, { "1" } } },
+    {},
+    20s,
+    20s,
+    "1",
+    { { 9s, "2" } } },
+  { "the only version starts again",
+    { { 0s, { "1" } } },
+    {},
+    20s,
+    20s,
+    "1",
+    { { 19s, "1" } } },
   { "it just hears nobody", { { 0s, { "1" } } }, {}, 20s, 24s, {} },
   { "two versions",
     { { 0s, { "1" } }, { 12s, { "1", "2" } } },
@@ -130,9 +163,17 @@
     directory.Record(
       7, { "s", sample.recorded_->second }, kStart + sample.recorded_->first);
   }
-  directory.ConfirmReplicas(kStart + sample.confirmedAt_);
-  directory.Tick(kStart + sample.at_);
-  auto found = directory.Find(7, "s", kStart + sample.at_);
+  if (sample.started_) {
+    directory.RecordStart(
+      "s", sample.started_->second, kStart + sample.started_->first);
+  }
+  directory.ConfirmVersions(kStart + sample.confirmedAt_);
+  TimePoint now = kStart + sample.at_;
+  directory.Tick(now);
+  auto found = directory.Find(7);
+  if (!found) {
+    found = directory.Infer("s", now, now);
+  }
   BOOST_TEST(found.has_value() == sample.expected_.has_value());
   if (found && sample.expected_) {
     BOOST_TEST(found->version_ == *sample.expected_);
@@ -140,6 +181,136 @@
   }
 }
 
+namespace {
+
+struct AskCase
+{
+  const char* name_;
+  /// The versions that the entry has seen in the last seconds.
+  std::vector<std::string> entry_;
+  /// Those that the leader has seen, and one that has just started.
+  std::vector<std::string> leader_;
+  std::string started_;
+  /// How long before the question the leadership was confirmed, and before that
+  /// the stream resumed.
+  Duration confirmedAgo_;
+  Duration waited_;
+  std::optional<std::string> expected_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const AskCase& aCase)
+{
+  return aOut << aCase.name_;
+}
+
+const std::vector<AskCase> kAskCases{
+  { "both know one version", { "1" }, { "1" }, "", 0ms, 50ms, "1" },
+  { "the entry is out of step", { "1" }, { "1", "2" }, "", 0ms, 50ms, {} },
+  { "the entry has seen nothing yet", {}, { "1" }, "", 0ms, 50ms, "1" },
+  { "the leader has seen no replica of it yet",
+    { "1" },
+    { "1" },
+    "2",
+    0ms,
+    50ms,
+    {} },
+  { "the leader may be out of step itself",
+    { "1" },
+    { "1" },
+    "",
+    60ms,
+    50ms,
+    {} },
+  { "only the entry knows of another one",
+    { "1", "2" },
+    { "1" },
+    "",
+    0ms,
+    50ms,
+    {} },
+};
+
+} // namespace
+
+// Guards against a stream that goes on at another version at an entry, or by
+// the word of a leader, that was cut off or stood still while replicas of that
+// version joined.
+BOOST_DATA_TEST_CASE(
+  A_process_that_is_out_of_step_takes_no_version_for_the_only,
+  data::make(kAskCases))
+{
+  TimePoint now = kStart + 20s;
+  StreamDirectory entry(10);
+  entry.SetReplicas(Present(sample.entry_), kStart);
+  StreamDirectory leader(10);
+  leader.SetReplicas(Present(sample.leader_), kStart);
+  if (!sample.started_.empty()) {
+    leader.RecordStart("s", sample.started_, now - 100ms);
+  }
+  leader.ConfirmVersions(now - sample.confirmedAgo_);
+  entry.Adopt(leader.FindAll({ { { "s", "" }, { 7 }, sample.waited_ } }, now),
+              now);
+  auto found = entry.Find(7);
+  BOOST_TEST(found.has_value() == sample.expected_.has_value());
+  if (found && sample.expected_) {
+    BOOST_TEST(found->version_ == *sample.expected_);
+  }
+}
+
+// Guards against a replica that begins streams before a leader can know of its
+// version, and against one that is held back for ever.
+BOOST_AUTO_TEST_CASE(Replicas_wait_until_the_start_of_their_version_is_recorded)
+{
+  std::vector<std::string> accepted;
+  std::vector<VersionGate::Done> proposals;
+  VersionGate gate(
+    [&](const std::string&, const std::string&, VersionGate::Done aDone) {
+      proposals.push_back(std::move(aDone));
+    },
+    [&](const Replica& aReplica) { accepted.push_back(aReplica.id_); });
+  Replica replica = Present({ "2" })["s"].front();
+  replica.id_ = "a";
+  gate.Hold(replica);
+  replica.id_ = "b";
+  gate.Hold(replica);
+  gate.Hold(replica);
+  BOOST_TEST(proposals.size() == 1U);
+  BOOST_TEST(accepted.empty());
+  proposals[0](false);
+  BOOST_TEST(accepted.empty());
+  gate.Hold(replica);
+  BOOST_TEST_REQUIRE(proposals.size() == 2U);
+  proposals[1](true);
+  BOOST_TEST(accepted == (std::vector<std::string>{ "b" }),
+             boost::test_tools::per_element());
+}
+
+// Guards against a follower that gets a snapshot, comes to lead, and doesn't
+// know the versions that started meanwhile, and against a state that grows with
+// each release.
+BOOST_AUTO_TEST_CASE(A_snapshot_keeps_the_starts_of_versions)
+{
+  FleetState state;
+  auto start = [&](const char* aVersion, WallTime aAt) {
+    state.AsStateMachine().apply_(
+      FleetState::EncodeVersionStart("s", aVersion, aAt));
+  };
+  start("1", WallTime(1s));
+  start("2", WallTime(2s));
+  FleetState restored;
+  restored.AsStateMachine().installSnapshot_(
+    state.AsStateMachine().takeSnapshot_());
+  BOOST_TEST((restored.StartedVersions() ==
+              VersionStarts{ { { "s", "1" }, WallTime(1s) },
+                             { { "s", "2" }, WallTime(2s) } }));
+  for (int i = 3; i <= 17; ++i) {
+    start(std::to_string(i).c_str(), WallTime(i * 1s));
+  }
+  BOOST_TEST(state.StartedVersions().size() == 16U);
+  BOOST_TEST(!state.StartedVersions().contains({ "s", "1" }));
+}
+
 // Guards against streams that the leader is never told of because they began
 // before the second version came.
 BOOST_AUTO_TEST_CASE(Streams_are_reported_once_while_versions_are_mixed)
