Convert to milliseconds in one place; one name for Last-Event-Id

The conversion stood twice as a function and seven times spelled out, the field's name twice. The bound of calls to the cloud no longer shares its name with that of the leader lease, which is another one.

--- a/src/tanagerstall/process/tanagerstall_clock.hpp
+++ b/src/tanagerstall/process/tanagerstall_clock.hpp
@@ -24,10 +24,16 @@
   return std::chrono::duration<double, std::milli>(aTime).count();
 }
 
+inline std::chrono::milliseconds
+ToMilliseconds(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
+}
+
 inline std::int64_t
 WholeMilliseconds(Duration aTime)
 {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  return ToMilliseconds(aTime).count();
 }
 
 /// A monotonic time source. Copies read the same source.
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -231,8 +231,7 @@
     if (started.empty() || !aAnswer.declaration_) {
       return;
     }
-    auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
-      aNow - started.mapped());
+    auto took = ToMilliseconds(aNow - started.mapped());
     LogEvent(Severity::Info,
              "declaration received",
              { { "number", aAnswer.declaration_->number_ },
--- a/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
+++ b/src/tanagerstall/process/tanagerstall_leader_tasks.cpp
@@ -14,7 +14,7 @@
 constexpr Duration kTaskInterval = std::chrono::milliseconds(500);
 /// How long a confirmation by a quorum permits calls to the cloud. A successor
 /// is elected after it was requested and waits for the whole lease.
-constexpr Duration kConfirmationValidity = std::chrono::milliseconds(600);
+constexpr Duration kPermitValidity = std::chrono::milliseconds(600);
 /// The fraction of the lease in which nothing that was sent may arrive any
 /// more. It covers the delay of the network and of a process that is late.
 constexpr int kDeliveryMarginDivisor = 6;
@@ -103,8 +103,7 @@
 bool
 LeaderTasks::CanAct() const
 {
-  return token_ != 0 &&
-         clock_.Now() < confirmedAt_.load() + kConfirmationValidity;
+  return token_ != 0 && clock_.Now() < confirmedAt_.load() + kPermitValidity;
 }
 
 CallPermit
@@ -186,8 +185,7 @@
 std::optional<std::int64_t>
 LeaderTasks::NextWindow() const
 {
-  auto length = std::chrono::duration_cast<std::chrono::milliseconds>(
-    settings_.usageWindow_);
+  auto length = ToMilliseconds(settings_.usageWindow_);
   auto reportableUntil = ReadWallTime().time_since_epoch() - kUsageReportDelay;
   std::int64_t last = reportableUntil / length - 1;
   std::int64_t next =
--- a/src/tanagerstall/request/tanagerstall_at_most_once_dispatch.cpp
+++ b/src/tanagerstall/request/tanagerstall_at_most_once_dispatch.cpp
@@ -101,8 +101,7 @@
 LedgerCommand
 AtMostOnceDispatch::MakeAccept(const ServiceCall& aCall) const
 {
-  auto untilDeadline = std::chrono::duration_cast<std::chrono::milliseconds>(
-    aCall.traits_.deadline_ - clock_.Now());
+  auto untilDeadline = ToMilliseconds(aCall.traits_.deadline_ - clock_.Now());
   LedgerCommand accept;
   accept.organisation_ = aCall.traits_.organisation_;
   accept.key_ = aCall.idempotencyKey_;
--- a/src/tanagerstall/request/tanagerstall_crash_quarantine.cpp
+++ b/src/tanagerstall/request/tanagerstall_crash_quarantine.cpp
@@ -6,16 +6,6 @@
 
 namespace tanagerstall {
 
-namespace {
-
-std::chrono::milliseconds
-ToMilliseconds(Duration aTime)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
-}
-
-} // namespace
-
 LossLog&
 CrashQuarantine::LogOf(std::string_view aService)
 {
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::string_view kLastEventId = "Last-Event-Id";
 /// A prompt with more parts counts as one without shared parts.
 constexpr std::size_t kMaxSharedParts = 64;
 
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -15,6 +15,9 @@
 
 namespace tanagerstall {
 
+/// The field with which a caller resumes a stream after its last event.
+constexpr std::string_view kLastEventId = "Last-Event-Id";
+
 /// The prompt and answer sizes that a caller declares in its headers.
 struct PromptFacts
 {
--- a/src/tanagerstall/request/tanagerstall_loss_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_loss_log.cpp
@@ -10,12 +10,6 @@
 constexpr Duration kReportedFor = std::chrono::seconds(10);
 constexpr std::size_t kMaxCrashes = 64;
 
-std::chrono::milliseconds
-ToMilliseconds(Duration aTime)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
-}
-
 } // namespace
 
 void
--- a/src/tanagerstall/request/tanagerstall_named_rate_table.cpp
+++ b/src/tanagerstall/request/tanagerstall_named_rate_table.cpp
@@ -45,8 +45,7 @@
 {
   NamedRates rates;
   for (const auto& [replica, known] : rates_) {
-    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      aNow - known.learntAt_);
+    auto age = ToMilliseconds(aNow - known.learntAt_);
     rates.push_back({ replica, known.startTimeMs_, known.perSecond_, age });
   }
   return rates;
--- a/src/tanagerstall/request/tanagerstall_quarantine_table.cpp
+++ b/src/tanagerstall/request/tanagerstall_quarantine_table.cpp
@@ -77,9 +77,7 @@
   std::vector<QuarantinedCause> causes;
   for (const auto& [cause, quarantine] : quarantines_) {
     if (aNow < quarantine.until_) {
-      causes.push_back({ cause,
-                         std::chrono::duration_cast<std::chrono::milliseconds>(
-                           quarantine.until_ - aNow) });
+      causes.push_back({ cause, ToMilliseconds(quarantine.until_ - aNow) });
     }
   }
   return causes;
--- a/src/tanagerstall/request/tanagerstall_replica_rate_limits.cpp
+++ b/src/tanagerstall/request/tanagerstall_replica_rate_limits.cpp
@@ -134,10 +134,7 @@
     Duration age = aNow - known.learntAt_;
     if (known.perSecond_ || age < kEndedTime) {
       rates.push_back(
-        { replica,
-          known.startTimeMs_,
-          known.perSecond_,
-          std::chrono::duration_cast<std::chrono::milliseconds>(age) });
+        { replica, known.startTimeMs_, known.perSecond_, ToMilliseconds(age) });
     }
   }
   return rates;
--- a/src/tanagerstall/request/tanagerstall_stream_resumption.cpp
+++ b/src/tanagerstall/request/tanagerstall_stream_resumption.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::string_view kLastEventId = "Last-Event-Id";
 /// The streams that an entry remembers.
 constexpr std::size_t kMaxStreams = 1UL << 15U;
 /// The longest wait for the leader. The entry at which the stream began reports
--- a/src/tanagerstall/request/tanagerstall_usage_counter.cpp
+++ b/src/tanagerstall/request/tanagerstall_usage_counter.cpp
@@ -20,7 +20,7 @@
 void
 UsageCounter::Count(const std::string& aOrganisation)
 {
-  auto length = std::chrono::duration_cast<std::chrono::milliseconds>(window_);
+  auto length = ToMilliseconds(window_);
   ++counts_[wallClock_().time_since_epoch() / length][aOrganisation];
   while (counts_.size() > kReportedWindows) {
     counts_.erase(counts_.begin());
