Have the upstream of the key tests say that it closes

Cause, in the test: the upstream closes its connection after the answer without saying so. If the close comes a moment later than the next request, the entry sends it on the kept connection, and a request that may not be repeated gets 502, as it must. What the test checks is the same.

--- a/tests/organisation_key_tests.cpp
+++ b/tests/organisation_key_tests.cpp
@@ -69,7 +69,9 @@
                      data::make(kKeys),
                      sample)
 {
-  ScriptedUpstream upstream({ kWhole, After::Close });
+  // It says that it closes, since the second request would be lost otherwise.
+  ScriptedUpstream upstream(
+    { WithHeader(kWhole, "Connection: close\r\n"), After::Close });
   Environment environment(
     { &upstream },
     Document(1, R"(,"tenants":[{"name":"o1","apiKeys":["key-1"]}])"));
