Soak: a full disk of a process that starts gets room again

Cause, in the soak: the preloaded object reads the file of faults when a clock is read or a file synced. A process that waits in OpenWritableDisk does neither: its write fails first, and the object went on to take the disk for full.

Change: the file is read with each write too, at its interval.

--- a/tests/soak/tanagerstall_soak_preload.cpp
+++ b/tests/soak/tanagerstall_soak_preload.cpp
@@ -210,6 +210,8 @@
   ssize_t write(int aFile, const void* aBytes, size_t aSize)
   {
     static auto next = Next<ssize_t (*)(int, const void*, size_t)>("write");
+    // A process that waits for room as it starts reads no clock.
+    ReadFaults();
     if (HasNoSpace(aFile)) {
       errno = ENOSPC;
       return -1;
