One table type and one check for the answers of faulty upstreams

answer_framing_tests had its own copy of the case and of the check that forwarder_tests has. Both use FaultCase and CheckFault of the environment now; the checks are the same, and rows of answer_framing_tests that end in 503 check Retry-After too.

--- a/src/tanagerstall/process/presence/tanagerstall_replica_leaves.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_replica_leaves.hpp
@@ -5,11 +5,11 @@
 
 #include <map>
 #include <string>
-#include <vector>
+#include <utility>
 
 namespace tanagerstall {
 
-/// What replicas said that drain or have departed, as part of the replicated
+/// What replicas that drain or have departed said, as part of the replicated
 /// state: a control process that restarts rejects their delayed announcements.
 /// A deterministic state machine that reads no clock.
 class ReplicaLeaves
--- a/src/tanagerstall/process/presence/tanagerstall_version_gate.hpp
+++ b/src/tanagerstall/process/presence/tanagerstall_version_gate.hpp
@@ -7,7 +7,6 @@
 #include <map>
 #include <string>
 #include <utility>
-#include <vector>
 
 namespace tanagerstall {
 
--- a/tests/answer_framing_tests.cpp
+++ b/tests/answer_framing_tests.cpp
@@ -18,25 +18,8 @@
 
 const std::string kUnframed = Head("200 OK") + "\r\n";
 
-struct AnswerCase
-{
-  const char* name_;
-  const char* path_;
-  Script script_;
-  /// The caller's status, or kBroken, if both upstreams answer like that.
-  int status_;
-  /// The number of requests that both upstreams received in total.
-  int sends_;
-};
-
-std::ostream&
-operator<<(std::ostream& aOut, const AnswerCase& aCase)
-{
-  return aOut << aCase.path_ << " " << aCase.name_;
-}
-
 /// The upstreams read the head of a long upload only.
-const std::vector<AnswerCase> kDuringUpload{
+const std::vector<FaultCase> kDuringUpload{
   { "unframed and reset",
     "/safe/x",
     { kUnframed + "hello", After::Reset },
@@ -72,17 +55,6 @@
   { "refused and reset", "/once/x", { kNotRun, After::Reset }, 503, 2 },
 };
 
-void
-CheckAnswer(const AnswerCase& aCase, const std::string& aBody)
-{
-  ScriptedUpstream one(aCase.script_);
-  ScriptedUpstream other(aCase.script_);
-  Environment environment({ &one, &other });
-  auto answer = environment.Fetch(aCase.path_, "", "", {}, aBody);
-  BOOST_TEST((answer ? answer->status_ : kBroken) == aCase.status_);
-  BOOST_TEST(one.Requests() + other.Requests() == aCase.sends_);
-}
-
 } // namespace
 
 // Guards against a reset that the send of the request gets, so that the part of
@@ -90,12 +62,12 @@
 BOOST_DATA_TEST_CASE(A_reset_during_an_upload_ends_no_answer,
                      data::make(kDuringUpload))
 {
-  CheckAnswer(sample, std::string(kUploadBytes, 'x'));
+  CheckFault(sample, std::string(kUploadBytes, 'x'));
 }
 
 namespace {
 
-AnswerCase
+FaultCase
 WithStatus(const char* aStatus)
 {
   return { aStatus,
@@ -105,7 +77,7 @@
            2 };
 }
 
-AnswerCase
+FaultCase
 WithField(const char* aName, const std::string& aField)
 {
   return { aName,
@@ -115,7 +87,7 @@
            2 };
 }
 
-AnswerCase
+FaultCase
 WithCoding(const char* aCoding)
 {
   return { aCoding,
@@ -129,7 +101,7 @@
 
 /// The upstreams keep the connection open where the entry has to notice by
 /// itself.
-const std::vector<AnswerCase> kInvalidHeads{
+const std::vector<FaultCase> kInvalidHeads{
   WithStatus("000 Trouble"),
   WithStatus("099 Trouble"),
   WithStatus("600 Trouble"),
@@ -156,7 +128,7 @@
 BOOST_DATA_TEST_CASE(An_invalid_head_is_refused_at_once,
                      data::make(kInvalidHeads))
 {
-  CheckAnswer(sample, "");
+  CheckFault(sample);
 }
 
 namespace {
--- a/tests/forwarder_tests.cpp
+++ b/tests/forwarder_tests.cpp
@@ -14,23 +14,6 @@
 
 namespace {
 
-struct FaultCase
-{
-  const char* name_;
-  const char* path_;
-  Script script_;
-  /// The caller's status, or kBroken, if both upstreams have the fault.
-  int status_;
-  /// The number of requests that both upstreams received in total.
-  int sends_;
-};
-
-std::ostream&
-operator<<(std::ostream& aOut, const FaultCase& aCase)
-{
-  return aOut << aCase.path_ << " " << aCase.name_;
-}
-
 const std::vector<FaultCase> kFaults{
   { "whole", "/safe/x", { kWhole, After::Keep }, 200, 1 },
   { "half", "/safe/x", { kHalf, After::Close }, 502, 2 },
@@ -320,15 +303,7 @@
 BOOST_DATA_TEST_CASE(A_faulty_upstream_never_causes_a_false_answer,
                      data::make(kFaults))
 {
-  ScriptedUpstream one(sample.script_);
-  ScriptedUpstream other(sample.script_);
-  Environment environment({ &one, &other });
-  auto answer = environment.Fetch(sample.path_);
-  BOOST_TEST((answer ? answer->status_ : kBroken) == sample.status_);
-  BOOST_TEST(one.Requests() + other.Requests() == sample.sends_);
-  if (answer && answer->status_ == 503) {
-    BOOST_TEST(!answer->Header("Retry-After").empty());
-  }
+  CheckFault(sample);
 }
 
 BOOST_AUTO_TEST_CASE(A_stream_resumes_after_its_last_whole_event)
--- a/tests/tanagerstall_forwarder_environment.hpp
+++ b/tests/tanagerstall_forwarder_environment.hpp
@@ -394,6 +394,40 @@
   return aResponse.insert(aResponse.find("\r\n\r\n") + 2, aHeader);
 }
 
+/// A fault that both upstreams have.
+struct FaultCase
+{
+  const char* name_;
+  const char* path_;
+  Script script_;
+  /// The caller's status, or kBroken.
+  int status_;
+  /// The number of requests that both upstreams received in total.
+  int sends_;
+};
+
+inline std::ostream&
+operator<<(std::ostream& aOut, const FaultCase& aCase)
+{
+  return aOut << aCase.path_ << " " << aCase.name_;
+}
+
+/// Checks what a caller gets for a request with this body, and how often it is
+/// sent.
+inline void
+CheckFault(const FaultCase& aCase, const std::string& aBody = "")
+{
+  ScriptedUpstream one(aCase.script_);
+  ScriptedUpstream other(aCase.script_);
+  Environment environment({ &one, &other });
+  auto answer = environment.Fetch(aCase.path_, "", "", {}, aBody);
+  BOOST_TEST((answer ? answer->status_ : kBroken) == aCase.status_);
+  BOOST_TEST(one.Requests() + other.Requests() == aCase.sends_);
+  if (answer && answer->status_ == 503) {
+    BOOST_TEST(!answer->Header("Retry-After").empty());
+  }
+}
+
 } // namespace tanagerstall
 
 #endif
