--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -1,6 +1,5 @@
-// A replica has said that it drains, and that is acknowledged. Then a heartbeat
-// of another writer comes for the same id, with fields missing. Is the replica
-// used again?
+// The operator's first configuration has version 0. It is acknowledged. Does it
+// come back, and is it in force?
 #include "stand.hpp"
 
 using namespace review;
@@ -8,40 +7,23 @@
 int
 main(int, char** aArguments)
 {
-  constexpr int kDrainMs = 3000;
-  constexpr int kWorkMs = 150;
+  // More than contactWindowMs (4 s), recoveryS (12 s) and the 10 s between the
+  // start of the machines and that of the traffic.
+  constexpr int kReadForS = 30;
   Record record(aArguments[1]);
   bool hasTrouble = HasTrouble();
+  int version = hasTrouble ? 0 : 1;
   record.Line(hasTrouble ? "with the disruption" : "without the disruption");
-  std::mutex mutex;
-  std::optional<Clock::time_point> acknowledgedAt;
-  int lateRuns = 0;
+  std::atomic<int> runs{ 0 };
   Deployment deployment(record, 1);
-  auto work = [&](const std::string& aReplica) {
-    return [&, aReplica](const Message& aIt) {
-      std::string id = aIt.Field("tanagerstall-request-id");
-      {
-        std::scoped_lock lock(mutex);
-        record.Line(aReplica + " runs " + id);
-        auto now = Clock::now();
-        if (aReplica == "i-1" && acknowledgedAt &&
-            now - *acknowledgedAt > Ms(kDrainMs)) {
-          auto late =
-            std::chrono::duration_cast<Ms>(now - *acknowledgedAt).count();
-          record.Line("DRAIN: " + id + " reached i-1 " + std::to_string(late) +
-                      " ms after the acknowledgement");
-          ++lateRuns;
-        }
-      }
-      SleepMs(kWorkMs);
-      return Answer(aIt, 200, "OK", "done");
-    };
-  };
-  Replica first("i-1", deployment.ReplicaHost(1), work("i-1"));
-  Replica second("i-2", deployment.ReplicaHost(2), work("i-2"));
-  deployment.Configure(Configuration());
-  auto firstBeats = deployment.Announce(first, "app");
-  deployment.Announce(second, "app");
+  Replica replica("i-1", deployment.ReplicaHost(1), [&](const Message& aIt) {
+    ++runs;
+    return Answer(aIt, 200, "OK", "done");
+  });
+  const std::string document = Configuration(version);
+  record.Line("the operator sends " + OneLine(document));
+  deployment.Configure(document);
+  deployment.Announce(replica, "app");
 
   auto send = [&](const std::string& aId) {
     auto connection =
@@ -55,70 +37,37 @@
                       "\r\nTanagerstall-Time-Remaining: 4000\r\n"
                       "Content-Length: 4\r\n\r\nfile");
     auto answer = ReadMessage(*connection, 5000);
-    int status = answer ? answer->Status() : 0;
-    record.Line("client gets " + std::to_string(status) + " for " + aId);
-    return status;
+    return answer ? answer->Status() : 0;
   };
-  deployment.AwaitService([&] { return send("first") == 200; });
-  SleepMs(2500);
 
-  // Clients that each send one request after the other.
-  std::atomic<bool> isOver{ false };
-  std::atomic<int> unknown{ 0 };
-  std::vector<std::thread> clients;
-  for (int client = 1; client <= 16; ++client) {
-    clients.emplace_back([&, client] {
-      for (int i = 1; !isOver; ++i) {
-        std::string id =
-          "filing-" + std::to_string(client) + "-" + std::to_string(i);
-        int status = send(id);
-        unknown += status == 502 || status == 504 || status == 0 ? 1 : 0;
-        SleepMs(50);
-      }
-    });
-  }
-  SleepMs(1000);
-  firstBeats->isDraining_ = true;
-  if (!deployment.AwaitAcknowledgement(*firstBeats)) {
-    deployment.Fail("the replica's draining is not acknowledged");
-  }
-  {
-    std::scoped_lock lock(mutex);
-    acknowledgedAt = Clock::now();
-    record.Line("draining of i-1 is acknowledged");
-  }
-  SleepMs(500);
-  // Without zone, version, slots and coldRemainingMs. The time of start and the
-  // sequence are the writer's own.
-  auto born = std::chrono::duration_cast<Ms>(
-                std::chrono::system_clock::now().time_since_epoch())
-                .count();
-  for (int sequence = 1; sequence <= 3; ++sequence) {
-    std::string body = R"({"service":"app","address":")" + first.Address() +
-                       R"(","state":"ready","sequence":)" +
-                       std::to_string(sequence) + R"(,"born":)" +
-                       std::to_string(born) + "}";
-    if (hasTrouble) {
-      int status =
-        deployment.CallControl(2, "PUT /tanagerstall/instances/i-1", body);
-      record.Line("another writer's heartbeat for i-1: " + body + " -> " +
-                  std::to_string(status));
+  // As the operator reads it back at the end of a day: again and again, at any
+  // node.
+  auto begin = Clock::now();
+  bool isBack = false;
+  int reads = 0;
+  for (; !isBack && Clock::now() - begin < std::chrono::seconds(kReadForS);
+       ++reads) {
+    auto node = static_cast<std::size_t>(reads % 3);
+    auto answer =
+      deployment.AskControl(node, "GET /tanagerstall/configuration", "");
+    isBack = answer && answer->Status() == 200 && answer->body_ == document;
+    if (isBack || reads % 20 == 0) {
+      record.Line("core-" + std::to_string(node) + " answers a read with " +
+                  (answer ? std::to_string(answer->Status()) + " " +
+                              OneLine(answer->body_, 100)
+                          : std::string("nothing")));
     }
-    SleepMs(1200);
+    SleepMs(250);
   }
-  // The replica serves for drainMs and a little longer.
-  SleepMs(900);
-  record.Line("i-1 exits");
-  first.Exit();
-  SleepMs(700);
-  isOver = true;
-  for (auto& client : clients) {
-    client.join();
+  SleepMs(3500);
+  int status = send("filing-1");
+  record.Line("a client gets " + std::to_string(status) + " for filing-1, " +
+              std::to_string(runs.load()) + " runs");
+  if (!isBack) {
+    record.Line("CONFIG: acknowledged, and it didn't come in " +
+                std::to_string(reads) + " reads");
   }
-  std::scoped_lock lock(mutex);
-  record.Line(std::to_string(lateRuns) + " requests reached i-1 too late, " +
-              std::to_string(unknown) +
-              " unsafe requests ended with an unknown outcome");
-  record.Line(lateRuns > 0 ? "broken" : "held");
-  deployment.End(lateRuns > 0 ? kBroken : kHeld);
+  bool isBroken = !isBack;
+  record.Line(isBroken ? "broken" : "held");
+  deployment.End(isBroken ? kBroken : kHeld);
 }
--- a/review/harness-3/stand.hpp
+++ b/review/harness-3/stand.hpp
@@ -495,12 +495,20 @@
     return aBeats.isDrainingAcknowledged_;
   }
 
+  /// Calls a control process; nothing without an answer.
+  std::optional<Message> AskControl(std::size_t aNumber,
+                                    const std::string& aCall,
+                                    const std::string& aBody)
+  {
+    return Call(control_.at(aNumber), kControlPort, aCall, aBody);
+  }
+
   /// Returns the status of a call to a control process; 0 without an answer.
   int CallControl(std::size_t aNumber,
                   const std::string& aCall,
                   const std::string& aBody)
   {
-    auto answer = Call(control_.at(aNumber), kControlPort, aCall, aBody);
+    auto answer = AskControl(aNumber, aCall, aBody);
     return answer ? answer->Status() : 0;
   }
 
@@ -705,7 +713,7 @@
 
 /// A configuration with a route of each kind to the service "app".
 inline std::string
-Configuration()
+Configuration(int aVersion = 1)
 {
   auto route = [](const std::string& aName, const std::string& aMore) {
     return R"({"name":"r-)" + aName +
@@ -714,7 +722,7 @@
            R"("service":"app","attempts":2,"anonymous":false,)" +
            aMore + "}";
   };
-  return R"({"version":1,"routes":[)" +
+  return R"({"version":)" + std::to_string(aVersion) + R"(,"routes":[)" +
          route("unsafe",
                R"("kind":"unsafe","sessionAffinity":false,"resumable":false)") +
          "," +
