--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -82,6 +82,25 @@
 
 } // namespace
 
+bool
+AttemptResult::MayHaveRun() const
+{
+  switch (outcome_) {
+    case AttemptOutcome::Answered:
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::Broken:
+      return true;
+    case AttemptOutcome::Abandoned:
+      return isSent_;
+    case AttemptOutcome::Refused:
+    case AttemptOutcome::Misdirected:
+    case AttemptOutcome::Unreachable:
+    case AttemptOutcome::Withdrawn:
+      return false;
+  }
+  return true;
+}
+
 ForwardAttempt::ForwardAttempt(ForwardResources aResources,
                                HttpExchange& aExchange,
                                ForwardedRequest& aRequest,
@@ -283,8 +302,9 @@
   }
 }
 
-/// Relays a response to the caller unless its head shows that the request has
-/// not run or that the response can't be trusted.
+/// Relays a response to the caller unless its head states that the request has
+/// not run or shows that the response can't be trusted. Without that statement
+/// the replica may have run the request, whatever its status.
 AttemptResult
 ForwardAttempt::HandleResponse(HttpResponse aHead, bool aReturnsFailures)
 {
@@ -346,10 +366,17 @@
     // resume it did not return a stream.
     result.outcome_ = AttemptOutcome::Broken;
     result.detail_ = "status " + std::to_string(aHead.status_);
+    return result;
+  }
+  std::string status = std::to_string(aHead.status_);
+  auto response = MakeCallerResponse(std::move(aHead), *request_.route_);
+  if (!response) {
+    result.detail_ = "status " + status + " after the request may have run";
   } else if (aReturnsFailures && result.isServerError_) {
-    result.failure_ = MakeCallerResponse(std::move(aHead));
+    result.failure_ = std::move(response);
   } else {
-    exchange_.Respond(MakeCallerResponse(std::move(aHead)));
+    exchange_.Respond(*response);
+    result.isRelayed_ = true;
   }
   return result;
 }
@@ -360,7 +387,7 @@
   request_.streamVersion_ = replicaVersion_;
   hooks_.onFirstPart_();
   request_.streamType_ = aHead.Header("Content-Type");
-  exchange_.StartStream(MakeCallerResponse(aHead));
+  exchange_.StartStream(MakeCallerResponse(aHead, *request_.route_).value());
 }
 
 /// Relays the complete events among the bytes. Returns false if the caller has
@@ -438,6 +465,7 @@
   AttemptResult result;
   result.outcome_ = AttemptOutcome::Answered;
   result.isSent_ = true;
+  result.isRelayed_ = true;
   result.isSuccess_ = true;
   return result;
 }
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.hpp
@@ -22,6 +22,8 @@
   bool hasHead_ = false;
   /// When the first event of a stream arrived.
   std::optional<TimePoint> begunAt_;
+  /// Whether the caller has received a whole response.
+  bool isRelayed_ = false;
   /// Whether a 2xx response arrived whole.
   bool isSuccess_ = false;
   /// Whether the connection was lost after the request was sent.
@@ -35,6 +37,9 @@
   std::optional<HttpResponse> failure_;
   /// A description of the failure for the log.
   std::string detail_;
+
+  /// Whether the replica may have run the request, or may still do so.
+  bool MayHaveRun() const;
 };
 
 /// What all attempts of an entry share.
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.cpp
@@ -69,6 +69,15 @@
   }
 }
 
+/// Whether a status tells a caller that its request has not run and never will.
+bool
+PromisesNotRun(int aStatus)
+{
+  constexpr std::array kPromises{ 408, 421, 429, 503 };
+  return std::find(kPromises.begin(), kPromises.end(), aStatus) !=
+         kPromises.end();
+}
+
 bool
 ContainsName(const std::vector<std::string>& aNames, std::string_view aName)
 {
@@ -174,9 +183,14 @@
   return request;
 }
 
-HttpResponse
-MakeCallerResponse(HttpResponse aFrom)
+std::optional<HttpResponse>
+MakeCallerResponse(HttpResponse aFrom, const Route& aRoute)
 {
+  // A caller sends a request again after a promise. That is harmless only if
+  // the request may run twice.
+  if (PromisesNotRun(aFrom.status_) && !aRoute.IsIdempotent()) {
+    return std::nullopt;
+  }
   HttpResponse response;
   response.status_ = aFrom.status_;
   response.body_ = std::move(aFrom.body_);
--- a/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarded_request.hpp
@@ -9,6 +9,7 @@
 #include "tanagerstall/version/tanagerstall_traffic_plan.hpp"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -123,9 +124,11 @@
                     const CallerProtocol& aProtocol,
                     TimePoint aNow);
 
-/// Copies a replica's response for the caller, without hop-by-hop fields.
-HttpResponse
-MakeCallerResponse(HttpResponse aFrom);
+/// Copies a response of a replica that may have run the request, for the caller
+/// and without hop-by-hop fields. Returns nullopt if its status would promise
+/// the caller of a non-idempotent request that it has not run.
+std::optional<HttpResponse>
+MakeCallerResponse(HttpResponse aFrom, const Route& aRoute);
 
 } // namespace tanagerstall
 
--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -478,10 +478,11 @@
     recorder_.RecordAttempt(aRequest, *replica, last, startedAt);
     recorder_.RecordEvidence(aRequest, *replica, last, isSuccessCounted);
     aRequest.lastReplica_ = replica->id_;
+    aRequest.runs_ += last.MayHaveRun() ? 1 : 0;
     if (last.outcome_ == AttemptOutcome::Abandoned) {
       break;
     }
-    if (last.outcome_ == AttemptOutcome::Answered && !last.failure_) {
+    if (last.isRelayed_) {
       recorder_.RecordAnswerLatency(aRequest);
       LogAnswered(aRequest, *replica, aExchange.Status(), clock_.Now());
       return;
@@ -491,13 +492,10 @@
     if (last.failure_) {
       failure = std::move(last.failure_);
     }
-    bool mayHaveRun = last.outcome_ == AttemptOutcome::Broken ||
-                      last.outcome_ == AttemptOutcome::Answered;
-    aRequest.runs_ += mayHaveRun ? 1 : 0;
-    LogAttemptFailed(aRequest, last, mayHaveRun);
+    LogAttemptFailed(aRequest, last);
     bool isSuspected =
       last.isConnectionLost_ && quarantine_.IsSuspected(causes);
-    if (mayHaveRun && (!mayRunAgain || isSuspected)) {
+    if (last.MayHaveRun() && (!mayRunAgain || isSuspected)) {
       break;
     }
     canRetry = TakeRetry(aRequest, last.isSent_);
@@ -528,10 +526,7 @@
     aExchange.Respond(*aFailure);
     return;
   }
-  bool mayHaveRun =
-    aRequest.runs_ > 0 ||
-    (aLast.outcome_ == AttemptOutcome::Abandoned && aLast.isSent_);
-  if (!mayHaveRun) {
+  if (aRequest.runs_ == 0) {
     auto refusal = CheckQuarantine(aRequest);
     if (!refusal && hasEndedRequests_) {
       refusal = Refuse(aRequest, kStopping);
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -80,16 +80,14 @@
 }
 
 void
-LogAttemptFailed(const ForwardedRequest& aRequest,
-                 const AttemptResult& aResult,
-                 bool aMayHaveRun)
+LogAttemptFailed(const ForwardedRequest& aRequest, const AttemptResult& aResult)
 {
   LogEvent(Severity::Info,
            "attempt failed",
            { { "request", aRequest.id_ },
              { "replica", aRequest.lastReplica_ },
              { "sent", aResult.isSent_ },
-             { "may_have_run", aMayHaveRun },
+             { "may_have_run", aResult.MayHaveRun() },
              { "answer_begun", aResult.hasHead_ },
              { "prompt_parts", PromptPartsOf(aRequest) },
              { "fingerprint", ToHex(aRequest.fingerprint_) },
--- a/src/tanagerstall/request/tanagerstall_request_log.hpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.hpp
@@ -30,8 +30,7 @@
 /// Logs that an attempt at one replica failed.
 void
 LogAttemptFailed(const ForwardedRequest& aRequest,
-                 const AttemptResult& aResult,
-                 bool aMayHaveRun);
+                 const AttemptResult& aResult);
 
 /// Logs that requests with a prompt part, or one request, are refused from now
 /// on.
