--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -113,6 +113,75 @@
   }
 }
 
+namespace {
+
+/// A declaration's number as it is written, and as it is read; nullopt if the
+/// declaration is refused.
+struct WrittenNumber
+{
+  const char* text_;
+  std::optional<std::uint64_t> number_;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const WrittenNumber& aCase)
+{
+  return aOut << aCase.text_;
+}
+
+const std::vector<WrittenNumber> kWrittenNumbers{
+  { "0", 0 },
+  { "-0", 0 },
+  { "7", 7 },
+  { "1.0", 1 },
+  { "1e2", 100 },
+  { "9007199254740992", 9007199254740992U },
+  { "9007199254740993", 9007199254740993U },
+  { "9223372036854775808", 9223372036854775808U },
+  { "18446744073709551615", 18446744073709551615U },
+  { "18446744073709551616", std::nullopt },
+  { "1000000000000000.0", 1000000000000000U },
+  { "9007199254740991.0", std::nullopt },
+  { "9007199254740993.0", std::nullopt },
+  { "1e17", std::nullopt },
+  { "-1", std::nullopt },
+  { "1.5", std::nullopt },
+  { R"("7")", std::nullopt },
+  { "null", std::nullopt },
+  { "true", std::nullopt },
+  { "[7]", std::nullopt },
+};
+
+} // namespace
+
+// Guards against a number that is rounded, so that a declaration takes the
+// place of another one.
+BOOST_DATA_TEST_CASE(A_declaration_number_is_read_exactly_or_refused,
+                     data::make(kWrittenNumbers))
+{
+  auto plan = DecodePlan(With(kValid, "7", sample.text_));
+  BOOST_TEST(plan.has_value() == sample.number_.has_value());
+  if (plan) {
+    BOOST_TEST(plan->number_ == *sample.number_);
+  } else {
+    BOOST_TEST(plan.error().message_.find("\"version\"") != std::string::npos);
+  }
+}
+
+// Guards against a sequence or start time that is rounded to that of another
+// announcement.
+BOOST_AUTO_TEST_CASE(A_sequence_above_the_exact_numbers_is_refused)
+{
+  auto announce = [](const std::string& aSequence) {
+    return DecodeAnnouncement(
+      "i",
+      R"({"service":"s","address":"10.0.0.1:80","state":"ready","sequence":)" +
+        aSequence + "}");
+  };
+  BOOST_TEST(announce("9007199254740992").has_value());
+  BOOST_TEST(!announce("9007199254740993").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(The_longest_matching_path_prefix_selects_the_route)
 {
   auto plan =
