--- a/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_client.cpp
@@ -85,7 +85,7 @@
     EntryReport report = hooks_.report_(aAddress, isToLeader, aIsBrief);
     report.isBrief_ = aIsBrief;
     report.isToLeader_ = isToLeader;
-    bool lacksDeclaration = report.newestDeclaration_ > report.entry_.revision_;
+    bool lacksDeclaration = report.newestDeclaration_ > report.inForce_;
     report.wait_ =
       lacksDeclaration ? std::min(aWait, kMaxDeclarationWait) : aWait;
     WriteReport(request.initRequest(), report);
--- a/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_codec.cpp
@@ -232,6 +232,14 @@
   return all;
 }
 
+/// Reads the number of the declaration that a change is one of. It has no flag
+/// of its own, so that one with number 0 is always sent whole.
+DeclarationNumber
+ReadBase(std::uint64_t aNumber)
+{
+  return ReadNumber(aNumber, false);
+}
+
 } // namespace
 
 EncodedReplicas::EncodedReplicas(const std::vector<Replica>& aReplicas)
@@ -251,16 +259,19 @@
 WriteReport(wire::SyncRequest::Builder aTo, const EntryReport& aFrom)
 {
   WriteWire(aTo.initEntry(), aFrom.entry_);
+  aTo.getEntry().setRevision(aFrom.inForce_.value_or(0));
+  aTo.setHasRevision(aFrom.inForce_.has_value());
   aTo.setControlRun(aFrom.controlRun_);
   aTo.setStamp(aFrom.stamp_);
   aTo.setWaitMs(static_cast<std::uint32_t>(aFrom.wait_.count()));
-  aTo.setHeard(aFrom.newestDeclaration_);
+  aTo.setHeard(aFrom.newestDeclaration_.value_or(0));
+  aTo.setHasHeard(aFrom.newestDeclaration_.has_value());
   aTo.setWantsDocument(aFrom.wantsDeclaration_);
   aTo.setRequestRate(aFrom.requestRate_);
   aTo.setToLeader(aFrom.isToLeader_);
   aTo.setBrief(aFrom.isBrief_);
   aTo.setReadsCompressed(aFrom.canRestore_.readsCompressed_);
-  aTo.setBase(aFrom.canRestore_.base_);
+  aTo.setBase(aFrom.canRestore_.base_.value_or(0));
   aTo.setPromptRevision(aFrom.promptRevision_);
   if (aFrom.crashReport_) {
     WriteCrashes(aTo, *aFrom.crashReport_);
@@ -316,15 +327,18 @@
 {
   EntryReport report;
   report.entry_ = ReadWire(aFrom.getEntry());
+  report.inForce_ =
+    ReadNumber(aFrom.getEntry().getRevision(), aFrom.getHasRevision());
   report.controlRun_ = aFrom.getControlRun();
   report.stamp_ = aFrom.getStamp();
   report.wait_ = std::chrono::milliseconds(aFrom.getWaitMs());
-  report.newestDeclaration_ = aFrom.getHeard();
+  report.newestDeclaration_ = ReadNumber(aFrom.getHeard(), aFrom.getHasHeard());
   report.wantsDeclaration_ = aFrom.getWantsDocument();
   report.requestRate_ = aFrom.getRequestRate();
   report.isToLeader_ = aFrom.getToLeader();
   report.isBrief_ = aFrom.getBrief();
-  report.canRestore_ = { aFrom.getReadsCompressed(), aFrom.getBase() };
+  report.canRestore_ = { aFrom.getReadsCompressed(),
+                         ReadBase(aFrom.getBase()) };
   report.promptRevision_ = aFrom.getPromptRevision();
   if (aFrom.hasPromptEvidence()) {
     report.crashReport_ = ReadCrashes(aFrom);
@@ -367,11 +381,12 @@
   aTo.setStamp(aFrom.replicas_.stamp_);
   WriteReplicas(aTo, aFrom.replicas_);
   aTo.setRegion(ToText(aFrom.region_));
-  aTo.setPlanNumber(aFrom.planNumber_);
+  aTo.setPlanNumber(aFrom.planNumber_.value_or(0));
+  aTo.setHasPlanNumber(aFrom.planNumber_.has_value());
   if (aFrom.declaration_) {
     aTo.setDocument(ToData(aFrom.declaration_->payload_));
     aTo.setEncoding(WriteEncoding(aFrom.declaration_->encoding_));
-    aTo.setBase(aFrom.declaration_->base_);
+    aTo.setBase(aFrom.declaration_->base_.value_or(0));
   }
   auto members = aTo.initMembers(aFrom.members_.size());
   for (unsigned i = 0; i < aFrom.members_.size(); ++i) {
@@ -395,6 +410,7 @@
   aTo.setLeads(aFrom.isLeader_);
   aTo.setReadsCompressed(aFrom.readsCompressed_);
   aTo.setAppliesRollouts(aFrom.appliesRollouts_);
+  aTo.setAppliesNumberZero(aFrom.appliesNumberZero_);
   if (aFrom.namedRates_) {
     WriteRates(aTo.initNamedRates(aFrom.namedRates_->size()),
                *aFrom.namedRates_);
@@ -433,11 +449,12 @@
                                 ? UnpackReplicas(aFrom.getPackedReplicas())
                                 : ReadReplicas(aFrom.getReplicas());
   answer.region_ = ToString(aFrom.getRegion());
-  answer.planNumber_ = aFrom.getPlanNumber();
+  answer.planNumber_ =
+    ReadNumber(aFrom.getPlanNumber(), aFrom.getHasPlanNumber());
   if (aFrom.getDocument().size() > 0) {
     answer.declaration_ = { aFrom.getPlanNumber(),
                             ReadEncoding(aFrom.getEncoding()),
-                            aFrom.getBase(),
+                            ReadBase(aFrom.getBase()),
                             ToBytes(aFrom.getDocument()) };
   }
   for (auto member : aFrom.getMembers()) {
@@ -455,6 +472,7 @@
   answer.isLeader_ = aFrom.getLeads();
   answer.readsCompressed_ = aFrom.getReadsCompressed();
   answer.appliesRollouts_ = aFrom.getAppliesRollouts();
+  answer.appliesNumberZero_ = aFrom.getAppliesNumberZero();
   if (aFrom.hasNamedRates()) {
     answer.namedRates_ = ReadRates(aFrom.getNamedRates());
   }
--- a/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
+++ b/src/tanagerstall/connection/tanagerstall_fleet_messages.hpp
@@ -82,9 +82,11 @@
 {
   /// When the report was made, by the entry's clock; not transmitted.
   TimePoint madeAt_;
-  /// `revision_` is the number of the declaration in force at the entry;
-  /// `weight_` is 0 while callers must not be routed to it.
+  /// `weight_` is 0 while callers must not be routed to the entry; `revision_`
+  /// is not used.
   EntryInfo entry_;
+  /// The number of the declaration in force at the entry.
+  DeclarationNumber inForce_;
   /// The run of this control process, and the position in its changes, up to
   /// which the entry knows its replicas.
   std::uint64_t controlRun_ = 0;
@@ -103,7 +105,7 @@
   /// Requests per second from callers; refused ones count for a part.
   double requestRate_ = 0.0;
   /// The number of the newest declaration that the entry knows to exist.
-  std::uint64_t newestDeclaration_ = 0;
+  DeclarationNumber newestDeclaration_;
   /// Whether the answer should include the declaration, if it is newer than
   /// the entry's.
   bool wantsDeclaration_ = false;
@@ -144,7 +146,7 @@
   /// The control process's region.
   std::string region_;
   /// The number of the control process's current declaration.
-  std::uint64_t planNumber_ = 0;
+  DeclarationNumber planNumber_;
   /// Set if the entry requested the declaration and has an older one.
   std::optional<DeclarationTransfer> declaration_;
   /// Addresses at which entries reach the members of the cluster.
@@ -165,6 +167,8 @@
   bool readsCompressed_ = false;
   /// Whether it applies the commands of roll-outs.
   bool appliesRollouts_ = false;
+  /// Whether it applies a declaration with number 0.
+  bool appliesNumberZero_ = false;
   /// The leader's verdicts, if the entry doesn't have them.
   std::optional<CrashVerdicts> crashVerdicts_;
   /// The rate limits of replicas that the leader knows, if the entry doesn't
--- a/src/tanagerstall/internal/fleet.capnp
+++ b/src/tanagerstall/internal/fleet.capnp
@@ -28,6 +28,8 @@
       number @0 :UInt64;
       document @1 :Data;
       encoding @3 :DocumentEncoding;
+      hasNumber @11 :Bool;
+      # Set for any number. Earlier builds leave it unset and pass over 0.
     }
     usage @2 :UsageWindow;
     startRollout @4 :Rollout;
@@ -70,6 +72,9 @@
   lastRolloutId @4 :UInt64;
   leaves @5 :List(RecordedLeave);
   versionStarts @6 :List(VersionStart);
+  hasNumber @7 :Bool;
+  # Whether number is that of a declaration. Earlier builds leave it unset; a
+  # number other than 0 always is.
 }
 
 struct ReplicaFact {
@@ -244,7 +249,8 @@
   # Whether the entry takes the receiver for the leader.
   readsCompressed @11 :Bool;
   base @12 :UInt64;
-  # The number of the declaration of which the answer may send a change.
+  # The number of the declaration of which the answer may send a change; 0 for
+  # none. One with number 0 is sent whole.
   promptEvidence @13 :PromptEvidence;
   # Sent to the leader.
   promptRevision @14 :UInt64;
@@ -271,6 +277,10 @@
   # Confirms all streams up to these.
   wantedStreams @25 :List(StreamGroup);
   # Sent to the leader: streams that callers resume at the entry.
+  hasRevision @26 :Bool;
+  # Whether the entry's revision is the number of a declaration. Earlier builds
+  # leave this and the next unset; a number other than 0 always is.
+  hasHeard @27 :Bool;
 }
 
 struct CostGrant {
@@ -326,6 +336,11 @@
   # The position in the request.
   foundStreams @26 :List(StreamGroup);
   # The wanted streams of which the sender knows what began them.
+  hasPlanNumber @27 :Bool;
+  # Whether planNumber is that of a declaration. Earlier builds leave it unset; a
+  # number other than 0 always is.
+  appliesNumberZero @28 :Bool;
+  # Whether the sender applies a declaration with number 0.
 }
 
 interface FleetPort {
--- a/src/tanagerstall/internal/fleet.capnp.h
+++ b/src/tanagerstall/internal/fleet.capnp.h
@@ -211,7 +211,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e46d487850c4f971, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(e46d487850c4f971, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -867,6 +867,8 @@
 
   inline  ::tanagerstall::wire::DocumentEncoding getEncoding() const;
 
+  inline bool getHasNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -908,6 +910,9 @@
   inline  ::tanagerstall::wire::DocumentEncoding getEncoding();
   inline void setEncoding( ::tanagerstall::wire::DocumentEncoding value);
 
+  inline bool getHasNumber();
+  inline void setHasNumber(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1325,6 +1330,8 @@
   inline bool hasVersionStarts() const;
   inline  ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>::Reader getVersionStarts() const;
 
+  inline bool getHasNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1394,6 +1401,9 @@
   inline void adoptVersionStarts(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::VersionStart,  ::capnp::Kind::STRUCT>> disownVersionStarts();
 
+  inline bool getHasNumber();
+  inline void setHasNumber(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3100,6 +3110,10 @@
   inline bool hasWantedStreams() const;
   inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader getWantedStreams() const;
 
+  inline bool getHasRevision() const;
+
+  inline bool getHasHeard() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3250,6 +3264,12 @@
   inline void adoptWantedStreams(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>> disownWantedStreams();
 
+  inline bool getHasRevision();
+  inline void setHasRevision(bool value);
+
+  inline bool getHasHeard();
+  inline void setHasHeard(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3448,6 +3468,10 @@
   inline bool hasFoundStreams() const;
   inline  ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>::Reader getFoundStreams() const;
 
+  inline bool getHasPlanNumber() const;
+
+  inline bool getAppliesNumberZero() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3611,6 +3635,12 @@
   inline void adoptFoundStreams(::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tanagerstall::wire::StreamGroup,  ::capnp::Kind::STRUCT>> disownFoundStreams();
 
+  inline bool getHasPlanNumber();
+  inline void setHasPlanNumber(bool value);
+
+  inline bool getAppliesNumberZero();
+  inline void setAppliesNumberZero(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3983,6 +4013,7 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetCommand::DECLARE);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename FleetCommand::Declare::Builder(_builder);
 }
@@ -4257,6 +4288,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetCommand::Declare::Reader::getHasNumber() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetCommand::Declare::Builder::getHasNumber() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void FleetCommand::Declare::Builder::setHasNumber(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FleetCommand::EndRollout::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4680,6 +4725,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool FleetSnapshot::Reader::getHasNumber() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetSnapshot::Builder::getHasNumber() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void FleetSnapshot::Builder::setHasNumber(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ReplicaFact::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6936,6 +6995,34 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline bool SyncRequest::Reader::getHasRevision() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<165>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncRequest::Builder::getHasRevision() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<165>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setHasRevision(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<165>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncRequest::Reader::getHasHeard() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<166>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncRequest::Builder::getHasHeard() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<166>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setHasHeard(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<166>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CostGrant::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7635,6 +7722,34 @@
       ::capnp::bounded<12>() * ::capnp::POINTERS));
 }
 
+inline bool SyncReply::Reader::getHasPlanNumber() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<229>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncReply::Builder::getHasPlanNumber() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<229>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setHasPlanNumber(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<229>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncReply::Reader::getAppliesNumberZero() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<230>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncReply::Builder::getAppliesNumberZero() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<230>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setAppliesNumberZero(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<230>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline FleetPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/tanagerstall/internal/tanagerstall_fleet_wire.hpp
+++ b/src/tanagerstall/internal/tanagerstall_fleet_wire.hpp
@@ -11,6 +11,14 @@
 
 namespace tanagerstall {
 
+/// Reads the number of a declaration. Builds that took 0 for none don't say
+/// whether there is one.
+inline DeclarationNumber
+ReadNumber(std::uint64_t aNumber, bool aHasNumber)
+{
+  return aHasNumber || aNumber != 0 ? DeclarationNumber(aNumber) : std::nullopt;
+}
+
 inline wire::DocumentEncoding
 WriteEncoding(DocumentEncoding aEncoding)
 {
--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -15,6 +15,7 @@
 #include "tanagerstall/process/presence/tanagerstall_version_gate.hpp"
 #include "tanagerstall/process/tanagerstall_admission_levels.hpp"
 #include "tanagerstall/process/tanagerstall_configuration_calls.hpp"
+#include "tanagerstall/process/tanagerstall_declaration_calls.hpp"
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
 #include "tanagerstall/process/tanagerstall_leader_tasks.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
@@ -124,8 +125,10 @@
           [this](const std::string& aControl, const ControlAnswer& aAnswer) {
             view_.ApplyReport(aControl, aAnswer.replicas_, clock_.Now());
             AdoptReports(aAnswer.replicas_);
-            members_.RecordCapabilities(
-              aControl, { aAnswer.readsCompressed_, aAnswer.appliesRollouts_ });
+            members_.RecordCapabilities(aControl,
+                                        { aAnswer.readsCompressed_,
+                                          aAnswer.appliesRollouts_,
+                                          aAnswer.appliesNumberZero_ });
           } })
     , rolloutApi_(
         { [&aSelf](Fiber& aFiber, const RolloutOrder& aOrder) {
@@ -176,13 +179,15 @@
       { "term", static_cast<double>(core.CurrentTerm()) },
       { "members", static_cast<double>(core.Log().Members().size()) },
       { "voters", static_cast<double>(voters) },
-      { "declaration", static_cast<double>(fleet_.Current().number_) },
       { "entries_serving", static_cast<double>(ServingEntries().size()) },
       { "crash_causes_quarantined",
         static_cast<double>(detector_.CountQuarantined(now)) },
       { "entries_active", static_cast<double>(workingSet_.ActiveCount()) },
       { "replicas_ready_here", static_cast<double>(replicas_.Ready().size()) }
     };
+    if (const auto& declaration = fleet_.Current()) {
+      gauges["declaration"] = static_cast<double>(declaration->number_);
+    }
     for (const auto& directive : rollouts_.Directives()) {
       const RolloutOrder& order = directive.rollout_.order_;
       std::string name = "rollout_request_share{service=\"" + order.service_ +
@@ -207,9 +212,10 @@
     if (!isBuilt_) {
       return;
     }
-    if (fleet_.Current().number_ != appliedDeclaration_) {
-      appliedDeclaration_ = fleet_.Current().number_;
-      OnDeclaration();
+    const auto& declaration = fleet_.Current();
+    if (declaration && declaration->number_ != appliedDeclaration_) {
+      appliedDeclaration_ = declaration->number_;
+      OnDeclaration(*declaration);
     }
     rollouts_.SetRollouts(fleet_.Rollouts());
     AdoptLeaves();
@@ -298,19 +304,19 @@
       });
   }
 
-  void OnDeclaration()
+  void OnDeclaration(const Declaration& aDeclaration)
   {
-    history_.Add(fleet_.Current());
-    if (auto plan = hooks_.decodePlan_(fleet_.Current().document_)) {
+    history_.Add(aDeclaration);
+    if (auto plan = hooks_.decodePlan_(aDeclaration.document_)) {
       plan_ = std::move(*plan);
-      planNumber_ = fleet_.Current().number_;
+      planNumber_ = aDeclaration.number_;
       streams_.SetPlan(*plan_);
       SetLimits();
     }
     LogEvent(Severity::Info,
              "declaration applied",
-             { { "number", fleet_.Current().number_ },
-               { "bytes", fleet_.Current().document_.size() } });
+             { { "number", aDeclaration.number_ },
+               { "bytes", aDeclaration.document_.size() } });
   }
 
   void SetLimits()
@@ -441,8 +447,8 @@
     EntryReport report;
     report.entry_.id_ = settings_.id_;
     report.entry_.weight_ = 0;
-    report.entry_.revision_ = fleet_.Current().number_;
-    report.newestDeclaration_ = report.entry_.revision_;
+    report.inForce_ = NumberOf(fleet_.Current());
+    report.newestDeclaration_ = report.inForce_;
     report.readsPackedReplicas_ = true;
     std::tie(report.controlRun_, report.stamp_) = view_.Position(aControl);
     return report;
@@ -454,9 +460,9 @@
       std::any_of(aReport.grantRequests_.begin(),
                   aReport.grantRequests_.end(),
                   [](const auto& aIt) { return aIt.second.HasDemand(); });
-    std::uint64_t number = fleet_.Current().number_;
+    DeclarationNumber number = NumberOf(fleet_.Current());
     bool wantsDeclaration =
-      aReport.wantsDeclaration_ && aReport.entry_.revision_ < number;
+      aReport.wantsDeclaration_ && aReport.inForce_ < number;
     // Entries without a leader get no grants.
     bool missesLeader = isLeading_ && !aReport.isToLeader_;
     return wantsGrant || wantsDeclaration || missesLeader ||
@@ -519,9 +525,8 @@
     ControlAnswer answer;
     answer.replicas_ = MakeReplicaReport(aReport);
     answer.region_ = settings_.region_;
-    answer.planNumber_ = fleet_.Current().number_;
-    if (aReport.wantsDeclaration_ &&
-        answer.planNumber_ > aReport.entry_.revision_) {
+    answer.planNumber_ = NumberOf(fleet_.Current());
+    if (aReport.wantsDeclaration_ && answer.planNumber_ > aReport.inForce_) {
       answer.declaration_ = history_.TransferFor(aReport.canRestore_);
     }
     if (LacksVerdicts(aReport)) {
@@ -539,6 +544,7 @@
     answer.members_ = members_.Addresses();
     answer.readsCompressed_ = true;
     answer.appliesRollouts_ = true;
+    answer.appliesNumberZero_ = true;
     answer.shareDivisor_ = workingSet_.ShareDivisor(aReport.entry_.id_);
     answer.isStandby_ =
       aReport.entry_.weight_ > 0 && !workingSet_.IsActive(aReport.entry_.id_);
@@ -801,6 +807,25 @@
         hooks_.decodePlan_ });
   }
 
+  /// Returns the calls on declarations as handled on a fiber.
+  DeclarationCalls DeclarationsOn(Fiber& aFiber)
+  {
+    return DeclarationCalls(
+      { [this, &aFiber](const Declaration& aDeclaration) {
+         return configuration_.Propose(aFiber, [this, aDeclaration] {
+           return FleetState::EncodeDeclare(aDeclaration,
+                                            members_.CommandEncoding());
+         });
+       },
+        [this, &aFiber](const Bytes& aQuery) {
+          return configuration_.Query(aFiber, aQuery);
+        },
+        [this, &aFiber] {
+          return OnLoop<bool>(
+            loop_, aFiber, [this] { return members_.CanAllApplyNumberZero(); });
+        } });
+  }
+
   FleetControlSettings settings_;
   FleetControlHooks hooks_;
   Clock clock_;
@@ -812,7 +837,7 @@
   std::uint64_t runId_ = MakeRunId();
   FleetState fleet_;
   /// The number of the declaration that was applied last.
-  std::uint64_t appliedDeclaration_ = 0;
+  DeclarationNumber appliedDeclaration_;
   DeclarationHistory history_;
   RaftMember member_;
   ConfigurationCalls configuration_{ loop_, member_ };
@@ -864,7 +889,7 @@
                             } };
   std::optional<TrafficPlan> plan_;
   /// The number of the declaration that `plan_` was decoded from.
-  std::uint64_t planNumber_ = 0;
+  DeclarationNumber planNumber_;
   LeaderTasks leaderTasks_;
   TimePoint nextSettingsReadAt_;
   TimePoint startedAt_;
@@ -891,22 +916,13 @@
 tl::expected<void, GroupError>
 FleetControl::Declare(Fiber& aFiber, const Declaration& aDeclaration)
 {
-  auto result = state_->configuration_.Propose(aFiber, [this, aDeclaration] {
-    return FleetState::EncodeDeclare(aDeclaration,
-                                     state_->members_.CommandEncoding());
-  });
-  if (!result) {
-    return tl::make_unexpected(result.error());
-  }
-  return {};
+  return state_->DeclarationsOn(aFiber).Declare(aDeclaration);
 }
 
-tl::expected<Declaration, GroupError>
+tl::expected<std::optional<Declaration>, GroupError>
 FleetControl::ReadDeclaration(Fiber& aFiber)
 {
-  return state_->configuration_
-    .Query(aFiber, FleetState::EncodeQuery(FleetQuery::All))
-    .map([](const Bytes& aIt) { return FleetState::DecodeDeclaration(aIt); });
+  return state_->DeclarationsOn(aFiber).Read();
 }
 
 RolloutResult
--- a/src/tanagerstall/process/tanagerstall_fleet_control.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.hpp
@@ -75,8 +75,9 @@
   tl::expected<void, GroupError> Declare(Fiber& aFiber,
                                          const Declaration& aDeclaration);
   /// Returns the current declaration after a quorum confirmed that it is
-  /// current.
-  tl::expected<Declaration, GroupError> ReadDeclaration(Fiber& aFiber);
+  /// current, or nullopt if there is none.
+  tl::expected<std::optional<Declaration>, GroupError> ReadDeclaration(
+    Fiber& aFiber);
   /// Commits an order of a roll-out, with the current time as its time.
   RolloutResult StartRollout(Fiber& aFiber, RolloutOrder aOrder);
   /// Returns the latest roll-out of each service after a quorum confirmed that
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -100,9 +100,10 @@
   {
     Gauges gauges{ { "ready", IsReady() ? 1.0 : 0.0 },
                    { "requests_in_progress",
-                     static_cast<double>(callers_.ActiveExchanges()) },
-                   { "declaration",
-                     static_cast<double>(appliedDeclaration_) } };
+                     static_cast<double>(callers_.ActiveExchanges()) } };
+    if (hasPlan_) {
+      gauges["declaration"] = static_cast<double>(shownDeclaration_);
+    }
     AddServiceGauges(gauges,
                      "replicas_backing_off",
                      forwarder_.CountReplicas(ReplicaAvailability::BackingOff));
@@ -184,9 +185,10 @@
       report.streamPosition_ = streams.position_;
       report.wantedStreams_ = traffic_.wantedStreams_;
     }
+    report.inForce_ = inForce_;
     report.newestDeclaration_ = source_.NewestNumber();
-    std::uint64_t held = received_.number_;
-    report.canRestore_ = { true, needsWhole_ ? 0 : held };
+    DeclarationNumber held = NumberOf(received_);
+    report.canRestore_ = { true, needsWhole_ ? std::nullopt : held };
     TimePoint now = clock_.Now();
     report.wantsDeclaration_ = source_.ShouldRequestFrom(aControl, held, now);
     if (report.wantsDeclaration_) {
@@ -366,7 +368,7 @@
 
   void ReceiveDeclaration(const DeclarationTransfer& aTransfer)
   {
-    if (aTransfer.number_ <= received_.number_) {
+    if (aTransfer.number_ <= NumberOf(received_)) {
       return;
     }
     auto declaration = RestoreDeclaration(aTransfer, received_);
@@ -376,7 +378,7 @@
                "declaration not restored",
                { { "number", aTransfer.number_ },
                  { "base", aTransfer.base_ },
-                 { "held", received_.number_ },
+                 { "held", NumberOf(received_) },
                  { "error", declaration.error().detail_ } });
       return;
     }
@@ -388,11 +390,10 @@
   /// leader has none that is newer; later ones are newer in any case.
   void ApplyConfirmed(TimePoint aNow)
   {
-    bool isFirst = self_.revision_ == 0;
     if (isUnconfirmed_ &&
-        (!isFirst || source_.IsConfirmed(received_.number_, aNow))) {
+        (inForce_ || source_.IsConfirmed(received_->number_, aNow))) {
       isUnconfirmed_ = false;
-      ApplyDeclaration(received_);
+      ApplyDeclaration(*received_);
     }
   }
 
@@ -406,9 +407,9 @@
                  { "error", plan.error().message_ } });
       return;
     }
-    self_.revision_ = aDeclaration.number_;
+    inForce_ = aDeclaration.number_;
     self_.weight_ = 100;
-    appliedDeclaration_ = aDeclaration.number_;
+    shownDeclaration_ = aDeclaration.number_;
     LogEvent(Severity::Info,
              "declaration in force",
              { { "number", aDeclaration.number_ },
@@ -561,7 +562,8 @@
   /// When the declaration was last requested from each control process.
   std::map<std::string, TimePoint> downloads_;
   /// The newest declaration received; the next is requested as its change.
-  Declaration received_;
+  std::optional<Declaration> received_;
+  DeclarationNumber inForce_;
   /// Whether `received_` is not yet applied.
   bool isUnconfirmed_ = false;
   /// Whether the last change could not be restored.
@@ -589,7 +591,8 @@
   Drain drain_;
   std::atomic<bool> hasPlan_{ false };
   std::atomic<bool> isStopping_{ false };
-  std::atomic<std::uint64_t> appliedDeclaration_{ 0 };
+  /// The number in force, for the metrics; valid once `hasPlan_` is set.
+  std::atomic<std::uint64_t> shownDeclaration_{ 0 };
   TimePoint nextSettingsReadAt_;
   FleetClient client_;
   std::shared_ptr<ClientLimits> clients_;
--- a/src/tanagerstall/process/tanagerstall_log.hpp
+++ b/src/tanagerstall/process/tanagerstall_log.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <initializer_list>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -32,6 +33,13 @@
     , value_(aValue)
   {
   }
+  /// An absent number is written as null.
+  template<std::integral Number>
+  LogField(std::string_view aName, const std::optional<Number>& aValue)
+    : name_(aName)
+    , value_(aValue ? boost::json::value(*aValue) : boost::json::value())
+  {
+  }
   LogField(std::string_view aName, double aValue)
     : name_(aName)
     , value_(aValue)
--- a/src/tanagerstall/process/tanagerstall_member_directory.cpp
+++ b/src/tanagerstall/process/tanagerstall_member_directory.cpp
@@ -38,6 +38,12 @@
   return CanAll(&MemberCapabilities::appliesRollouts_);
 }
 
+bool
+MemberDirectory::CanAllApplyNumberZero() const
+{
+  return CanAll(&MemberCapabilities::appliesNumberZero_);
+}
+
 bool
 MemberDirectory::CanAll(bool MemberCapabilities::*aCapability) const
 {
--- a/src/tanagerstall/process/tanagerstall_member_directory.hpp
+++ b/src/tanagerstall/process/tanagerstall_member_directory.hpp
@@ -18,6 +18,8 @@
   bool readsCompressed_ = false;
   /// Whether it applies the commands of roll-outs.
   bool appliesRollouts_ = false;
+  /// Whether it applies a declaration with number 0.
+  bool appliesNumberZero_ = false;
 };
 
 /// The members of the control cluster, as entries and other members connect to
@@ -35,6 +37,9 @@
   DocumentEncoding CommandEncoding() const;
   /// Returns whether all members are known to apply the commands of roll-outs.
   bool CanAllApplyRollouts() const;
+  /// Returns whether all members are known to apply a declaration with number
+  /// 0. Earlier builds pass over it.
+  bool CanAllApplyNumberZero() const;
 
 private:
   bool CanAll(bool MemberCapabilities::*aCapability) const;
--- a/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.cpp
@@ -185,15 +185,18 @@
   if (!brief) {
     return Unavailable(brief.error().detail_);
   }
-  if (FleetState::DecodeDeclaration(*brief).number_ == aFacts.declaration_) {
+  if (NumberOf(FleetState::DecodeDeclaration(*brief)) == aFacts.declaration_) {
     return unknown;
   }
   auto whole = hooks_.query_(FleetState::EncodeQuery(FleetQuery::All));
   if (!whole) {
     return Unavailable(whole.error().detail_);
   }
-  auto plan =
-    hooks_.decodePlan_(FleetState::DecodeDeclaration(*whole).document_);
+  auto declaration = FleetState::DecodeDeclaration(*whole);
+  if (!declaration) {
+    return unknown;
+  }
+  auto plan = hooks_.decodePlan_(declaration->document_);
   if (!plan) {
     return Unavailable(plan.error().message_);
   }
--- a/src/tanagerstall/process/tanagerstall_rollout_orders.hpp
+++ b/src/tanagerstall/process/tanagerstall_rollout_orders.hpp
@@ -35,8 +35,8 @@
 {
   /// Whether the declaration in force here contains the service.
   bool isServiceKnown_ = false;
-  /// The number of that declaration; 0 if there is none.
-  std::uint64_t declaration_ = 0;
+  /// The number of that declaration.
+  DeclarationNumber declaration_;
   /// Whether all members are known to apply the commands of roll-outs.
   bool canAllApply_ = false;
   /// Whether all replicas have had time to announce themselves since the start,
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -2,6 +2,7 @@
 
 #include "tanagerstall/process/tanagerstall_bytes.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
+#include "tanagerstall/version/tanagerstall_declaration.hpp"
 
 namespace tanagerstall {
 
@@ -14,10 +15,11 @@
                                     : aRequest.route_->name_;
 }
 
-std::uint64_t
+DeclarationNumber
 PlanNumberOf(const ForwardedRequest& aRequest)
 {
-  return aRequest.plan_ ? aRequest.plan_->number_ : 0;
+  return aRequest.plan_ ? DeclarationNumber(aRequest.plan_->number_)
+                        : std::nullopt;
 }
 
 /// The ids of the shared prompt parts in hexadecimal, separated by commas.
--- a/src/tanagerstall/version/tanagerstall_declaration_source.cpp
+++ b/src/tanagerstall/version/tanagerstall_declaration_source.cpp
@@ -35,7 +35,8 @@
   updates_[aControl] = aUpdate;
   firstUpdateAt_ = firstUpdateAt_.value_or(aNow);
   if (aUpdate.isLeader_) {
-    leaderNumber_ = std::max(leaderNumber_.value_or(0), aUpdate.number_);
+    hasLeaderReported_ = true;
+    leaderNumber_ = std::max(leaderNumber_, aUpdate.number_);
   }
   if (aUpdate.number_ > newestNumber_) {
     newestNumber_ = aUpdate.number_;
@@ -46,15 +47,15 @@
 bool
 DeclarationSource::IsConfirmed(std::uint64_t aNumber, TimePoint aNow) const
 {
-  if (leaderNumber_) {
-    return aNumber >= *leaderNumber_;
+  if (hasLeaderReported_) {
+    return aNumber >= leaderNumber_;
   }
   return firstUpdateAt_ && aNow - *firstUpdateAt_ >= kConfirmationWait;
 }
 
 bool
 DeclarationSource::ShouldRequestFrom(const std::string& aControl,
-                                     std::uint64_t aHeld,
+                                     const DeclarationNumber& aHeld,
                                      TimePoint aNow)
 {
   auto it = updates_.find(aControl);
--- a/src/tanagerstall/version/tanagerstall_declaration_source.hpp
+++ b/src/tanagerstall/version/tanagerstall_declaration_source.hpp
@@ -2,6 +2,7 @@
 #define TANAGERSTALL_DECLARATION_SOURCE_HPP_INCLUDED
 
 #include "tanagerstall/process/tanagerstall_clock.hpp"
+#include "tanagerstall/version/tanagerstall_declaration.hpp"
 
 #include <cstdint>
 #include <map>
@@ -13,7 +14,7 @@
 /// The declaration that a control member reports to an entry.
 struct DeclarationUpdate
 {
-  std::uint64_t number_ = 0;
+  DeclarationNumber number_;
   bool isInOwnRegion_ = false;
   bool isLeader_ = false;
 };
@@ -33,13 +34,13 @@
 
   /// Returns whether the next message to a control member should request its
   /// declaration, and if so records the request. `aHeld` is the number of the
-  /// declaration that the entry has.
+  /// declaration that the entry has, if it has one.
   bool ShouldRequestFrom(const std::string& aControl,
-                         std::uint64_t aHeld,
+                         const DeclarationNumber& aHeld,
                          TimePoint aNow);
 
   /// Returns the highest declaration number reported by any control member.
-  std::uint64_t NewestNumber() const { return newestNumber_; }
+  const DeclarationNumber& NewestNumber() const { return newestNumber_; }
 
   /// Whether the declaration with this number is the newest that a leader has
   /// reported. A starting entry serves only then, since a member that lags
@@ -50,14 +51,15 @@
 private:
   /// The last update of each control member, by id.
   std::map<std::string, DeclarationUpdate> updates_;
-  std::uint64_t newestNumber_ = 0;
+  DeclarationNumber newestNumber_;
   /// When `newestNumber_` was first reported.
   TimePoint newestSince_;
   /// The highest declaration number reported by a leader.
-  std::optional<std::uint64_t> leaderNumber_;
+  DeclarationNumber leaderNumber_;
+  bool hasLeaderReported_ = false;
   std::optional<TimePoint> firstUpdateAt_;
   /// The declaration number requested last.
-  std::uint64_t requestedNumber_ = 0;
+  DeclarationNumber requestedNumber_;
   TimePoint requestedAt_;
 };
 
--- a/src/tanagerstall/version/tanagerstall_declaration_transfer.cpp
+++ b/src/tanagerstall/version/tanagerstall_declaration_transfer.cpp
@@ -41,7 +41,7 @@
 }
 
 const Declaration*
-DeclarationHistory::Find(std::uint64_t aNumber) const
+DeclarationHistory::Find(const DeclarationNumber& aNumber) const
 {
   auto it = std::find_if(
     declarations_.begin(), declarations_.end(), [&](const Declaration& aIt) {
@@ -53,7 +53,10 @@
 const Bytes&
 DeclarationHistory::CompressedFor(const Declaration* aBase)
 {
-  std::uint64_t number = aBase == nullptr ? 0 : aBase->number_;
+  DeclarationNumber number;
+  if (aBase != nullptr) {
+    number = aBase->number_;
+  }
   auto it = compressed_.find(number);
   if (it == compressed_.end()) {
     BytesView reference;
@@ -80,26 +83,27 @@
     if (!compressed.empty()) {
       return { newest.number_,
                DocumentEncoding::Compressed,
-               base == nullptr ? 0 : base->number_,
+               base == nullptr ? std::nullopt : aReceiver.base_,
                compressed };
     }
   }
-  return {
-    newest.number_, DocumentEncoding::Plain, 0, CopyOf(ViewOf(newest.document_))
-  };
+  return { newest.number_,
+           DocumentEncoding::Plain,
+           std::nullopt,
+           CopyOf(ViewOf(newest.document_)) };
 }
 
 tl::expected<Declaration, CompressionError>
 RestoreDeclaration(const DeclarationTransfer& aTransfer,
-                   const Declaration& aHeld)
+                   const std::optional<Declaration>& aHeld)
 {
-  if (aTransfer.base_ != 0 && aTransfer.base_ != aHeld.number_) {
+  if (aTransfer.base_ && aTransfer.base_ != NumberOf(aHeld)) {
     return tl::make_unexpected(
       CompressionError{ "a change of another declaration" });
   }
   BytesView reference;
-  if (aTransfer.base_ != 0) {
-    reference = ViewOf(aHeld.document_);
+  if (aTransfer.base_) {
+    reference = ViewOf(aHeld->document_);
   }
   return DecodeDocument(aTransfer.encoding_, aTransfer.payload_, reference)
     .map([&](std::string aDocument) {
--- a/src/tanagerstall/version/tanagerstall_declaration_transfer.hpp
+++ b/src/tanagerstall/version/tanagerstall_declaration_transfer.hpp
@@ -14,8 +14,8 @@
 struct TransferCapability
 {
   bool readsCompressed_ = false;
-  /// The number of the declaration that it holds; 0 for none.
-  std::uint64_t base_ = 0;
+  /// The number of the declaration that it holds.
+  DeclarationNumber base_;
 };
 
 /// A declaration on its way from a control process to an entry.
@@ -23,9 +23,8 @@
 {
   std::uint64_t number_ = 0;
   DocumentEncoding encoding_ = DocumentEncoding::Plain;
-  /// The number of the declaration that the receiver needs to restore this one;
-  /// 0 for none.
-  std::uint64_t base_ = 0;
+  /// The number of the declaration that the receiver needs to restore this one.
+  DeclarationNumber base_;
   Bytes payload_;
 };
 
@@ -42,21 +41,21 @@
   DeclarationTransfer TransferFor(const TransferCapability& aReceiver);
 
 private:
-  const Declaration* Find(std::uint64_t aNumber) const;
+  const Declaration* Find(const DeclarationNumber& aNumber) const;
   const Bytes& CompressedFor(const Declaration* aBase);
   void Trim();
 
   /// Oldest first.
   std::deque<Declaration> declarations_;
   /// The newest declaration in compressed form, by the number of its base.
-  std::map<std::uint64_t, Bytes> compressed_;
+  std::map<DeclarationNumber, Bytes> compressed_;
 };
 
 /// Returns the declaration that a transfer carries. Fails if it is a change of
 /// another declaration than `aHeld`, or damaged.
 tl::expected<Declaration, CompressionError>
 RestoreDeclaration(const DeclarationTransfer& aTransfer,
-                   const Declaration& aHeld);
+                   const std::optional<Declaration>& aHeld);
 
 } // namespace tanagerstall
 
--- a/src/tanagerstall/version/tanagerstall_fleet_state.cpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.cpp
@@ -58,6 +58,22 @@
   return isOutdated ? RolloutReply::Outdated : RolloutReply::Accepted;
 }
 
+void
+WriteNumber(wire::FleetSnapshot::Builder aTo, const DeclarationNumber& aNumber)
+{
+  aTo.setNumber(aNumber.value_or(0));
+  aTo.setHasNumber(aNumber.has_value());
+}
+
+std::optional<Declaration>
+ReadDeclaration(wire::FleetSnapshot::Reader aFrom)
+{
+  if (!ReadNumber(aFrom.getNumber(), aFrom.getHasNumber())) {
+    return std::nullopt;
+  }
+  return Declaration{ aFrom.getNumber(), TextOf(ToBytes(aFrom.getDocument())) };
+}
+
 void
 WriteRollouts(wire::FleetSnapshot::Builder aTo, const RolloutsByService& aFrom)
 {
@@ -169,6 +185,7 @@
   capnp::MallocMessageBuilder message;
   auto declare = message.initRoot<wire::FleetCommand>().initDeclare();
   declare.setNumber(aDeclaration.number_);
+  declare.setHasNumber(true);
   BytesView document = ViewOf(aDeclaration.document_);
   if (aEncoding == DocumentEncoding::Compressed) {
     if (auto compressed = Compress(document, {})) {
@@ -248,12 +265,11 @@
   return { static_cast<std::uint8_t>(aQuery) };
 }
 
-Declaration
+std::optional<Declaration>
 FleetState::DecodeDeclaration(BytesView aBytes)
 {
   FlatMessage message(aBytes);
-  auto snapshot = message.Root<wire::FleetSnapshot>();
-  return { snapshot.getNumber(), TextOf(ToBytes(snapshot.getDocument())) };
+  return ReadDeclaration(message.Root<wire::FleetSnapshot>());
 }
 
 UsageWindow
@@ -288,7 +304,7 @@
   switch (command.which()) {
     case wire::FleetCommand::DECLARE: {
       auto declare = command.getDeclare();
-      ApplyDeclare(declare.getNumber(),
+      ApplyDeclare(ReadNumber(declare.getNumber(), declare.getHasNumber()),
                    ReadEncoding(declare.getEncoding()),
                    ToBytes(declare.getDocument()));
       return {};
@@ -420,11 +436,11 @@
 }
 
 void
-FleetState::ApplyDeclare(std::uint64_t aNumber,
+FleetState::ApplyDeclare(const DeclarationNumber& aNumber,
                          DocumentEncoding aEncoding,
                          BytesView aPayload)
 {
-  if (aNumber <= current_.number_) {
+  if (aNumber <= NumberOf(current_)) {
     return;
   }
   auto document = DecodeDocument(aEncoding, aPayload, {});
@@ -434,7 +450,7 @@
              { { "number", aNumber }, { "error", document.error().detail_ } });
     return;
   }
-  current_ = { aNumber, std::move(*document) };
+  current_ = Declaration{ *aNumber, std::move(*document) };
   NotifyChange();
 }
 
@@ -443,9 +459,9 @@
 {
   capnp::MallocMessageBuilder message;
   auto answer = message.initRoot<wire::FleetSnapshot>();
-  answer.setNumber(current_.number_);
-  if (aQuery.empty()) {
-    answer.setDocument(ToData(ViewOf(current_.document_)));
+  WriteNumber(answer, NumberOf(current_));
+  if (aQuery.empty() && current_) {
+    answer.setDocument(ToData(ViewOf(current_->document_)));
   }
   WriteRollouts(answer, rollouts_);
   return Flatten(message);
@@ -456,8 +472,10 @@
 {
   capnp::MallocMessageBuilder message;
   auto snapshot = message.initRoot<wire::FleetSnapshot>();
-  snapshot.setNumber(current_.number_);
-  snapshot.setDocument(ToData(ViewOf(current_.document_)));
+  WriteNumber(snapshot, NumberOf(current_));
+  if (current_) {
+    snapshot.setDocument(ToData(ViewOf(current_->document_)));
+  }
   WriteRollouts(snapshot, rollouts_);
   snapshot.setLastRolloutId(lastRolloutId_);
   WriteLeaves(snapshot, leaves_);
@@ -475,7 +493,7 @@
 {
   FlatMessage message(aSnapshot);
   auto snapshot = message.Root<wire::FleetSnapshot>();
-  current_ = { snapshot.getNumber(), TextOf(ToBytes(snapshot.getDocument())) };
+  current_ = ReadDeclaration(snapshot);
   rollouts_ = ReadRollouts(snapshot);
   lastRolloutId_ = snapshot.getLastRolloutId();
   leaves_ = ReadLeaves(snapshot);
--- a/src/tanagerstall/version/tanagerstall_fleet_state.hpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerstall/process/presence/tanagerstall_replica_leaves.hpp"
 #include "tanagerstall/process/raft/tanagerstall_state_machine.hpp"
+#include "tanagerstall/version/tanagerstall_declaration.hpp"
 #include "tanagerstall/version/tanagerstall_document_encoding.hpp"
 #include "tanagerstall/version/tanagerstall_rollout.hpp"
 
@@ -25,13 +26,6 @@
   CountsByName counts_;
 };
 
-/// A declaration as the operator sent it, with its number.
-struct Declaration
-{
-  std::uint64_t number_ = 0;
-  std::string document_;
-};
-
 /// When versions last began to accept work, by service and version.
 using VersionStarts = std::map<std::pair<std::string, std::string>, WallTime>;
 
@@ -64,7 +58,8 @@
   /// Returns the state machine of this state for a Raft group.
   StateMachine AsStateMachine();
 
-  const Declaration& Current() const { return current_; }
+  /// The declaration with the highest number, or nullopt if there is none.
+  const std::optional<Declaration>& Current() const { return current_; }
   const RolloutsByService& Rollouts() const { return rollouts_; }
   /// Returns the latest roll-out of a service, or nullptr if it has none.
   const Rollout* FindRollout(const std::string& aService) const;
@@ -93,8 +88,9 @@
                                   const std::string& aVersion,
                                   WallTime aStartedAt);
   static Bytes EncodeQuery(FleetQuery aQuery);
-  /// Decodes the declaration in the result of a query.
-  static Declaration DecodeDeclaration(BytesView aBytes);
+  /// Decodes the declaration in the result of a query; nullopt if there is
+  /// none. Its document is empty unless the query asked for all.
+  static std::optional<Declaration> DecodeDeclaration(BytesView aBytes);
   /// Decodes the roll-outs in the result of a query.
   static RolloutsByService DecodeRollouts(BytesView aBytes);
   /// Decodes the result of a command that starts a roll-out. Returns nullopt
@@ -106,7 +102,7 @@
 
 private:
   Bytes Apply(BytesView aCommand);
-  void ApplyDeclare(std::uint64_t aNumber,
+  void ApplyDeclare(const DeclarationNumber& aNumber,
                     DocumentEncoding aEncoding,
                     BytesView aPayload);
   Bytes ApplyUsage(const UsageWindow& aUsage);
@@ -122,7 +118,7 @@
   void InstallSnapshot(BytesView aSnapshot);
 
   ChangeHook onChange_;
-  Declaration current_;
+  std::optional<Declaration> current_;
   RolloutsByService rollouts_;
   std::uint64_t lastRolloutId_ = 0;
   ReplicaLeaves leaves_;
--- a/tests/declaration_source_tests.cpp
+++ b/tests/declaration_source_tests.cpp
@@ -27,7 +27,7 @@
 struct Case
 {
   const char* name_;
-  std::uint64_t held_;
+  DeclarationNumber held_;
   std::vector<Step> steps_;
 };
 
--- a/tests/declaration_transfer_tests.cpp
+++ b/tests/declaration_transfer_tests.cpp
@@ -31,7 +31,7 @@
   const char* name_;
   TransferCapability receiver_;
   DocumentEncoding encoding_;
-  std::uint64_t base_;
+  DeclarationNumber base_;
 };
 
 std::ostream&
@@ -41,8 +41,8 @@
 }
 
 const std::vector<ReceiverCase> kReceivers = {
-  { "an older build", { false, 0 }, DocumentEncoding::Plain, 0 },
-  { "nothing held", { true, 0 }, DocumentEncoding::Compressed, 0 },
+  { "an older build", { false, {} }, DocumentEncoding::Plain, {} },
+  { "nothing held", { true, {} }, DocumentEncoding::Compressed, {} },
   { "the previous one held",
     { true, kSecond },
     DocumentEncoding::Compressed,
@@ -51,7 +51,7 @@
     { true, kFirst },
     DocumentEncoding::Compressed,
     kFirst },
-  { "an unknown one held", { true, 8 }, DocumentEncoding::Compressed, 0 },
+  { "an unknown one held", { true, 8 }, DocumentEncoding::Compressed, {} },
 };
 
 } // namespace
@@ -67,9 +67,11 @@
   }
   auto transfer = history.TransferFor(row.receiver_);
   BOOST_TEST((transfer.encoding_ == row.encoding_));
-  BOOST_TEST(transfer.base_ == row.base_);
-  Declaration held =
-    row.base_ == 0 ? Declaration() : MakeDeclaration(row.base_);
+  BOOST_TEST((transfer.base_ == row.base_));
+  std::optional<Declaration> held;
+  if (row.base_) {
+    held = MakeDeclaration(*row.base_);
+  }
   auto restored = RestoreDeclaration(transfer, held);
   BOOST_REQUIRE(restored.has_value());
   BOOST_TEST(restored->number_ == kThird);
@@ -139,8 +141,8 @@
   for (std::uint64_t number = 1; number <= kMany; ++number) {
     history.Add(MakeDeclaration(number));
   }
-  BOOST_TEST(history.TransferFor({ true, 1 }).base_ == 0U);
-  BOOST_TEST(history.TransferFor({ true, kMany - 1 }).base_ == kMany - 1);
+  BOOST_TEST(!history.TransferFor({ true, 1 }).base_);
+  BOOST_TEST((history.TransferFor({ true, kMany - 1 }).base_ == kMany - 1));
 }
 
 namespace {
@@ -174,6 +176,6 @@
   auto declaration = MakeDeclaration(kFirst);
   fleet.AsStateMachine().apply_(
     FleetState::EncodeDeclare(declaration, row.encoding_));
-  BOOST_TEST(fleet.Current().number_ == kFirst);
-  BOOST_TEST((fleet.Current().document_ == declaration.document_));
+  BOOST_TEST((NumberOf(fleet.Current()) == kFirst));
+  BOOST_TEST((fleet.Current()->document_ == declaration.document_));
 }
--- a/tests/member_directory_tests.cpp
+++ b/tests/member_directory_tests.cpp
@@ -71,11 +71,13 @@
   MemberDirectory directory;
   directory.Update(members, kPort);
   for (const auto& [address, can] : row.canAll_) {
-    directory.RecordCapabilities(address, { !can, !can });
-    directory.RecordCapabilities(address, { can, can });
+    directory.RecordCapabilities(address, { !can, !can, !can });
+    directory.RecordCapabilities(address, { can, can, can });
   }
   BOOST_TEST((directory.CommandEncoding() == row.encoding_));
   BOOST_TEST(directory.CanAllApplyRollouts() == (row.encoding_ == kCompressed));
+  BOOST_TEST(directory.CanAllApplyNumberZero() ==
+             (row.encoding_ == kCompressed));
   BOOST_TEST(directory.Addresses().size() == row.members_.size());
 }
 
@@ -87,7 +89,10 @@
   Member member;
   member.memberAddress_ = "10.0.0.1:7600";
   directory.Update({ member }, kPort);
-  directory.RecordCapabilities("10.0.0.1:7601", { true, false });
+  directory.RecordCapabilities("10.0.0.1:7601", { true, false, false });
   BOOST_TEST((directory.CommandEncoding() == kCompressed));
   BOOST_TEST(!directory.CanAllApplyRollouts());
+  directory.RecordCapabilities("10.0.0.1:7601", { true, true, false });
+  BOOST_TEST(directory.CanAllApplyRollouts());
+  BOOST_TEST(!directory.CanAllApplyNumberZero());
 }
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -219,6 +219,11 @@
   { "an older one arrives again",
     { { 3, "x" }, { 5, "y" }, { 3, "x" } },
     { 5, "y" } },
+  { "0 first", { { 0, "x" } }, { 0, "x" } },
+  { "0 first, then 1", { { 0, "x" }, { 1, "y" } }, { 1, "y" } },
+  { "0 twice", { { 0, "x" }, { 0, "x" } }, { 0, "x" } },
+  { "other content under 0", { { 0, "x" }, { 0, "y" } }, { 0, "x" } },
+  { "0 after 5", { { 5, "x" }, { 0, "y" } }, { 5, "x" } },
 };
 
 } // namespace
@@ -234,11 +239,12 @@
   FleetState other;
   other.AsStateMachine().installSnapshot_(machine.takeSnapshot_());
   for (const auto* it : { &state, &other }) {
-    BOOST_TEST(it->Current().number_ == sample.kept_.number_);
-    BOOST_TEST(it->Current().document_ == sample.kept_.document_);
+    BOOST_REQUIRE(it->Current().has_value());
+    BOOST_TEST(it->Current()->number_ == sample.kept_.number_);
+    BOOST_TEST(it->Current()->document_ == sample.kept_.document_);
   }
   auto read = FleetState::DecodeDeclaration(machine.query_({}));
-  BOOST_TEST(read.document_ == sample.kept_.document_);
+  BOOST_TEST(read->document_ == sample.kept_.document_);
 }
 
 BOOST_AUTO_TEST_CASE(The_first_usage_counts_of_a_window_are_final)
--- a/tests/rollout_order_tests.cpp
+++ b/tests/rollout_order_tests.cpp
@@ -331,7 +331,7 @@
 {
   Control control(kOrderCases.front());
   control.facts_.isServiceKnown_ = false;
-  control.facts_.declaration_ = 0;
+  control.facts_.declaration_ = std::nullopt;
   BOOST_TEST((*control.Start(kOrder) == kAccepted));
   RolloutOrder other{ "other", "v2", 12s, kNow };
   BOOST_TEST(
@@ -352,7 +352,7 @@
   BOOST_TEST(
     (control.Start(other).error().fault_ == RolloutFault::UnknownService));
   BOOST_TEST(control.documents_ == 0);
-  control.facts_.declaration_ = 0;
+  control.facts_.declaration_ = std::nullopt;
   BOOST_TEST(
     (control.Start(other).error().fault_ == RolloutFault::UnknownService));
   BOOST_TEST(control.documents_ == 1);
--- a/tests/rollout_state_tests.cpp
+++ b/tests/rollout_state_tests.cpp
@@ -256,7 +256,7 @@
   FleetState state;
   state.AsStateMachine().apply_(FleetState::EncodeStartRollout(Order("v2")));
   state.AsStateMachine().installSnapshot_(Flatten(message));
-  BOOST_TEST(state.Current().number_ == 3U);
+  BOOST_TEST((NumberOf(state.Current()) == 3U));
   BOOST_TEST(state.Rollouts().empty());
   Apply(state.AsStateMachine(), { Order("v3") });
   BOOST_TEST(state.FindRollout("s")->id_ == 1U);
@@ -271,10 +271,10 @@
   machine.apply_(FleetState::EncodeDeclare({ 4, "document" }));
   machine.apply_(FleetState::EncodeStartRollout(Order("v2")));
   auto all = machine.query_(FleetState::EncodeQuery(FleetQuery::All));
-  BOOST_TEST(FleetState::DecodeDeclaration(all).document_ == "document");
+  BOOST_TEST(FleetState::DecodeDeclaration(all)->document_ == "document");
   BOOST_TEST((FleetState::DecodeRollouts(all) == state.Rollouts()));
   auto some = machine.query_(FleetState::EncodeQuery(FleetQuery::Rollouts));
-  BOOST_TEST(FleetState::DecodeDeclaration(some).document_.empty());
+  BOOST_TEST(FleetState::DecodeDeclaration(some)->document_.empty());
   BOOST_TEST((FleetState::DecodeRollouts(some) == state.Rollouts()));
 }
 
--- a/tests/tanagerstall_rollout_simulation.hpp
+++ b/tests/tanagerstall_rollout_simulation.hpp
@@ -165,8 +165,8 @@
   struct Report
   {
     std::size_t entry_;
-    std::uint64_t held_;
-    std::uint64_t newest_;
+    DeclarationNumber held_;
+    DeclarationNumber newest_;
     bool wantsDeclaration_;
   };
 
