Acknowledge a configuration only if the fleet's state holds it (CONFIG)

What callers saw: an operator's configuration gets 200 as soon as the log has taken it, also when the state machine passed it over or couldn't decode it. It is not read back, and the operator doesn't send it again.

Cause: the acknowledgement came from the commit, not from the state.

Change: the command's reply names the number that the state has after it; with a lower one, or none, the operator gets 503 and the reason, and sends the configuration again. A leader of an earlier build replies with nothing; the state is queried then.

--- a/src/tanagerstall/process/tanagerstall_declaration_calls.cpp
+++ b/src/tanagerstall/process/tanagerstall_declaration_calls.cpp
@@ -36,7 +36,10 @@
   if (!reply) {
     return tl::make_unexpected(reply.error());
   }
-  return {};
+  // A leader of an earlier build doesn't say what it holds.
+  return reply->empty() ? ConfirmHeld(aDeclaration.number_)
+                        : CheckHeld(aDeclaration.number_,
+                                    FleetState::DecodeDeclareReply(*reply));
 }
 
 tl::expected<std::optional<Declaration>, GroupError>
--- a/src/tanagerstall/process/tanagerstall_declaration_calls.hpp
+++ b/src/tanagerstall/process/tanagerstall_declaration_calls.hpp
@@ -20,13 +20,15 @@
   std::function<bool()> canAllApplyNumberZero_;
 };
 
-/// Handles the operators' calls on declarations at one control process.
+/// Handles the operators' calls on declarations at one control process. What is
+/// acknowledged is what the fleet's state holds, not what the log has taken.
 class DeclarationCalls
 {
 public:
   explicit DeclarationCalls(DeclarationHooks aHooks);
 
-  /// Commits a validated declaration. If it fails, the call may be repeated.
+  /// Commits a validated declaration. Fails unless the state holds this
+  /// declaration or one with a higher number then; the call may be repeated.
   tl::expected<void, GroupError> Declare(const Declaration& aDeclaration) const;
   /// Returns the current declaration after a quorum confirmed that it is
   /// current, or nullopt if there is none.
--- a/src/tanagerstall/process/tanagerstall_fleet_control.hpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.hpp
@@ -71,7 +71,8 @@
   // The functions below may be called from traffic threads.
 
   /// Commits a validated declaration. One whose number is not greater than the
-  /// current number is accepted without effect.
+  /// current number is accepted without effect. Fails unless the fleet has this
+  /// declaration or a later one then.
   tl::expected<void, GroupError> Declare(Fiber& aFiber,
                                          const Declaration& aDeclaration);
   /// Returns the current declaration after a quorum confirmed that it is
--- a/src/tanagerstall/version/tanagerstall_fleet_state.cpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.cpp
@@ -272,6 +272,12 @@
   return ReadDeclaration(message.Root<wire::FleetSnapshot>());
 }
 
+DeclarationNumber
+FleetState::DecodeDeclareReply(BytesView aBytes)
+{
+  return NumberOf(DecodeDeclaration(aBytes));
+}
+
 UsageWindow
 FleetState::DecodeUsage(BytesView aBytes)
 {
@@ -307,7 +313,7 @@
       ApplyDeclare(ReadNumber(declare.getNumber(), declare.getHasNumber()),
                    ReadEncoding(declare.getEncoding()),
                    ToBytes(declare.getDocument()));
-      return {};
+      return MakeDeclareReply();
     }
     case wire::FleetCommand::USAGE:
       return ApplyUsage(ReadUsage(command.getUsage()));
@@ -454,6 +460,14 @@
   NotifyChange();
 }
 
+Bytes
+FleetState::MakeDeclareReply() const
+{
+  capnp::MallocMessageBuilder message;
+  WriteNumber(message.initRoot<wire::FleetSnapshot>(), NumberOf(current_));
+  return Flatten(message);
+}
+
 Bytes
 FleetState::AnswerQuery(BytesView aQuery) const
 {
--- a/src/tanagerstall/version/tanagerstall_fleet_state.hpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.hpp
@@ -91,6 +91,10 @@
   /// Decodes the declaration in the result of a query; nullopt if there is
   /// none. Its document is empty unless the query asked for all.
   static std::optional<Declaration> DecodeDeclaration(BytesView aBytes);
+  /// Decodes the result of a command that declares: the number of the
+  /// declaration that the state has since then. The result is empty if a build
+  /// applied the command that doesn't say it.
+  static DeclarationNumber DecodeDeclareReply(BytesView aBytes);
   /// Decodes the roll-outs in the result of a query.
   static RolloutsByService DecodeRollouts(BytesView aBytes);
   /// Decodes the result of a command that starts a roll-out. Returns nullopt
@@ -113,6 +117,7 @@
                          const std::string& aVersion,
                          WallTime aStartedAt);
   void NotifyChange() const;
+  Bytes MakeDeclareReply() const;
   Bytes AnswerQuery(BytesView aQuery) const;
   Bytes TakeSnapshot() const;
   void InstallSnapshot(BytesView aSnapshot);
--- a/tests/declaration_number_tests.cpp
+++ b/tests/declaration_number_tests.cpp
@@ -182,6 +182,10 @@
   Current,
   /// It passes over number 0 and replies with nothing.
   Earlier,
+  /// It passes over every declaration.
+  Deaf,
+  /// The same, and replies with nothing.
+  EarlierDeaf,
   None
 };
 
@@ -212,7 +216,17 @@
   { "0 after 7, members unknown", 7, 0, Leader::Current, false, true, 7 },
   { "the highest", 7, kHighest, Leader::Current, true, true, kHighest },
   { "0 first, members unknown", {}, 0, Leader::Current, false, false, {} },
+  { "0 first, earlier leader", {}, 0, Leader::Earlier, true, false, {} },
   { "7 first, earlier leader", {}, 7, Leader::Earlier, false, true, 7 },
+  { "passed over", {}, 7, Leader::Deaf, true, false, {} },
+  { "passed over after 3", 3, 7, Leader::Deaf, true, false, 3 },
+  { "passed over by an earlier leader",
+    3,
+    7,
+    Leader::EarlierDeaf,
+    true,
+    false,
+    3 },
   { "no leader", 3, 7, Leader::None, true, false, 3 },
   { "0, no leader", 3, 0, Leader::None, false, false, 3 },
 };
@@ -224,25 +238,41 @@
     GroupError{ GroupFault::Unavailable, "no leader" });
 }
 
+/// A command whose document can't be decoded.
+Bytes
+Undecodable(std::uint64_t aNumber)
+{
+  capnp::MallocMessageBuilder message;
+  auto declare = message.initRoot<wire::FleetCommand>().initDeclare();
+  declare.setNumber(aNumber);
+  declare.setHasNumber(true);
+  declare.setEncoding(WriteEncoding(DocumentEncoding::Compressed));
+  declare.setDocument(ToData(ViewOf("not compressed")));
+  return Flatten(message);
+}
+
 GroupResult
 Propose(FleetState& aState, Leader aLeader, const Declaration& aDeclaration)
 {
   if (aLeader == Leader::None) {
     return NoLeader();
   }
-  bool isEarlier = aLeader == Leader::Earlier;
+  bool isPassedOver = aLeader == Leader::Deaf || aLeader == Leader::EarlierDeaf;
+  bool isEarlier = aLeader == Leader::Earlier || aLeader == Leader::EarlierDeaf;
   Bytes reply;
   if (!isEarlier || aDeclaration.number_ != 0) {
-    reply =
-      aState.AsStateMachine().apply_(FleetState::EncodeDeclare(aDeclaration));
+    reply = aState.AsStateMachine().apply_(
+      isPassedOver ? Undecodable(aDeclaration.number_)
+                   : FleetState::EncodeDeclare(aDeclaration));
   }
   return isEarlier ? Bytes{} : reply;
 }
 
 } // namespace
 
-// Guards against an acknowledgement of number 0 that a member of an earlier
-// build would lose.
+// Guards against an acknowledgement of a declaration that the log has taken and
+// the state has passed over, and against one of number 0 that a member of an
+// earlier build would lose.
 BOOST_DATA_TEST_CASE(What_is_acknowledged_is_held, data::make(kCalls))
 {
   FleetState state = MakeState(sample.held_);
