Split the forwarding of a request into its attempts and their hooks

Forwarder::Run() had grown to over a hundred lines, half of them the hooks of an attempt. What the attempts of a request share has a name (Progress), one attempt is TryReplica().

--- a/src/tanagerstall/request/tanagerstall_forwarder.cpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.cpp
@@ -70,6 +70,17 @@
 
 } // namespace
 
+/// What the attempts of one request share.
+struct Forwarder::Progress
+{
+  RequestCauses causes_;
+  AdmissionObserver admission_;
+  /// Whether a replica has begun to run the request, which counts once.
+  bool hasRun_ = false;
+  /// Whether the current attempt counts as a success of the causes already.
+  bool isSuccessCounted_ = false;
+};
+
 Forwarder::Forwarder(ForwarderSettings aSettings, Clock aClock, Hooks aHooks)
   : settings_(std::move(aSettings))
   , clock_(std::move(aClock))
@@ -412,22 +423,85 @@
   return isTaken;
 }
 
+/// Returns the hooks of one attempt at a replica. All arguments must outlive
+/// it.
+ForwardAttempt::Hooks
+Forwarder::HooksOf(ForwardedRequest& aRequest,
+                   const Replica& aReplica,
+                   RolloutAttempt& aCounted,
+                   Progress& aProgress)
+{
+  return { [&] {
+            if (!aProgress.hasRun_ && aRequest.organisation_ != nullptr) {
+              usage_.Count(aRequest.organisation_->name_);
+            }
+            aProgress.hasRun_ = true;
+            resumption_.RecordStart(aRequest);
+            aRequest.firstPartAt_ = clock_.Now();
+            aProgress.admission_.OnFirstPart();
+          },
+           [&](Duration aSinceFirst) {
+             aCounted.OnEvent();
+             if (!aProgress.isSuccessCounted_ &&
+                 aSinceFirst >= CrashQuarantine::kBeginning) {
+               aProgress.isSuccessCounted_ = true;
+               quarantine_.RecordSuccess(aProgress.causes_, clock_.Now());
+             }
+           },
+           [&](const ReplicaNotice& aNotice) {
+             recorder_.RecordNotice(aReplica, aNotice);
+           },
+           [&](const ReplicaNotice& aNotice, TimePoint aSentAt) {
+             recorder_.RecordRate(aReplica, aNotice, aSentAt);
+           },
+           [&] {
+             return chooser_.MaySend(aReplica, clock_.Now()) &&
+                    aCounted.OnSend();
+           } };
+}
+
+/// Sends the request to one replica and records what became of it.
+AttemptResult
+Forwarder::TryReplica(HttpExchange& aExchange,
+                      ForwardedRequest& aRequest,
+                      const Replica& aReplica,
+                      bool aReturnsFailures,
+                      Progress& aProgress)
+{
+  aRequest.runningAtReplica_ = chooser_.RunningAt(aReplica);
+  aProgress.isSuccessCounted_ = false;
+  TimePoint startedAt = clock_.Now();
+  RolloutAttempt counted(rollouts_, aReplica, *aRequest.route_, clock_);
+  ForwardAttempt attempt(
+    { pool_, buffers_, settings_.memory_, settings_.protocol_, clock_ },
+    aExchange,
+    aRequest,
+    HooksOf(aRequest, aReplica, counted, aProgress));
+  AttemptInProgress inProgress(attempts_, attempt);
+  AttemptResult result = attempt.Run(aReplica, aReturnsFailures);
+  counted.OnEnd(result);
+  recorder_.RecordAttempt(aRequest, aReplica, result, startedAt);
+  recorder_.RecordEvidence(
+    aRequest, aReplica, result, aProgress.isSuccessCounted_);
+  aRequest.lastReplica_ = aReplica.id_;
+  aRequest.runs_ += result.MayHaveRun() ? 1 : 0;
+  return result;
+}
+
 /// Sends the request to one replica after another until one answers or no
 /// further attempt is allowed, and ends the exchange.
 void
 Forwarder::Run(HttpExchange& aExchange, ForwardedRequest& aRequest)
 {
   const Route& route = *aRequest.route_;
-  RequestCauses causes = aRequest.Causes();
-  bool hasRun = false;
-  bool canRetry = true;
+  Progress progress{ aRequest.Causes(), { admission_, aRequest, clock_ } };
   std::optional<HttpResponse> failure;
   AttemptResult last;
-  AdmissionObserver admission(admission_, aRequest, clock_);
+  bool canRetry = true;
   auto side = rollouts_.Assign(
     aRequest.service_, aRequest.prompt_.LastSharedPart(), clock_.Now());
   while (canRetry && !hasEndedRequests_ &&
-         !quarantine_.RemainingFor(causes, clock_.Now())) {
+         !quarantine_.RemainingFor(progress.causes_, clock_.Now())) {
     ChoiceRequest choice{
       aRequest.service_,     aRequest.prompt_.LastSharedPart(),
       WorkClassOf(aRequest), aRequest.cost_,
@@ -437,48 +511,10 @@
     if (!replica) {
       break;
     }
-    aRequest.runningAtReplica_ = chooser_.RunningAt(*replica);
     bool mayRunAgain =
       route.IsIdempotent() && aRequest.runs_ + 1 < route.maxAttempts_;
-    TimePoint startedAt = clock_.Now();
-    bool isSuccessCounted = false;
-    RolloutAttempt counted(rollouts_, *replica, route, clock_);
-    ForwardAttempt attempt(
-      { pool_, buffers_, settings_.memory_, settings_.protocol_, clock_ },
-      aExchange,
-      aRequest,
-      { [&] {
-         if (!hasRun && aRequest.organisation_ != nullptr) {
-           usage_.Count(aRequest.organisation_->name_);
-         }
-         hasRun = true;
-         resumption_.RecordStart(aRequest);
-         aRequest.firstPartAt_ = clock_.Now();
-         admission.OnFirstPart();
-       },
-        [&](Duration aSinceFirst) {
-          counted.OnEvent();
-          if (!isSuccessCounted && aSinceFirst >= CrashQuarantine::kBeginning) {
-            isSuccessCounted = true;
-            quarantine_.RecordSuccess(causes, clock_.Now());
-          }
-        },
-        [&](const ReplicaNotice& aNotice) {
-          recorder_.RecordNotice(*replica, aNotice);
-        },
-        [&](const ReplicaNotice& aNotice, TimePoint aSentAt) {
-          recorder_.RecordRate(*replica, aNotice, aSentAt);
-        },
-        [&] {
-          return chooser_.MaySend(*replica, clock_.Now()) && counted.OnSend();
-        } });
-    AttemptInProgress inProgress(attempts_, attempt);
-    last = attempt.Run(*replica, mayRunAgain && !failure);
-    counted.OnEnd(last);
-    recorder_.RecordAttempt(aRequest, *replica, last, startedAt);
-    recorder_.RecordEvidence(aRequest, *replica, last, isSuccessCounted);
-    aRequest.lastReplica_ = replica->id_;
-    aRequest.runs_ += last.MayHaveRun() ? 1 : 0;
+    last = TryReplica(
+      aExchange, aRequest, *replica, mayRunAgain && !failure, progress);
     if (last.outcome_ == AttemptOutcome::Abandoned) {
       break;
     }
@@ -487,14 +523,14 @@
       LogAnswered(aRequest, *replica, aExchange.Status(), clock_.Now());
       return;
     }
+    LogAttemptFailed(aRequest, last);
     aRequest.excluded_.insert(replica->id_);
     side = rollouts_.SideAfter(side, aRequest.service_, clock_.Now());
     if (last.failure_) {
       failure = std::move(last.failure_);
     }
-    LogAttemptFailed(aRequest, last);
     bool isSuspected =
-      last.isConnectionLost_ && quarantine_.IsSuspected(causes);
+      last.isConnectionLost_ && quarantine_.IsSuspected(progress.causes_);
     if (last.MayHaveRun() && (!mayRunAgain || isSuspected)) {
       break;
     }
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -139,6 +139,8 @@
   void TrimConnections();
 
 private:
+  struct Progress;
+
   tl::expected<ForwardedRequest, HttpResponse> Admit(HttpExchange& aExchange);
   std::optional<HttpResponse> CheckOrganisation(HttpExchange& aExchange,
                                                 ForwardedRequest& aRequest);
@@ -153,6 +155,15 @@
   const std::string& PickService(const Route& aRoute);
   void CountLatency(const ForwardedRequest& aRequest, ServiceLoad& aLoad);
   void Run(HttpExchange& aExchange, ForwardedRequest& aRequest);
+  ForwardAttempt::Hooks HooksOf(ForwardedRequest& aRequest,
+                                const Replica& aReplica,
+                                RolloutAttempt& aCounted,
+                                Progress& aProgress);
+  AttemptResult TryReplica(HttpExchange& aExchange,
+                           ForwardedRequest& aRequest,
+                           const Replica& aReplica,
+                           bool aReturnsFailures,
+                           Progress& aProgress);
   void EndUnanswered(HttpExchange& aExchange,
                      ForwardedRequest& aRequest,
                      const AttemptResult& aLast,
