Move what control records by itself out of fleet_control.cpp

Leaves, starts of versions and ends of roll-outs are proposed and logged by FleetRecords. fleet_control.cpp goes from 1,010 to 961 lines; nothing else changes. The tests of leaves, versions, roll-outs and the platform's processes pass.

--- a/src/tanagerstall/process/tanagerstall_fleet_control.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_control.cpp
@@ -17,6 +17,7 @@
 #include "tanagerstall/process/tanagerstall_configuration_calls.hpp"
 #include "tanagerstall/process/tanagerstall_declaration_calls.hpp"
 #include "tanagerstall/process/tanagerstall_entry_loads.hpp"
+#include "tanagerstall/process/tanagerstall_fleet_records.hpp"
 #include "tanagerstall/process/tanagerstall_leader_tasks.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
 #include "tanagerstall/process/tanagerstall_loop_delay.hpp"
@@ -250,27 +251,6 @@
     versionStarts_ = fleet_.StartedVersions();
   }
 
-  void ProposeVersionStart(const std::string& aService,
-                           const std::string& aVersion,
-                           const VersionGate::Done& aDone)
-  {
-    member_.Propose(
-      GroupName::Configuration,
-      FleetState::EncodeVersionStart(aService, aVersion, ReadWallTime()),
-      [aService, aVersion, aDone](const GroupResult& aResult) {
-        // A leader of an earlier build passes over the command, which is in the
-        // log all the same.
-        bool isRecorded =
-          aResult || aResult.error().fault_ == GroupFault::Malformed;
-        LogEvent(isRecorded ? Severity::Info : Severity::Warning,
-                 isRecorded ? "version started" : "version not started",
-                 { { "service", aService },
-                   { "version", aVersion },
-                   { "error", aResult ? "" : aResult.error().detail_ } });
-        aDone(isRecorded);
-      });
-  }
-
   /// Has the leadership confirmed for entries that ask which versions there
   /// are.
   void ConfirmVersions()
@@ -287,23 +267,6 @@
     });
   }
 
-  void ProposeLeaves(const std::vector<Replica>& aReplicas,
-                     const LeaveRecorder::Done& aDone)
-  {
-    member_.Propose(
-      GroupName::Configuration,
-      FleetState::EncodeLeaves(aReplicas, ReadWallTime()),
-      [this, count = aReplicas.size(), aDone](const GroupResult& aResult) {
-        if (!aResult) {
-          LogEvent(
-            Severity::Warning,
-            "leaves not recorded",
-            { { "replicas", count }, { "error", aResult.error().detail_ } });
-        }
-        aDone(clock_.Now());
-      });
-  }
-
   void OnDeclaration(const Declaration& aDeclaration)
   {
     history_.Add(aDeclaration);
@@ -403,20 +366,6 @@
     return runs;
   }
 
-  void ProposeEnd(const RolloutEnd& aEnd)
-  {
-    member_.Propose(
-      GroupName::Configuration,
-      FleetState::EncodeEndRollout(aEnd.id_, aEnd.state_, aEnd.endedAt_),
-      [id = aEnd.id_](const GroupResult& aResult) {
-        if (!aResult) {
-          LogEvent(Severity::Warning,
-                   "rollout end not recorded",
-                   { { "id", id }, { "error", aResult.error().detail_ } });
-        }
-      });
-  }
-
   void DecideOnCrashes(TimePoint aNow)
   {
     if (!isLeading_ || !detector_.Update(aNow)) {
@@ -841,11 +790,12 @@
   DeclarationHistory history_;
   RaftMember member_;
   ConfigurationCalls configuration_{ loop_, member_ };
+  FleetRecords records_{ member_, clock_ };
   ReplicaTable replicas_;
   PeerConfirmations confirmations_;
   LeaveRecorder leaveRecorder_{ [this](const auto& aReplicas,
                                        const LeaveRecorder::Done& aDone) {
-    ProposeLeaves(aReplicas, aDone);
+    records_.RecordLeaves(aReplicas, aDone);
   } };
   ReplicaBatches batches_;
   EncodedChanges encodedChanges_;
@@ -864,7 +814,7 @@
                            { [this] { return view_.Present(clock_.Now()); },
                              [this] { return ServingRuns(); },
                              [this](const RolloutEnd& aEnd) {
-                               ProposeEnd(aEnd);
+                               records_.RecordRolloutEnd(aEnd);
                              },
                              [this] { entriesServer_.Notify(); } } };
   bool isLeading_ = false;
@@ -882,7 +832,8 @@
   VersionGate versionGate_{ [this](const std::string& aService,
                                    const std::string& aVersion,
                                    const VersionGate::Done& aDone) {
-                             ProposeVersionStart(aService, aVersion, aDone);
+                             records_.RecordVersionStart(
+                               aService, aVersion, aDone);
                            },
                             [this](const Replica& aReplica) {
                               RecordAnnouncement(aReplica, [](bool) {});
