--- a/tests/soak/tanagerstall_soak_faults.cpp
+++ b/tests/soak/tanagerstall_soak_faults.cpp
@@ -442,6 +442,19 @@
   replica.Restart(false);
 }
 
+void
+ApplyReplicaFault(const FaultContext& aContext,
+                  SoakReplica& aReplica,
+                  ReplicaFault aFault)
+{
+  LogFault("break replica responses",
+           aReplica.Options().name_ + " kind " +
+             std::to_string(static_cast<int>(aFault)));
+  aReplica.SetFault(aFault, 0.4);
+  aContext.Wait();
+  aReplica.SetFault(ReplicaFault::None, 0.0);
+}
+
 void
 BreakResponses(const FaultContext& aContext)
 {
@@ -452,12 +465,14 @@
   };
   SoakReplica& replica = aContext.AnyReplica();
   ReplicaFault fault = aContext.environment_.random_.Pick(kinds);
-  LogFault("break replica responses",
-           replica.Options().name_ + " kind " +
-             std::to_string(static_cast<int>(fault)));
-  replica.SetFault(fault, 0.4);
-  aContext.Wait();
-  replica.SetFault(ReplicaFault::None, 0.0);
+  ApplyReplicaFault(aContext, replica, fault);
+}
+
+void
+FailAsUnavailable(const FaultContext& aContext)
+{
+  ApplyReplicaFault(
+    aContext, aContext.AnyReplica(), ReplicaFault::FailedAsUnavailable);
 }
 
 struct NamedFault
@@ -490,6 +505,7 @@
   { "crash-replica", CrashReplica },
   { "drain-replica", DrainReplica },
   { "break-answers", BreakResponses },
+  { "fail-as-unavailable", FailAsUnavailable },
   { "suspend", Suspend },
   { "full-disks", FillDisksInTurn, false },
 };
--- a/tests/soak/tanagerstall_soak_replica.cpp
+++ b/tests/soak/tanagerstall_soak_replica.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds kMaxWorkTime(80);
 constexpr milliseconds kEventPause(25);
 constexpr milliseconds kNoResponsePoll(50);
+constexpr int kUnavailable = 503;
 
 int
 ParseNumber(std::string_view aText)
@@ -29,6 +30,16 @@
   return number;
 }
 
+/// The status of a replica's response to a request that it has run.
+int
+StatusFor(ReplicaFault aFault)
+{
+  if (aFault == ReplicaFault::FailedAsUnavailable) {
+    return kUnavailable;
+  }
+  return aFault == ReplicaFault::Failed ? 500 : 200;
+}
+
 } // namespace
 
 SoakReplica::SoakReplica(ReplicaOptions aOptions,
@@ -200,11 +211,12 @@
     aExchange.Abort();
     return;
   }
-  if (request.target_.find("/stream") != std::string::npos) {
+  int status = StatusFor(aFault);
+  bool isStream = request.target_.find("/stream") != std::string::npos;
+  if (isStream && status != kUnavailable) {
     SendStream(aExchange, aFault == ReplicaFault::Truncated);
     return;
   }
-  int status = aFault == ReplicaFault::Failed ? 500 : 200;
   HttpResponse response;
   response.status_ = status;
   response.headers_ = { { protocol_.requestId_, id },
--- a/tests/soak/tanagerstall_soak_replica.hpp
+++ b/tests/soak/tanagerstall_soak_replica.hpp
@@ -30,7 +30,9 @@
   /// Responds 503 with the header for requests that were not run.
   Refused,
   /// Runs the request and responds 500 with a seal.
-  Failed
+  Failed,
+  /// The same with 503, without the header for requests that were not run.
+  FailedAsUnavailable
 };
 
 constexpr std::uint16_t kReplicaPort = 8080;
