--- a/tests/tanagerstall_distribution_simulation.hpp
+++ b/tests/tanagerstall_distribution_simulation.hpp
@@ -336,7 +336,7 @@
     report.entry_.failureDomain_ = "region-1-domain-b";
     report.entry_.region_ = "region-1";
     report.entry_.incarnation_ = 1;
-    report.entry_.revision_ = 1;
+    report.inForce_ = 1;
     report.isBrief_ = aIsBrief;
     report.isToLeader_ = aControl == 0;
     std::tie(report.controlRun_, report.stamp_) =
