--- a/tests/declaration_number_tests.cpp
+++ b/tests/declaration_number_tests.cpp
@@ -183,9 +183,9 @@
   /// It passes over number 0 and replies with nothing.
   Earlier,
   /// It passes over every declaration.
-  Deaf,
+  PassingOver,
   /// The same, and replies with nothing.
-  EarlierDeaf,
+  EarlierPassingOver,
   None
 };
 
@@ -218,12 +218,12 @@
   { "0 first, members unknown", {}, 0, Leader::Current, false, false, {} },
   { "0 first, earlier leader", {}, 0, Leader::Earlier, true, false, {} },
   { "7 first, earlier leader", {}, 7, Leader::Earlier, false, true, 7 },
-  { "passed over", {}, 7, Leader::Deaf, true, false, {} },
-  { "passed over after 3", 3, 7, Leader::Deaf, true, false, 3 },
+  { "passed over", {}, 7, Leader::PassingOver, true, false, {} },
+  { "passed over after 3", 3, 7, Leader::PassingOver, true, false, 3 },
   { "passed over by an earlier leader",
     3,
     7,
-    Leader::EarlierDeaf,
+    Leader::EarlierPassingOver,
     true,
     false,
     3 },
@@ -257,8 +257,10 @@
   if (aLeader == Leader::None) {
     return NoLeader();
   }
-  bool isPassedOver = aLeader == Leader::Deaf || aLeader == Leader::EarlierDeaf;
-  bool isEarlier = aLeader == Leader::Earlier || aLeader == Leader::EarlierDeaf;
+  bool isPassedOver =
+    aLeader == Leader::PassingOver || aLeader == Leader::EarlierPassingOver;
+  bool isEarlier =
+    aLeader == Leader::Earlier || aLeader == Leader::EarlierPassingOver;
   Bytes reply;
   if (!isEarlier || aDeclaration.number_ != 0) {
     reply = aState.AsStateMachine().apply_(
