One reader of a plan's number and of a reply's declaration; no copies of state

Found on reading the change once more; nothing that callers, operators or other processes see has changed.

- The gauge and the readiness of an entry ask the forwarder for its plan, in place of two atomics beside it; the log uses the same NumberOf().
- The reply to a declaration is decoded as the result of a query is.
- A response's status is written as text only where it is logged.

--- a/src/tanagerstall/process/tanagerstall_declaration_calls.cpp
+++ b/src/tanagerstall/process/tanagerstall_declaration_calls.cpp
@@ -8,10 +8,12 @@
 
 namespace {
 
+/// Fails unless the state that a reply describes has this declaration or one
+/// with a higher number.
 tl::expected<void, GroupError>
-CheckHeld(std::uint64_t aNumber, const DeclarationNumber& aHeld)
+CheckHeld(std::uint64_t aNumber, const Bytes& aReply)
 {
-  if (aHeld >= aNumber) {
+  if (NumberOf(FleetState::DecodeDeclaration(aReply)) >= aNumber) {
     return {};
   }
   return tl::make_unexpected(GroupError{
@@ -38,8 +40,7 @@
   }
   // A leader of an earlier build doesn't say what it holds.
   return reply->empty() ? ConfirmHeld(aDeclaration.number_)
-                        : CheckHeld(aDeclaration.number_,
-                                    FleetState::DecodeDeclareReply(*reply));
+                        : CheckHeld(aDeclaration.number_, *reply);
 }
 
 tl::expected<std::optional<Declaration>, GroupError>
@@ -57,7 +58,7 @@
   if (!brief) {
     return tl::make_unexpected(brief.error());
   }
-  return CheckHeld(aNumber, NumberOf(FleetState::DecodeDeclaration(*brief)));
+  return CheckHeld(aNumber, *brief);
 }
 
 } // namespace tanagerstall
--- a/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
+++ b/src/tanagerstall/process/tanagerstall_fleet_entry.cpp
@@ -101,8 +101,8 @@
     Gauges gauges{ { "ready", IsReady() ? 1.0 : 0.0 },
                    { "requests_in_progress",
                      static_cast<double>(callers_.ActiveExchanges()) } };
-    if (hasPlan_) {
-      gauges["declaration"] = static_cast<double>(shownDeclaration_);
+    if (auto number = forwarder_.PlanNumber()) {
+      gauges["declaration"] = static_cast<double>(*number);
     }
     AddServiceGauges(gauges,
                      "replicas_backing_off",
@@ -143,7 +143,8 @@
     }
   }
 
-  bool IsReady() const { return hasPlan_ && !isStopping_; }
+  /// Runs on the traffic thread, as the servers that ask do.
+  bool IsReady() const { return forwarder_.PlanNumber() && !isStopping_; }
 
   bool IsBusy() const { return traffic_.requestRate_ > kBusyRequestRate; }
 
@@ -409,7 +410,6 @@
     }
     inForce_ = aDeclaration.number_;
     self_.weight_ = 100;
-    shownDeclaration_ = aDeclaration.number_;
     LogEvent(Severity::Info,
              "declaration in force",
              { { "number", aDeclaration.number_ },
@@ -424,10 +424,7 @@
     limits.bodyIdleTimeout_ =
       settings_.clients_.bodyIdleTimeout_.value_or(limits.idleTimeout_);
     callers_.SetLimits(limits);
-    threads_.Post([this, shared] {
-      forwarder_.SetPlan(shared);
-      hasPlan_ = true;
-    });
+    threads_.Post([this, shared] { forwarder_.SetPlan(shared); });
   }
 
   void PublishReplicas(TimePoint aNow)
@@ -589,10 +586,7 @@
   std::uint32_t shareDivisor_ = 0;
   LoopDelay loopDelay_{ kTickInterval };
   Drain drain_;
-  std::atomic<bool> hasPlan_{ false };
   std::atomic<bool> isStopping_{ false };
-  /// The number in force, for the metrics; valid once `hasPlan_` is set.
-  std::atomic<std::uint64_t> shownDeclaration_{ 0 };
   TimePoint nextSettingsReadAt_;
   FleetClient client_;
   std::shared_ptr<ClientLimits> clients_;
--- a/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
+++ b/src/tanagerstall/request/tanagerstall_forward_attempt.cpp
@@ -361,17 +361,18 @@
   result.isSent_ = true;
   result.isServerError_ = aHead.status_ >= kServerError;
   result.isSuccess_ = IsSuccess(aHead.status_);
+  int status = aHead.status_;
   if (exchange_.HasStarted()) {
     // The caller has part of a stream already, and the replica that should
     // resume it did not return a stream.
     result.outcome_ = AttemptOutcome::Broken;
-    result.detail_ = "status " + std::to_string(aHead.status_);
+    result.detail_ = "status " + std::to_string(status);
     return result;
   }
-  std::string status = std::to_string(aHead.status_);
   auto response = MakeCallerResponse(std::move(aHead), *request_.route_);
   if (!response) {
-    result.detail_ = "status " + status + " after the request may have run";
+    result.detail_ =
+      "status " + std::to_string(status) + " after the request may have run";
   } else if (aReturnsFailures && result.isServerError_) {
     result.failure_ = std::move(response);
   } else {
--- a/src/tanagerstall/request/tanagerstall_forwarder.hpp
+++ b/src/tanagerstall/request/tanagerstall_forwarder.hpp
@@ -84,6 +84,8 @@
   ~Forwarder();
 
   void SetPlan(std::shared_ptr<const TrafficPlan> aPlan);
+  /// The number of the plan's declaration; nullopt before the first one.
+  DeclarationNumber PlanNumber() const { return NumberOf(plan_.get()); }
   void SetReplicas(std::shared_ptr<const ReplicasByService> aReplicas);
   /// Sets the number by which this entry divides what all entries share: the
   /// retry slack and the rates that replicas name.
--- a/src/tanagerstall/request/tanagerstall_request_log.cpp
+++ b/src/tanagerstall/request/tanagerstall_request_log.cpp
@@ -2,7 +2,6 @@
 
 #include "tanagerstall/process/tanagerstall_bytes.hpp"
 #include "tanagerstall/process/tanagerstall_log.hpp"
-#include "tanagerstall/version/tanagerstall_declaration.hpp"
 
 namespace tanagerstall {
 
@@ -15,13 +14,6 @@
                                     : aRequest.route_->name_;
 }
 
-DeclarationNumber
-PlanNumberOf(const ForwardedRequest& aRequest)
-{
-  return aRequest.plan_ ? DeclarationNumber(aRequest.plan_->number_)
-                        : std::nullopt;
-}
-
 /// The ids of the shared prompt parts in hexadecimal, separated by commas.
 std::string
 PromptPartsOf(const ForwardedRequest& aRequest)
@@ -46,7 +38,7 @@
            "answered",
            { { "request", aRequest.id_ },
              { "route", RouteOf(aRequest) },
-             { "plan", PlanNumberOf(aRequest) },
+             { "plan", NumberOf(aRequest.plan_.get()) },
              { "organisation", aRequest.OrganisationName() },
              { "prompt_tokens", aRequest.prompt_.promptTokens_ },
              { "output_tokens", aRequest.prompt_.maxOutputTokens_ },
@@ -72,7 +64,7 @@
              { "reason", aReason },
              { "status", aStatus },
              { "route", RouteOf(aRequest) },
-             { "plan", PlanNumberOf(aRequest) },
+             { "plan", NumberOf(aRequest.plan_.get()) },
              { "organisation", aRequest.OrganisationName() },
              { "cost", aRequest.limitCost_ },
              { "service", aRequest.service_ },
@@ -153,7 +145,7 @@
            { { "request", aRequest.id_ },
              { "route", RouteOf(aRequest) },
              { "repeatable", aRequest.route_->IsIdempotent() },
-             { "plan", PlanNumberOf(aRequest) },
+             { "plan", NumberOf(aRequest.plan_.get()) },
              { "replica", aRequest.lastReplica_ },
              { "running_there", aRequest.runningAtReplica_ },
              { "sends", aRequest.sends_ },
--- a/src/tanagerstall/version/tanagerstall_declaration_transfer.cpp
+++ b/src/tanagerstall/version/tanagerstall_declaration_transfer.cpp
@@ -54,15 +54,13 @@
 DeclarationHistory::CompressedFor(const Declaration* aBase)
 {
   DeclarationNumber number;
+  BytesView reference;
   if (aBase != nullptr) {
     number = aBase->number_;
+    reference = ViewOf(aBase->document_);
   }
   auto it = compressed_.find(number);
   if (it == compressed_.end()) {
-    BytesView reference;
-    if (aBase != nullptr) {
-      reference = ViewOf(aBase->document_);
-    }
     Bytes bytes = Compress(ViewOf(declarations_.back().document_), reference)
                     .value_or(Bytes());
     it = compressed_.emplace(number, std::move(bytes)).first;
--- a/src/tanagerstall/version/tanagerstall_fleet_state.cpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.cpp
@@ -272,12 +272,6 @@
   return ReadDeclaration(message.Root<wire::FleetSnapshot>());
 }
 
-DeclarationNumber
-FleetState::DecodeDeclareReply(BytesView aBytes)
-{
-  return NumberOf(DecodeDeclaration(aBytes));
-}
-
 UsageWindow
 FleetState::DecodeUsage(BytesView aBytes)
 {
--- a/src/tanagerstall/version/tanagerstall_fleet_state.hpp
+++ b/src/tanagerstall/version/tanagerstall_fleet_state.hpp
@@ -88,13 +88,11 @@
                                   const std::string& aVersion,
                                   WallTime aStartedAt);
   static Bytes EncodeQuery(FleetQuery aQuery);
-  /// Decodes the declaration in the result of a query; nullopt if there is
-  /// none. Its document is empty unless the query asked for all.
+  /// Decodes the declaration in the result of a query, or of a command that
+  /// declares, after which the state has it; nullopt if there is none. Its
+  /// document is empty unless a query asked for all. Earlier builds reply to
+  /// the command with nothing.
   static std::optional<Declaration> DecodeDeclaration(BytesView aBytes);
-  /// Decodes the result of a command that declares: the number of the
-  /// declaration that the state has since then. The result is empty if a build
-  /// applied the command that doesn't say it.
-  static DeclarationNumber DecodeDeclareReply(BytesView aBytes);
   /// Decodes the roll-outs in the result of a query.
   static RolloutsByService DecodeRollouts(BytesView aBytes);
   /// Decodes the result of a command that starts a roll-out. Returns nullopt
--- a/src/tanagerstall/version/tanagerstall_traffic_plan.hpp
+++ b/src/tanagerstall/version/tanagerstall_traffic_plan.hpp
@@ -2,6 +2,7 @@
 #define TANAGERSTALL_TRAFFIC_PLAN_HPP_INCLUDED
 
 #include "tanagerstall/process/tanagerstall_clock.hpp"
+#include "tanagerstall/version/tanagerstall_declaration.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -167,6 +168,13 @@
   std::unordered_map<std::string, std::size_t> byKeyHash_;
 };
 
+/// The number of the plan's declaration; nullopt for nullptr.
+inline DeclarationNumber
+NumberOf(const TrafficPlan* aPlan)
+{
+  return aPlan == nullptr ? std::nullopt : DeclarationNumber(aPlan->number_);
+}
+
 /// Decodes and validates the operator's document.
 using PlanDecoder =
   std::function<tl::expected<TrafficPlan, PlanError>(std::string_view)>;
