More rows for promised statuses; a lost disk in the test of number 0

promised_status_tests takes its routes from the forwarder's environment and adds one, in place of a copy. New rows: 408 and 421 with the statement that the request has not run, and true refusals of resumable streams. declaration_zero_test also starts a control process without its disk.

--- a/tests/processes/declaration_zero_test.sh
+++ b/tests/processes/declaration_zero_test.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # The operator counts its declarations from 0. Guards against a declaration with
 # number 0 that is acknowledged and neither read back nor obeyed, also after a
-# restart of all control processes and at an entry that starts later.
+# restart of all control processes, at one that has lost its disk and at an entry
+# that starts later.
 set -euo pipefail
 run=$(mktemp -d)
 source tools/scripts/lib.sh
@@ -46,6 +47,14 @@
 wait_until is_ready 2
 obeys 2
 
+# A control process that has lost its disk gets the declaration from the others.
+kill -KILL "$(pid_of control-1)"
+wait "$(pid_of control-1)" 2>/dev/null || true
+rm -rf "$run/data-1"
+control_settings 1 false
+start_platform control-1 controld
+wait_until has_version "${controls[0]}" 0
+
 wait_until accepts "${controls[1]}" 1
 for control in "${controls[@]}"; do
   wait_until has_version "$control" 1
--- a/tests/promised_status_tests.cpp
+++ b/tests/promised_status_tests.cpp
@@ -10,20 +10,19 @@
 
 namespace {
 
-/// Routes of all kinds, two of them with an organisation's key and without.
-constexpr const char* kKindsDocument =
-  R"({"version":1,"services":[{"name":"s"}],"routes":[)"
-  R"({"name":"safe","host":"h","pathPrefix":"/safe/","kind":"safe",)"
-  R"("timeoutMs":1500,"service":"s","attempts":2},)"
-  R"({"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe",)"
-  R"("timeoutMs":1500,"service":"s","attempts":2},)"
-  R"({"name":"open","host":"h","pathPrefix":"/open/","kind":"unsafe",)"
-  R"("timeoutMs":1500,"service":"s","attempts":1,"anonymous":true},)"
-  R"({"name":"stream","host":"h","pathPrefix":"/stream/","kind":"streaming",)"
-  R"("timeoutMs":1500,"service":"s","attempts":2},)"
-  R"({"name":"resume","host":"h","pathPrefix":"/resume/","kind":"streaming",)"
-  R"("timeoutMs":1500,"service":"s","attempts":2,"resumable":true}],)"
-  R"("tenants":[{"name":"t","apiKeys":["k"]}]})";
+/// The usual routes, and one without a key beside an organisation's key.
+std::string
+DocumentOfAllKinds()
+{
+  constexpr std::string_view kEnd = "]}";
+  std::string document = kDocument;
+  BOOST_REQUIRE(document.ends_with(kEnd));
+  document.resize(document.size() - kEnd.size());
+  return document +
+         R"(,{"name":"open","host":"h","pathPrefix":"/open/",)"
+         R"("kind":"unsafe","timeoutMs":1500,"service":"s","attempts":1,)"
+         R"("anonymous":true}],"tenants":[{"name":"t","apiKeys":["k"]}]})";
+}
 
 std::string
 Failure(const char* aStatus, const std::string& aMore = "")
@@ -93,9 +92,12 @@
     cases.push_back({ path, "504", Failure("504 X"), 504, true, 1 });
     cases.push_back({ path, "400", Failure("400 X"), 400, true, 1 });
   }
-  for (const char* path : { "/once/x", "/open/x", "/stream/x", "/safe/x" }) {
+  for (const char* path :
+       { "/once/x", "/open/x", "/stream/x", "/safe/x", "/resume/x" }) {
     cases.push_back({ path, "refused 503", Refusal("503 X"), 503, false, 2 });
     cases.push_back({ path, "refused 429", Refusal("429 X"), 503, false, 2 });
+    cases.push_back({ path, "refused 408", Refusal("408 X"), 503, false, 2 });
+    cases.push_back({ path, "refused 421", Refusal("421 X"), 503, false, 2 });
     cases.push_back({ path, "refused 400", Refusal("400 X"), 503, false, 2 });
     cases.push_back({ path, "421", Failure("421 X"), 503, false, 2 });
   }
@@ -107,7 +109,7 @@
 {
   ScriptedUpstream one({ aCase.response_ });
   ScriptedUpstream other({ aCase.response_ });
-  Environment environment({ &one, &other }, kKindsDocument);
+  Environment environment({ &one, &other }, DocumentOfAllKinds());
   auto answer = environment.Fetch(aCase.path_, "", "k", {}, aBody);
   BOOST_REQUIRE(answer.has_value());
   BOOST_TEST(answer->status_ == aCase.status_);
@@ -148,7 +150,7 @@
 BOOST_AUTO_TEST_CASE(A_failure_that_is_withheld_counts_as_usage)
 {
   ScriptedUpstream upstream({ Failure("503 X") });
-  Environment environment({ &upstream }, kKindsDocument);
+  Environment environment({ &upstream }, DocumentOfAllKinds());
   BOOST_TEST(environment.Fetch("/once/x", "", "k")->status_ == 502);
   auto report = environment.Call<TrafficReport>(
     [](Forwarder& aForwarder) { return aForwarder.Report(); });
